--- /dev/null
+++ b/include/hornbeamrail/fleet_config.hpp
@@ -0,0 +1,102 @@
+#pragma once
+
+#include "hornbeamrail/error.hpp"
+
+#include <boost/json/value.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace hornbeamrail {
+
+struct diagnostic;
+
+/// An availability zone.
+struct zone_config {
+    std::string name;
+    std::string region;
+};
+
+/// A pool of VMs. A pool without a service is the spare pool.
+struct pool_config {
+    std::string name;
+    std::int64_t vms = 0;     ///< VMs the operators plan for this pool
+    std::int64_t min_vms = 0; ///< moves never take the pool below this
+    std::int64_t cores_per_vm = 32;
+    std::int64_t memory_mb_per_vm = 65536;
+    std::int64_t accelerators_per_vm = 0;
+    bool spare = false;
+};
+
+/// Share of failed requests that callers may see over a sliding window.
+struct availability_target {
+    std::chrono::hours window{24 * 28};
+    double max_failed_part = 0.001; ///< 0 < part < 1
+};
+
+struct service_config {
+    std::string name;
+    std::string pool;
+    std::vector<std::string> depends_on;
+    availability_target availability;
+    bool open = false;     ///< requests without a key run under `open_team`
+    std::string open_team; ///< set if and only if `open`
+    std::chrono::milliseconds longest_run{30000};
+    std::int64_t queue_limit = 400; ///< requests queued per node for this service, all teams together
+    std::int64_t slots_per_executor = 8;
+    std::int64_t connections_per_executor = 64;
+};
+
+struct team_config {
+    std::string name;
+    double share = 0;             ///< percent of the fleet when everything is full
+    std::int64_t upper_limit = 0; ///< units running at once across the fleet
+    std::vector<std::string> services;
+};
+
+struct maintenance_config {
+    std::chrono::hours period{24 * 28}; ///< every VM is maintained once in this period
+    double max_parallel_part = 0.1;     ///< largest part of a pool that may be in maintenance at once
+};
+
+/// The fleet text: what the operators want. Immutable once made.
+struct fleet_config {
+    std::string site;
+    std::vector<zone_config> zones;
+    std::vector<pool_config> pools;
+    std::vector<service_config> services;
+    std::vector<team_config> teams;
+    maintenance_config maintenance;
+
+    [[nodiscard]] const zone_config* find_zone(std::string_view name) const;
+    [[nodiscard]] const pool_config* find_pool(std::string_view name) const;
+    [[nodiscard]] const service_config* find_service(std::string_view name) const;
+    [[nodiscard]] const team_config* find_team(std::string_view name) const;
+
+    /// @return the service whose pool is @p pool, or nullptr (the spare pool has none)
+    [[nodiscard]] const service_config* service_of_pool(std::string_view pool) const;
+
+    /// @return whether @p team may use @p service
+    [[nodiscard]] bool team_may_use(const team_config& team, std::string_view service) const;
+};
+
+/// Reads and checks a fleet text.
+/// @param document the parsed JSON document
+/// @param diagnostics receives every finding with its JSON path and remedy
+/// @return the configuration; usable only if @p diagnostics stayed empty
+fleet_config read_fleet_config(const boost::json::value& document, std::vector<diagnostic>& diagnostics);
+
+/// Reads and checks a fleet text.
+/// @param text JSON, at most `max_fleet_text_bytes`
+/// @return the configuration, or `errc::parse_failed` / `errc::invalid_argument` with the first finding
+result<fleet_config> parse_fleet_config(std::string_view text);
+
+/// @return the fleet text as JSON; `read_fleet_config` of it gives an equal configuration
+boost::json::value to_json(const fleet_config& config);
+
+inline constexpr std::size_t max_fleet_text_bytes = 4 * 1024 * 1024;
+
+} // namespace hornbeamrail
