--- /dev/null
+++ b/src/transport/http_client_pool.cpp
@@ -0,0 +1,178 @@
+#include "transport/http_client_pool.hpp"
+
+#include "transport/call_pool.hpp"
+#include "transport/http_parser.hpp"
+
+#include <boost/beast/http/error.hpp>
+
+#include <array>
+#include <atomic>
+
+namespace hornbeamrail {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+namespace {
+
+constexpr std::size_t read_bytes = 16 * 1024;
+
+struct shared_counters {
+    std::atomic<std::int64_t> answered{0}, unsent{0}, unknown{0}, crossed{0};
+};
+
+/// A call on its way through the pool.
+struct pending_call {
+    endpoint target;
+    std::chrono::steady_clock::time_point deadline;
+    http_request request;
+    std::string correlation_id;
+    http_client_pool::callback done;
+    std::uint32_t max_head_bytes;
+    std::uint64_t max_body_bytes;
+    std::shared_ptr<shared_counters> counters;
+    http_call_result outcome;
+
+    void fail_unsent(std::string reason) {
+        if (this->outcome.status == call_status::unsent) {
+            this->outcome.failure = std::move(reason);
+        }
+    }
+
+    bool fail_sent(std::string reason) {
+        this->outcome.status = call_status::unknown;
+        this->outcome.failure = std::move(reason);
+        return false;
+    }
+
+    void complete() {
+        auto& counter = this->outcome.status == call_status::answered ? this->counters->answered
+                        : this->outcome.status == call_status::unsent ? this->counters->unsent
+                                                                      : this->counters->unknown;
+        counter.fetch_add(1, std::memory_order_relaxed);
+        this->done(std::move(this->outcome));
+    }
+
+    io_task<bool> exchange(socket_stream& stream, boost::beast::flat_buffer& buffer) {
+        std::string head;
+        head.reserve(512 + (this->request.body.size() <= 4096 ? this->request.body.size() : 0));
+        if (!append_request_head(head, this->request, to_string(this->target))) {
+            this->fail_unsent("a header of the request holds a control character");
+            co_return true;
+        }
+        error_code failure;
+        std::size_t written = 0;
+        if (this->request.body.size() <= 4096) {
+            head.append(this->request.body);
+            written = co_await stream.write(asio::buffer(head), failure);
+        } else {
+            const std::array<asio::const_buffer, 2> parts{asio::buffer(head),
+                                                          asio::buffer(this->request.body)};
+            written = co_await stream.write(parts, failure);
+        }
+        if (failure && written == 0 && !stream.uses_tls()) {
+            this->fail_unsent("cannot write: " + failure.message());
+            co_return false;
+        }
+        this->outcome.status = call_status::unknown;
+        if (failure) {
+            co_return this->fail_sent("the request was written in part: " + failure.message());
+        }
+        co_return co_await this->read_answer(stream, buffer);
+    }
+
+    io_task<bool> read_answer(socket_stream& stream, boost::beast::flat_buffer& buffer) {
+        http_parser<false> parser(this->max_head_bytes, this->max_body_bytes);
+        error_code failure;
+        while (!parser.is_done()) {
+            if (buffer.size() + read_bytes > buffer.max_size()) {
+                co_return this->fail_sent("the answer's head is too long");
+            }
+            const auto got = co_await stream.read_some(buffer.prepare(read_bytes), failure);
+            if (failure) {
+                co_return this->fail_sent("the connection ended before the whole answer: " +
+                                          failure.message());
+            }
+            buffer.commit(got);
+            while (buffer.size() > 0 && !parser.is_done()) {
+                const auto used = parser.put(buffer.data(), failure);
+                buffer.consume(used);
+                if (failure == http::error::need_more) {
+                    failure = {};
+                    break;
+                }
+                if (failure) {
+                    co_return this->fail_sent("the answer is not valid HTTP: " + failure.message());
+                }
+                // Without a length, an answer that was cut short looks like a whole one.
+                if (parser.is_header_done() && parser.need_eof()) {
+                    co_return this->fail_sent("the answer states no length");
+                }
+            }
+        }
+        const auto answered_id = parser.message.headers.value_or("Correlation-Id", "");
+        if (!this->correlation_id.empty() && answered_id != this->correlation_id) {
+            this->counters->crossed.fetch_add(1, std::memory_order_relaxed);
+            co_return this->fail_sent("the answer belongs to another request");
+        }
+        const bool usable = parser.keep_alive() && buffer.size() == 0;
+        this->outcome.status = call_status::answered;
+        this->outcome.response = std::move(parser.message);
+        co_return usable;
+    }
+};
+
+} // namespace
+
+struct http_client_pool::impl {
+    impl(io_threads& threads, http_client_options settings)
+        : options(settings), counters(std::make_shared<shared_counters>()),
+          pool(std::make_shared<detail::call_pool<pending_call>>(
+              threads, detail::call_pool_options{.max_connections = settings.max_connections,
+                                                 .max_waiting = settings.max_waiting,
+                                                 .buffer_bytes = settings.max_head_bytes + 3 * read_bytes,
+                                                 .idle_timeout = settings.idle_timeout,
+                                                 .tls = nullptr})) {
+        this->pool->start();
+    }
+
+    http_client_options options;
+    std::shared_ptr<shared_counters> counters;
+    std::shared_ptr<detail::call_pool<pending_call>> pool;
+};
+
+http_client_pool::http_client_pool(io_threads& threads, http_client_options options)
+    : self(std::make_shared<impl>(threads, options)) {}
+
+http_client_pool::~http_client_pool() = default;
+
+void http_client_pool::call(http_call request, callback done) {
+    auto pending = std::make_shared<pending_call>();
+    pending->target = std::move(request.target);
+    pending->deadline = std::chrono::steady_clock::now() + request.timeout;
+    pending->request = std::move(request.request);
+    pending->correlation_id = std::move(request.correlation_id);
+    if (!pending->correlation_id.empty()) {
+        pending->request.headers.set("Correlation-Id", pending->correlation_id);
+    }
+    pending->done = std::move(done);
+    pending->max_head_bytes = this->self->options.max_head_bytes;
+    pending->max_body_bytes = this->self->options.max_body_bytes;
+    pending->counters = this->self->counters;
+    this->self->pool->submit(std::move(pending));
+}
+
+std::size_t http_client_pool::open_connections(const endpoint& target) const {
+    return this->self->pool->open_connections(target);
+}
+
+http_client_counters http_client_pool::counters() const {
+    const auto& from = *this->self->counters;
+    return {.answered = from.answered.load(),
+            .unsent = from.unsent.load(),
+            .unknown = from.unknown.load(),
+            .crossed = from.crossed.load()};
+}
+
+} // namespace hornbeamrail
--- /dev/null
+++ b/src/transport/http_client_pool.hpp
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "hornbeamrail/error.hpp"
+#include "hornbeamrail/node_settings.hpp"
+#include "transport/http_message.hpp"
+#include "transport/io_threads.hpp"
+#include "transport/tls_settings.hpp"
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace hornbeamrail {
+
+enum class call_status {
+    answered, ///< a complete answer whose correlation id matched
+    unsent,   ///< no byte of the request was written: it certainly did not run
+    unknown,  ///< some bytes were written and no usable answer came: it may have run
+};
+
+/// Outcome of one HTTP call.
+struct http_call_result {
+    call_status status = call_status::unsent;
+    http_response response; ///< set if answered
+    std::string failure;    ///< reason, unless answered
+};
+
+struct http_call {
+    endpoint target;
+    http_request request;
+    std::chrono::milliseconds timeout{1000}; ///< for the whole call, waiting for a connection included
+    /// When not empty: sent as `Correlation-Id`, and an answer with another id is dropped with its
+    /// connection.
+    std::string correlation_id;
+};
+
+struct http_client_options {
+    std::size_t max_connections = 64; ///< per endpoint
+    std::size_t max_waiting = 1024;   ///< calls per endpoint that wait for a connection
+    std::uint32_t max_head_bytes = 16 * 1024;
+    std::uint64_t max_body_bytes = 16 * 1024 * 1024;
+    std::chrono::milliseconds idle_timeout{20000};
+};
+
+/// Counts since the start of a pool.
+struct http_client_counters {
+    std::int64_t answered = 0;
+    std::int64_t unsent = 0;
+    std::int64_t unknown = 0;
+    std::int64_t crossed = 0; ///< answers dropped because of their correlation id
+};
+
+/// HTTP/1.1 client with keep-alive connections. Thread-safe.
+class http_client_pool {
+public:
+    /// Receives the result on a worker, exactly once (never, if the workers are stopped first).
+    using callback = std::function<void(http_call_result)>;
+
+    /// @param threads runs the connections; must outlive the pool
+    http_client_pool(io_threads& threads, http_client_options options);
+    ~http_client_pool();
+
+    void call(http_call request, callback done);
+
+    /// @return connections to @p target that are open or being made
+    [[nodiscard]] std::size_t open_connections(const endpoint& target) const;
+
+    [[nodiscard]] http_client_counters counters() const;
+
+private:
+    struct impl;
+    std::shared_ptr<impl> self;
+};
+
+} // namespace hornbeamrail
--- /dev/null
+++ b/src/transport/http_server.cpp
@@ -0,0 +1,600 @@
+#include "transport/http_server.hpp"
+
+#include "protocol/json_log.hpp"
+#include "transport/http_parser.hpp"
+#include "transport/io_types.hpp"
+#include "transport/socket_stream.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/defer.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/error.hpp>
+
+#include <atomic>
+#include <condition_variable>
+#include <mutex>
+#include <unordered_map>
+
+namespace hornbeamrail {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+using steady = std::chrono::steady_clock;
+
+namespace detail {
+
+/// Hands one answer from the handler, on any thread, to the coroutine of the connection.
+struct http_exchange {
+    enum phase { open, waiting, answered };
+
+    explicit http_exchange(asio::io_context& io) : context(io) {}
+
+    void send(http_response value) {
+        if (this->sent.exchange(true)) {
+            return;
+        }
+        this->response = std::move(value);
+        if (this->current.exchange(answered) == waiting) {
+            // Deferred: the caller of send() may hold locks, and its thread goes on with this work next.
+            asio::defer(this->context, std::move(this->resume));
+        }
+    }
+
+    io_task<void> wait_answer() {
+        return asio::async_initiate<const asio::use_awaitable_t<io_executor>&, void()>(
+            [this](auto handler) {
+                auto shared = std::make_shared<decltype(handler)>(std::move(handler));
+                this->resume = [shared] {
+                    std::move (*shared)();
+                };
+                phase expected = open;
+                if (!this->current.compare_exchange_strong(expected, waiting)) {
+                    asio::defer(this->context, std::move(this->resume));
+                }
+            },
+            use_task);
+    }
+
+    asio::io_context& context;
+    std::atomic<phase> current = open;
+    std::atomic<bool> sent{false};
+    http_response response;
+    std::function<void()> resume;
+    std::function<void()> caller_gone;
+};
+
+} // namespace detail
+
+void http_reply::send(http_response response) const {
+    this->exchange->send(std::move(response));
+}
+
+void http_reply::on_caller_gone(std::function<void()> function) const {
+    this->exchange->caller_gone = std::move(function);
+}
+
+namespace {
+
+constexpr std::size_t read_bytes = 16 * 1024;
+constexpr std::chrono::milliseconds sweep_interval{100};
+/// After an error answer the rest of the request is read and dropped for this long: closing a socket with
+/// unread data resets the connection, and the caller may lose the answer.
+constexpr std::chrono::milliseconds linger_time{2000};
+
+enum class connection_phase { handshake, idle, reading, handling, writing, lingering };
+
+struct connection {
+    connection(tcp_socket socket, std::shared_ptr<asio::ssl::context> context, std::uint64_t own_number,
+               std::size_t buffer_bytes)
+        : stream(std::move(socket), std::move(context)), buffer(buffer_bytes), number(own_number) {}
+
+    void enter(connection_phase next, steady::duration limit) {
+        this->phase.store(next, std::memory_order_relaxed);
+        this->deadline.store((steady::now() + limit).time_since_epoch().count(), std::memory_order_relaxed);
+    }
+
+    void interrupt(int how) {
+        const std::lock_guard lock(this->descriptor_mutex);
+        if (this->is_open) {
+            this->stream.interrupt(how);
+        }
+    }
+
+    /// Runs @p function if the caller has closed its side.
+    void check_caller(const std::function<void()>& function) {
+        {
+            const std::lock_guard lock(this->descriptor_mutex);
+            char byte = 0;
+            if (!this->is_open ||
+                ::recv(this->stream.socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) != 0) {
+                return;
+            }
+        }
+        function();
+    }
+
+    void close() {
+        const std::lock_guard lock(this->descriptor_mutex);
+        this->is_open = false;
+        error_code ignored;
+        this->stream.socket.close(ignored);
+    }
+
+    socket_stream stream;
+    boost::beast::flat_buffer buffer;
+    std::uint64_t number;
+    std::atomic<connection_phase> phase = connection_phase::idle;
+    std::atomic<steady::rep> deadline{0};
+    std::atomic<bool> expired{false};
+    std::mutex descriptor_mutex; ///< leaf lock: the descriptor stays open while another thread uses it
+    bool is_open = true;
+};
+
+struct atomic_counters {
+    using counter = std::atomic<std::int64_t>;
+    counter accepted{0}, requests{0}, bad_request{0}, wrong_method{0}, slow_sender{0}, body_too_large{0},
+        head_too_large{0}, over_capacity{0}, handshake_failed{0}, write_failed{0}, active_requests{0};
+};
+
+/// What reading one request came to.
+enum class read_outcome {
+    complete,
+    closed,
+    bad_request,
+    wrong_method,
+    slow_sender,
+    body_too_large,
+    head_too_large
+};
+
+http_response refusal_for(read_outcome outcome) {
+    switch (outcome) {
+    case read_outcome::wrong_method: {
+        auto response = make_error_response(405, "wrong_method", "the method is not supported",
+                                            "use GET, POST or DELETE as documented for the path", "not_run");
+        response.headers.add("Allow", "GET, POST, DELETE");
+        return response;
+    }
+    case read_outcome::slow_sender:
+        return make_error_response(408, "slow_sender", "the request did not arrive whole in time",
+                                   "send the request without pauses", "not_run");
+    case read_outcome::body_too_large:
+        return make_error_response(413, "body_too_large", "the body is longer than the limit",
+                                   "send a shorter body", "not_run");
+    case read_outcome::head_too_large:
+        return make_error_response(431, "head_too_large", "the request head is longer than the limit",
+                                   "send fewer or shorter headers", "not_run");
+    default:
+        return make_error_response(400, "bad_request", "the request is not valid HTTP/1.1",
+                                   "check the request line, the headers and the lengths", "not_run");
+    }
+}
+
+bool is_supported_method(std::string_view method) {
+    return method == "GET" || method == "POST" || method == "DELETE";
+}
+
+read_outcome classify(const error_code& failure) {
+    if (failure == http::error::header_limit) {
+        return read_outcome::head_too_large;
+    }
+    if (failure == http::error::body_limit) {
+        return read_outcome::body_too_large;
+    }
+    return read_outcome::bad_request;
+}
+
+} // namespace
+
+struct http_server::impl : std::enable_shared_from_this<http_server::impl> {
+    impl(io_threads& workers, http_server_options settings, http_handler function)
+        : context(workers.context()), options(std::move(settings)), handler(std::move(function)),
+          acceptor(workers.context()) {}
+
+    error_code listen() {
+        error_code failure;
+        const auto address = asio::ip::make_address(this->options.address.address, failure);
+        if (failure) {
+            return failure;
+        }
+        const asio::ip::tcp::endpoint local(address, this->options.address.port);
+        if (this->acceptor.open(local.protocol(), failure); failure) {
+            return failure;
+        }
+        this->acceptor.set_option(asio::socket_base::reuse_address(true), failure);
+        if (this->acceptor.bind(local, failure); failure) {
+            return failure;
+        }
+        this->acceptor.listen(asio::socket_base::max_listen_connections, failure);
+        this->bound = {this->options.address.address, this->acceptor.local_endpoint().port()};
+        return failure;
+    }
+
+    void accept_next() {
+        const std::lock_guard lock(this->accept_mutex);
+        if (this->stopping.load()) {
+            this->end_accepting();
+            return;
+        }
+        this->acceptor.async_accept(
+            [self = this->shared_from_this()](const error_code& failure, tcp_socket socket) {
+                self->on_accept(failure, std::move(socket));
+            });
+    }
+
+    void on_accept(const error_code& failure, tcp_socket socket) {
+        if (!failure) {
+            this->admit(std::move(socket));
+        } else if (!this->stopping.load()) {
+            // Out of descriptors, as a rule. A pause keeps the loop from spinning until some are free.
+            write_log(severity::warning, "accept_failed", {{"reason", failure.message()}});
+            const auto pause = std::make_shared<io_timer>(this->context, std::chrono::milliseconds(50));
+            pause->async_wait(
+                [self = this->shared_from_this(), pause](const error_code&) { self->accept_next(); });
+            return;
+        }
+        this->accept_next();
+    }
+
+    /// Takes in the connections that the operating system has completed already, then closes the listener:
+    /// closing it resets what is left in its queue.
+    void end_accepting() {
+        error_code failure;
+        this->acceptor.non_blocking(true, failure);
+        while (!failure) {
+            tcp_socket socket(this->context);
+            this->acceptor.accept(socket, failure);
+            if (!failure) {
+                this->admit(std::move(socket));
+            }
+        }
+        this->acceptor.close(failure);
+        const std::lock_guard lock(this->mutex);
+        this->accepting = false;
+        this->all_closed.notify_all();
+    }
+
+    void admit(tcp_socket socket) {
+        error_code ignored;
+        socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+        this->counters.accepted.fetch_add(1, std::memory_order_relaxed);
+        std::shared_ptr<connection> made;
+        {
+            const std::lock_guard lock(this->mutex);
+            if (this->connections.size() >= this->options.max_connections) {
+                this->counters.over_capacity.fetch_add(1, std::memory_order_relaxed);
+                return; // closing tells a load balancer to try another node
+            }
+            const auto number = this->next_number++;
+            made = std::make_shared<connection>(std::move(socket),
+                                                this->options.tls ? this->options.tls->context() : nullptr,
+                                                number, this->options.max_head_bytes + 2 * read_bytes);
+            this->connections.emplace(number, made);
+        }
+        asio::co_spawn(this->context.get_executor(), this->serve(std::move(made)), asio::detached);
+    }
+
+    io_task<void> serve(std::shared_ptr<connection> peer) {
+        const auto self = this->shared_from_this();
+        try {
+            if (co_await this->handshake(*peer)) {
+                while (co_await this->serve_one(peer)) {
+                }
+            }
+        } catch (const std::exception& failure) {
+            write_log(severity::error, "connection_failed", {{"reason", failure.what()}});
+        }
+        peer->close();
+        const std::lock_guard lock(this->mutex);
+        this->connections.erase(peer->number);
+        this->all_closed.notify_all();
+    }
+
+    io_task<bool> handshake(connection& peer) {
+        if (!peer.stream.uses_tls()) {
+            co_return true;
+        }
+        peer.enter(connection_phase::handshake, this->options.request_timeout);
+        error_code failure;
+        co_await peer.stream.handshake(asio::ssl::stream_base::server, failure);
+        if (failure) {
+            this->counters.handshake_failed.fetch_add(1, std::memory_order_relaxed);
+        }
+        co_return !failure;
+    }
+
+    /// Reads, handles and answers one request.
+    /// @return whether the connection can carry another
+    io_task<bool> serve_one(const std::shared_ptr<connection>& peer) {
+        http_parser<true> parser(this->options.max_head_bytes, this->options.max_body_bytes);
+        const auto outcome = co_await this->read(*peer, parser);
+        if (outcome == read_outcome::closed) {
+            co_return false;
+        }
+        if (outcome != read_outcome::complete) {
+            this->count(outcome);
+            auto refusal = refusal_for(outcome);
+            if (this->options.decorate_error) {
+                this->options.decorate_error(refusal);
+            }
+            if (co_await this->write(*peer, refusal, true)) {
+                co_await this->linger(*peer);
+            }
+            co_return false;
+        }
+        this->counters.requests.fetch_add(1, std::memory_order_relaxed);
+        this->counters.active_requests.fetch_add(1, std::memory_order_relaxed);
+        peer->enter(connection_phase::handling, std::chrono::hours(24));
+        const auto exchange = std::make_shared<detail::http_exchange>(this->context);
+        const bool keep_alive = parser.keep_alive();
+        this->call_handler(std::move(parser.message), exchange);
+        if (exchange->current.load() != detail::http_exchange::answered) {
+            this->watch_caller(peer, exchange);
+            co_await exchange->wait_answer();
+        }
+        const bool close = !keep_alive || this->stopping.load();
+        const bool written = co_await this->write(*peer, exchange->response, close);
+        this->counters.active_requests.fetch_sub(1, std::memory_order_relaxed);
+        if (written && close) {
+            co_await this->linger(*peer);
+        }
+        co_return written && !close;
+    }
+
+    void call_handler(http_request request, const std::shared_ptr<detail::http_exchange>& exchange) {
+        // The deleter runs when the handler's last copy of the reply is gone.
+        http_reply reply(std::shared_ptr<detail::http_exchange>(exchange.get(), [exchange](auto*) {
+            if (!exchange->sent.load()) {
+                exchange->send(make_error_response(500, "internal_error", "the handler gave no answer",
+                                                   "repeat the request if it is idempotent", "unknown"));
+            }
+        }));
+        try {
+            this->handler(std::move(request), std::move(reply));
+        } catch (const std::exception& failure) {
+            write_log(severity::error, "handler_failed", {{"reason", failure.what()}});
+        }
+    }
+
+    /// Watches for the caller closing its connection while its request is handled.
+    void watch_caller(const std::shared_ptr<connection>& peer,
+                      const std::shared_ptr<detail::http_exchange>& exchange) {
+        // Data that is already buffered means a pipelined request: the wait would end at once and tell
+        // nothing.
+        if (!exchange->caller_gone || peer->buffer.size() > 0) {
+            return;
+        }
+        // A wait that is still pending after the answer ends when the next request arrives.
+        peer->stream.socket.async_wait(asio::socket_base::wait_read,
+                                       [peer, exchange](const error_code& failure) {
+                                           if (!failure && !exchange->sent.load()) {
+                                               peer->check_caller(exchange->caller_gone);
+                                           }
+                                       });
+    }
+
+    io_task<read_outcome> read(connection& peer, http_parser<true>& parser) {
+        auto& buffer = peer.buffer;
+        const bool pipelined = buffer.size() > 0;
+        peer.enter(pipelined ? connection_phase::reading : connection_phase::idle,
+                   pipelined ? this->options.request_timeout : this->idle_limit());
+        bool head_checked = false;
+        error_code failure;
+        while (true) {
+            while (buffer.size() > 0 && !parser.is_done()) {
+                const auto used = parser.put(buffer.data(), failure);
+                buffer.consume(used);
+                if (failure == http::error::need_more) {
+                    failure = {};
+                    break;
+                }
+                if (failure) {
+                    co_return classify(failure);
+                }
+                if (parser.is_header_done() && !head_checked) {
+                    head_checked = true;
+                    if (!is_supported_method(parser.message.method)) {
+                        co_return read_outcome::wrong_method;
+                    }
+                    if (!parser.is_done() &&
+                        equal_names(parser.message.headers.value_or("Expect", ""), "100-continue")) {
+                        static constexpr std::string_view go_on = "HTTP/1.1 100 Continue\r\n\r\n";
+                        co_await peer.stream.write(asio::buffer(go_on), failure);
+                        if (failure) {
+                            co_return read_outcome::closed;
+                        }
+                    }
+                }
+            }
+            if (parser.is_done()) {
+                co_return read_outcome::complete;
+            }
+            if (buffer.size() + read_bytes > buffer.max_size()) {
+                co_return read_outcome::bad_request; // a chunk header of unreasonable length
+            }
+            const auto got = co_await peer.stream.read_some(buffer.prepare(read_bytes), failure);
+            const bool started = peer.phase.load(std::memory_order_relaxed) == connection_phase::reading;
+            if (peer.expired.load()) {
+                co_return started ? read_outcome::slow_sender : read_outcome::closed;
+            }
+            if (failure) {
+                co_return read_outcome::closed;
+            }
+            buffer.commit(got);
+            if (!started) {
+                peer.enter(connection_phase::reading, this->options.request_timeout);
+            }
+        }
+    }
+
+    io_task<bool> write(connection& peer, const http_response& response, bool close) {
+        peer.enter(connection_phase::writing, this->options.write_timeout);
+        std::string head;
+        head.reserve(256 + (response.body.size() <= 4096 ? response.body.size() : 0));
+        if (!append_response_head(head, response, close)) {
+            head.clear();
+            append_response_head(head, http_response{.status = 500}, true);
+            write_log(severity::error, "invalid_response_header");
+        }
+        error_code failure;
+        if (response.body.size() <= 4096) {
+            head.append(response.body);
+            co_await peer.stream.write(asio::buffer(head), failure);
+        } else {
+            const std::array<asio::const_buffer, 2> parts{asio::buffer(head), asio::buffer(response.body)};
+            co_await peer.stream.write(parts, failure);
+        }
+        if (failure) {
+            this->counters.write_failed.fetch_add(1, std::memory_order_relaxed);
+        }
+        co_return !failure;
+    }
+
+    /// Ends the sending direction and drops what the caller still sends, until it closes or time is up.
+    io_task<void> linger(connection& peer) {
+        peer.enter(connection_phase::lingering, linger_time);
+        peer.expired.store(false);
+        peer.interrupt(SHUT_WR);
+        error_code failure;
+        peer.buffer.clear();
+        while (!failure && !peer.expired.load()) {
+            co_await peer.stream.read_some(peer.buffer.prepare(read_bytes), failure);
+        }
+    }
+
+    void count(read_outcome outcome) {
+        auto& counter = outcome == read_outcome::wrong_method     ? this->counters.wrong_method
+                        : outcome == read_outcome::slow_sender    ? this->counters.slow_sender
+                        : outcome == read_outcome::body_too_large ? this->counters.body_too_large
+                        : outcome == read_outcome::head_too_large ? this->counters.head_too_large
+                                                                  : this->counters.bad_request;
+        counter.fetch_add(1, std::memory_order_relaxed);
+    }
+
+    [[nodiscard]] steady::duration idle_limit() const {
+        return this->stopping.load() ? steady::duration(this->idle_grace.load())
+                                     : steady::duration(this->options.idle_timeout);
+    }
+
+    /// Ends the phases that are past their deadline.
+    /// @return false when the server has stopped
+    bool sweep() {
+        std::vector<std::shared_ptr<connection>> late;
+        {
+            const std::lock_guard lock(this->mutex);
+            const auto now = steady::now().time_since_epoch().count();
+            for (const auto& [number, peer] : this->connections) {
+                if (peer->deadline.load(std::memory_order_relaxed) < now) {
+                    late.push_back(peer);
+                }
+            }
+            if (!this->accepting && this->connections.empty()) {
+                return false;
+            }
+        }
+        for (const auto& peer : late) {
+            const auto phase = peer->phase.load(std::memory_order_relaxed);
+            if (phase == connection_phase::handling) {
+                continue;
+            }
+            peer->expired.store(true);
+            // The sending direction stays open while an error answer may still follow.
+            const bool may_answer = phase == connection_phase::idle || phase == connection_phase::reading;
+            peer->interrupt(may_answer ? SHUT_RD : SHUT_RDWR);
+        }
+        return true;
+    }
+
+    void begin_stop(std::chrono::milliseconds grace) {
+        this->idle_grace.store(steady::duration(grace).count());
+        {
+            // Under the mutex: an accept begins either before the cancel below or sees the flag.
+            const std::lock_guard lock(this->accept_mutex);
+            if (this->stopping.exchange(true)) {
+                return;
+            }
+            error_code ignored;
+            this->acceptor.cancel(ignored);
+        }
+        const auto limit = (steady::now() + grace).time_since_epoch().count();
+        {
+            const std::lock_guard lock(this->mutex);
+            for (const auto& [number, peer] : this->connections) {
+                if (peer->phase.load(std::memory_order_relaxed) == connection_phase::idle) {
+                    peer->deadline.store(limit, std::memory_order_relaxed);
+                }
+            }
+        }
+    }
+
+    asio::io_context& context;
+    http_server_options options;
+    http_handler handler;
+    tcp_acceptor acceptor;
+    endpoint bound;
+    atomic_counters counters;
+    std::atomic<bool> stopping{false};
+    std::atomic<steady::rep> idle_grace{0};
+    std::mutex accept_mutex; ///< guards `acceptor`; taken before `mutex`
+    std::mutex mutex; ///< guards the members below; a connection's descriptor_mutex may be taken inside
+    std::condition_variable all_closed;
+    std::unordered_map<std::uint64_t, std::shared_ptr<connection>> connections;
+    std::uint64_t next_number = 0;
+    bool accepting = true;
+};
+
+result<std::unique_ptr<http_server>> http_server::make(io_threads& threads, http_server_options options,
+                                                       http_handler handler) {
+    const auto address = to_string(options.address);
+    auto state = std::make_shared<impl>(threads, std::move(options), std::move(handler));
+    if (const auto failure = state->listen()) {
+        return make_error(errc::io_failed, "cannot listen on " + address + ": " + failure.message(),
+                          "choose an address of this VM whose port is free");
+    }
+    state->accept_next();
+    threads.repeat(sweep_interval, [weak = std::weak_ptr(state)] {
+        const auto server = weak.lock();
+        return server && server->sweep();
+    });
+    return std::unique_ptr<http_server>(new http_server(std::move(state)));
+}
+
+http_server::~http_server() {
+    this->self->begin_stop(std::chrono::milliseconds(0));
+}
+
+endpoint http_server::address() const {
+    return this->self->bound;
+}
+
+void http_server::begin_stop(std::chrono::milliseconds idle_grace) {
+    this->self->begin_stop(idle_grace);
+}
+
+bool http_server::wait_stopped(std::chrono::milliseconds cap) {
+    std::unique_lock lock(this->self->mutex);
+    return this->self->all_closed.wait_for(
+        lock, cap, [&] { return !this->self->accepting && this->self->connections.empty(); });
+}
+
+http_server_counters http_server::counters() const {
+    const auto& from = this->self->counters;
+    http_server_counters copy{.accepted = from.accepted.load(),
+                              .requests = from.requests.load(),
+                              .bad_request = from.bad_request.load(),
+                              .wrong_method = from.wrong_method.load(),
+                              .slow_sender = from.slow_sender.load(),
+                              .body_too_large = from.body_too_large.load(),
+                              .head_too_large = from.head_too_large.load(),
+                              .over_capacity = from.over_capacity.load(),
+                              .handshake_failed = from.handshake_failed.load(),
+                              .write_failed = from.write_failed.load(),
+                              .active_requests = from.active_requests.load()};
+    const std::lock_guard lock(this->self->mutex);
+    copy.open_connections = static_cast<std::int64_t>(this->self->connections.size());
+    return copy;
+}
+
+} // namespace hornbeamrail
--- /dev/null
+++ b/src/transport/io_threads.cpp
@@ -0,0 +1,74 @@
+#include "transport/io_threads.hpp"
+
+#include "transport/io_types.hpp"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+
+#include <mutex>
+#include <thread>
+#include <vector>
+
+namespace hornbeamrail {
+
+namespace asio = boost::asio;
+
+struct io_threads::impl {
+    explicit impl(int count) : context(count), work(context.get_executor()) {
+        for (int index = 0; index < count; ++index) {
+            this->threads.emplace_back([this] { this->context.run(); });
+        }
+    }
+
+    void arm(const std::shared_ptr<io_timer>& timer, std::chrono::microseconds interval,
+             std::function<bool()> function) {
+        timer->expires_after(interval);
+        timer->async_wait([this, timer, interval,
+                           function = std::move(function)](const boost::system::error_code& failure) mutable {
+            if (!failure && function()) {
+                this->arm(timer, interval, std::move(function));
+            }
+        });
+    }
+
+    asio::io_context context;
+    asio::executor_work_guard<io_executor> work;
+    std::vector<std::thread> threads;
+};
+
+io_threads::io_threads(int count) : self(std::make_unique<impl>(count)) {}
+
+io_threads::~io_threads() {
+    this->stop();
+}
+
+void io_threads::stop() {
+    this->self->work.reset();
+    this->self->context.stop();
+    for (auto& thread : this->self->threads) {
+        if (thread.joinable()) {
+            thread.join();
+        }
+    }
+}
+
+void io_threads::post(std::function<void()> function) {
+    asio::post(this->self->context, std::move(function));
+}
+
+void io_threads::repeat(std::chrono::microseconds interval, std::function<bool()> function) {
+    this->self->arm(std::make_shared<io_timer>(this->self->context), interval, std::move(function));
+}
+
+void io_threads::run_after(std::chrono::microseconds delay, std::function<void()> function) {
+    this->repeat(delay, [function = std::move(function)] {
+        function();
+        return false;
+    });
+}
+
+asio::io_context& io_threads::context() noexcept {
+    return this->self->context;
+}
+
+} // namespace hornbeamrail
--- /dev/null
+++ b/src/transport/io_types.hpp
@@ -0,0 +1,32 @@
+#pragma once
+
+// Internal to src/transport and bench: includes Asio.
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/basic_waitable_timer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <chrono>
+
+namespace hornbeamrail {
+
+// The executor type is fixed, so that operations avoid the type-erased any_io_executor.
+using io_executor = boost::asio::io_context::executor_type;
+using tcp_socket = boost::asio::basic_stream_socket<boost::asio::ip::tcp, io_executor>;
+using tcp_acceptor = boost::asio::basic_socket_acceptor<boost::asio::ip::tcp, io_executor>;
+using io_timer =
+    boost::asio::basic_waitable_timer<std::chrono::steady_clock,
+                                      boost::asio::wait_traits<std::chrono::steady_clock>, io_executor>;
+template <class T = void>
+using io_task = boost::asio::awaitable<T, io_executor>;
+inline constexpr boost::asio::use_awaitable_t<io_executor> use_task{};
+
+/// Completion token: suspends the coroutine and stores the error in @p failure instead of throwing.
+inline auto task_with(boost::system::error_code& failure) {
+    return boost::asio::redirect_error(use_task, failure);
+}
+
+} // namespace hornbeamrail
--- /dev/null
+++ b/src/transport/socket_stream.hpp
@@ -0,0 +1,76 @@
+#pragma once
+
+// Internal to src/transport: includes Asio.
+
+#include "transport/io_types.hpp"
+
+#include <boost/asio/ssl/context.hpp>
+#include <boost/asio/ssl/stream.hpp>
+#include <boost/asio/write.hpp>
+
+#include <sys/socket.h>
+
+#include <memory>
+#include <optional>
+
+namespace hornbeamrail {
+
+/// A TCP socket with or without TLS.
+class socket_stream {
+public:
+    /// @param raw an open or closed socket
+    /// @param context TLS context, or null for plain TCP
+    socket_stream(tcp_socket raw, std::shared_ptr<boost::asio::ssl::context> context)
+        : socket(std::move(raw)), tls_context(std::move(context)) {
+        if (this->tls_context) {
+            this->tls.emplace(this->socket, *this->tls_context);
+        }
+    }
+    socket_stream(const socket_stream&) = delete;
+    socket_stream& operator=(const socket_stream&) = delete;
+
+    [[nodiscard]] bool uses_tls() const noexcept { return this->tls.has_value(); }
+
+    io_task<void> handshake(boost::asio::ssl::stream_base::handshake_type side,
+                            boost::system::error_code& failure) {
+        return this->tls->async_handshake(side, task_with(failure));
+    }
+
+    template <class Buffer>
+    io_task<std::size_t> read_some(const Buffer& buffer, boost::system::error_code& failure) {
+        if (this->tls) {
+            return this->tls->async_read_some(buffer, task_with(failure));
+        }
+        return this->socket.async_read_some(buffer, task_with(failure));
+    }
+
+    /// Writes all of @p buffers.
+    /// @return the number of bytes that went to the operating system or, with TLS, to the TLS layer
+    template <class Buffers>
+    io_task<std::size_t> write(const Buffers& buffers, boost::system::error_code& failure) {
+        if (this->tls) {
+            return boost::asio::async_write(*this->tls, buffers, task_with(failure));
+        }
+        return boost::asio::async_write(this->socket, buffers, task_with(failure));
+    }
+
+    /// Ends pending and later operations in the given directions. Safe from another thread while the socket
+    /// is open: it works on the descriptor and leaves Asio's object alone.
+    /// @param how SHUT_RD, SHUT_WR or SHUT_RDWR
+    void interrupt(int how) noexcept { ::shutdown(this->socket.native_handle(), how); }
+
+    /// @return whether an idle connection can carry another call: nothing to read and not closed
+    [[nodiscard]] bool is_quiet() noexcept {
+        char byte = 0;
+        const auto got = ::recv(this->socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    }
+
+    tcp_socket socket;
+
+private:
+    std::shared_ptr<boost::asio::ssl::context> tls_context;
+    std::optional<boost::asio::ssl::stream<tcp_socket&>> tls;
+};
+
+} // namespace hornbeamrail
