--- /dev/null
+++ b/tools/hornbeamrail_main.cpp
@@ -0,0 +1,15 @@
+#include "cli/check.hpp"
+#include "cli/command.hpp"
+
+using namespace hornbeamrail::cli;
+
+int main(int argc, char** argv) {
+    const std::vector<command> table{
+        {.name = "check",
+         .arguments = "FILE",
+         .summary = "checks a fleet text or the settings of a node",
+         .flags = {"output"},
+         .run = run_check},
+    };
+    return run_command_line(table, argc, argv);
+}
