Hand units over with running tasks and adopt orphaned tasks

Cause: a leaving node handed its running tasks over while its grants became free, so others could acquire units that the tasks still used; and tasks of a last node that left had no owner for ever.

Tested: leaving_node_hands_units_over_with_running_tasks and next_registered_node_takes_orphaned_tasks fail on the previous fold.

Conclusion: the limit holds across a planned stop with running tasks.

--- a/src/state/fleet_state.hpp
+++ b/src/state/fleet_state.hpp
@@ -196,7 +196,9 @@
     void remove_node(incarnation_id incarnation, log_offset offset);
     void return_grants(incarnation_id incarnation);
     void give_orphaned_partitions(log_offset offset);
-    void hand_over_tasks(incarnation_id from, log_offset offset);
+    /// @return ids of the tasks that have a new owner
+    std::vector<std::string> hand_over_tasks(incarnation_id from, log_offset offset);
+    void move_grants_with_tasks(incarnation_id from, const std::vector<std::string>& tasks);
     void end_task(task_info& task, task_phase phase, std::string detail);
     [[nodiscard]] bool has_counted_node(std::string_view region) const;
 
--- a/src/state/fold_nodes.cpp
+++ b/src/state/fold_nodes.cpp
@@ -1,5 +1,7 @@
 #include "state/fleet_state.hpp"
 
+#include "protocol/task_units.hpp"
+
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -51,6 +53,7 @@
     node.counted = !this->has_counted_node(body.region);
     nodes.emplace(offset, std::move(node));
     this->give_orphaned_partitions(offset);
+    this->hand_over_tasks(0, offset); // tasks whose owner went while no other node was live
     return {};
 }
 
@@ -127,7 +130,7 @@
 }
 
 void fleet_state::remove_node(incarnation_id incarnation, log_offset offset) {
-    this->return_grants(incarnation);
+    const bool leaves_running_tasks = this->find_node(incarnation)->live();
     for (auto& partition : this->claim_partitions.write()) {
         if (partition.owner == incarnation) {
             partition = {};
@@ -135,7 +138,29 @@
     }
     this->node_table.write().erase(incarnation);
     this->give_orphaned_partitions(offset);
-    this->hand_over_tasks(incarnation, offset);
+    const auto moved = this->hand_over_tasks(incarnation, offset);
+    // A node that leaves in good order hands running tasks over, so their units go with them and never become
+    // free in between. After a reclaim the worker leases have lapsed and nothing runs.
+    if (leaves_running_tasks) {
+        this->move_grants_with_tasks(incarnation, moved);
+    }
+    this->return_grants(incarnation);
+}
+
+void fleet_state::move_grants_with_tasks(incarnation_id from, const std::vector<std::string>& tasks) {
+    auto& grants = this->team_grants.write();
+    for (const auto& id : tasks) {
+        const auto& task = this->task_table->find(id)->second;
+        const auto units = task_units(*this->current_config, task.spec);
+        const auto holders = grants.find(task.spec.team);
+        if (task.phase != task_phase::placed || !units || holders == grants.end()) {
+            continue;
+        }
+        auto& given = holders->second[from];
+        const std::int64_t moved = std::min(*units, given);
+        given -= moved;
+        holders->second[task.owner] += moved;
+    }
 }
 
 void fleet_state::return_grants(incarnation_id incarnation) {
--- a/src/state/fold_tasks.cpp
+++ b/src/state/fold_tasks.cpp
@@ -83,24 +83,29 @@
     }
 }
 
-void fleet_state::hand_over_tasks(incarnation_id from, log_offset offset) {
+std::vector<std::string> fleet_state::hand_over_tasks(incarnation_id from, log_offset offset) {
     std::vector<incarnation_id> live;
     for (const auto& [incarnation, node] : *this->node_table) {
         if (node.live()) {
             live.push_back(incarnation);
         }
     }
-    if (live.empty()) {
-        return; // The next handover, or a registered node's adoption, takes them.
-    }
-    std::size_t turn = 0;
-    for (auto& [id, task] : this->task_table.write()) {
-        if (has_ended(task.phase) || (task.owner != from && this->node_table->contains(task.owner))) {
-            continue;
+    std::vector<std::string> orphans;
+    for (const auto& [id, task] : *this->task_table) {
+        if (!has_ended(task.phase) && (task.owner == from || !this->node_table->contains(task.owner))) {
+            orphans.push_back(id);
         }
-        task.owner = live[turn++ % live.size()];
+    }
+    if (live.empty() || orphans.empty()) {
+        return {};
+    }
+    auto& tasks = this->task_table.write();
+    for (std::size_t index = 0; index < orphans.size(); ++index) {
+        auto& task = tasks.find(orphans[index])->second;
+        task.owner = live[index % live.size()];
         task.fencing_token = offset;
     }
+    return orphans;
 }
 
 } // namespace hornbeamrail
--- a/tests/fleet_state_test.cpp
+++ b/tests/fleet_state_test.cpp
@@ -188,6 +188,36 @@
                    .accepted);
 }
 
+// Guards the limit while a node leaves: the units of a task that runs on must not become free for others.
+BOOST_AUTO_TEST_CASE(leaving_node_hands_units_over_with_running_tasks) {
+    this->configure(10);
+    const auto leaver = this->join("n1", 1);
+    const auto heir = this->join("n2", 2);
+    this->acquire(leaver, 1, 10);
+    const auto token =
+        this->add(task_submit_record{
+                      .incarnation = leaver,
+                      .task = {.id = "task", .team = "t", .service = "s", .cores = 16, .memory_mb = 1024}})
+            .offset;
+    this->add(task_state_record{
+        .task_id = "task", .fencing_token = token, .phase = task_phase::placed, .vm = "vm1"});
+    BOOST_TEST(this->add(node_leave_record{.incarnation = leaver}).accepted);
+    BOOST_TEST(this->state.tasks().at("task").owner == heir);
+    BOOST_TEST(this->state.grant_of("t", heir) == 4);
+    BOOST_TEST(this->state.granted_units("t") == 4);
+}
+
+// Guards against a task that nobody owns after the only node went.
+BOOST_AUTO_TEST_CASE(next_registered_node_takes_orphaned_tasks) {
+    this->configure(10);
+    const auto only = this->join("n1", 1);
+    this->add(task_submit_record{.incarnation = only, .task = {.id = "task", .team = "t", .service = "s"}});
+    this->add(node_leave_record{.incarnation = only});
+    const auto next = this->join("n2", 2);
+    BOOST_TEST(this->state.tasks().at("task").owner == next);
+    BOOST_TEST(this->state.tasks().at("task").fencing_token == next);
+}
+
 // Guards against a published state changing under its readers.
 BOOST_AUTO_TEST_CASE(copies_are_independent) {
     this->configure(10);
