State one set of VM operation states

Cause: the stand-in reported "done" after a drain as well as after a reboot, so a planner that takes over could not tell a drained VM from a finished move.

Tested: fakes_test and planner_test pass with the new state.

Conclusion: the next planner resumes from the platform's answer alone.

--- a/src/coordination/planner.cpp
+++ b/src/coordination/planner.cpp
@@ -35,9 +35,9 @@
     return output;
 }
 
-void planner::on_call_answer(const vm_call& call, vm_call_status status) {
+void planner::on_call_answer(const vm_call& call, vm_operation_state status) {
     const auto found = this->operations.find(call.operation_id);
-    if (found != this->operations.end() && status != vm_call_status::failed) {
+    if (found != this->operations.end() && status != vm_operation_state::failed) {
         found->second.status = status;
     }
 }
@@ -95,7 +95,7 @@
                               planner_output& output) {
     auto& operation = this->operations[info.operation_id];
     const bool moving = info.operation == vm_operation::moving;
-    if (operation.status == vm_call_status::done) {
+    if (operation.status == vm_operation_state::done) {
         const log_offset epoch = input.state.planner().epoch;
         if (moving) {
             output.records.emplace_back(vm_move_done_record{.epoch = epoch, .vm = info.vm.id});
@@ -113,9 +113,9 @@
     if (!operation.asked) {
         // An earlier planner may have begun: ask before acting.
         call.what = vm_call::kind::query;
-    } else if (operation.status == vm_call_status::unknown_operation) {
+    } else if (operation.status == vm_operation_state::unknown) {
         call.what = vm_call::kind::drain;
-    } else if (operation.status == vm_call_status::drained) {
+    } else if (operation.status == vm_operation_state::drained) {
         call.what = vm_call::kind::reboot;
     }
     operation.asked = true;
--- a/src/coordination/planner.hpp
+++ b/src/coordination/planner.hpp
@@ -24,9 +24,6 @@
     std::string pool; ///< pool that the VM serves after a reboot
 };
 
-/// What the platform answered to a call.
-enum class vm_call_status { draining, drained, rebooting, done, unknown_operation, failed };
-
 struct planner_options {
     move_options moves;
     maintenance_options maintenance;
@@ -68,7 +65,7 @@
     planner_output tick(boot_time now, const planner_input& input);
 
     /// Takes the platform's answer to a call.
-    void on_call_answer(const vm_call& call, vm_call_status status);
+    void on_call_answer(const vm_call& call, vm_operation_state status);
 
     /// Forgets what it remembers of calls in progress; for a node that lost or gained the lease.
     void reset();
@@ -80,7 +77,7 @@
 
 private:
     struct progress {
-        vm_call_status status = vm_call_status::unknown_operation;
+        vm_operation_state status = vm_operation_state::unknown;
         boot_time last_call{};
         bool asked = false;
     };
--- a/src/fakes/fake_vm_list.cpp
+++ b/src/fakes/fake_vm_list.cpp
@@ -5,18 +5,6 @@
 
 namespace hornbeamrail {
 
-std::string_view to_string(vm_operation_state state) noexcept {
-    switch (state) {
-    case vm_operation_state::draining:
-        return "draining";
-    case vm_operation_state::rebooting:
-        return "rebooting";
-    case vm_operation_state::done:
-        break;
-    }
-    return "done";
-}
-
 fake_vm_list::fake_vm_list(fake_vm_list_options initial) : options(initial) {
     this->snapshots.push_back({boot_time::min(), vm_list{}});
 }
@@ -107,7 +95,7 @@
 
 void fake_vm_list::advance(boot_time now, const std::string& vm, operation_entry& entry) const {
     if (entry.state == vm_operation_state::draining && (!this->is_idle || this->is_idle(now, vm))) {
-        entry.state = vm_operation_state::done;
+        entry.state = vm_operation_state::drained;
     }
     if (entry.state == vm_operation_state::rebooting && now >= entry.reboot_end) {
         entry.state = vm_operation_state::done;
@@ -129,7 +117,7 @@
         return false;
     }
     this->advance(now, vm, found->second);
-    return found->second.state != vm_operation_state::done || !found->second.rebooted;
+    return found->second.state != vm_operation_state::done;
 }
 
 } // namespace hornbeamrail
--- a/src/fakes/fake_vm_list.hpp
+++ b/src/fakes/fake_vm_list.hpp
@@ -13,11 +13,6 @@
 
 namespace hornbeamrail {
 
-enum class vm_operation_state { draining, rebooting, done };
-
-/// @return "draining", "rebooting" or "done"
-std::string_view to_string(vm_operation_state state) noexcept;
-
 struct vm_operation_status {
     std::string operation_id;
     vm_operation_state state = vm_operation_state::done;
@@ -32,7 +27,7 @@
 /// In-memory stand-in of the platform's VM list and of its drain and reboot operations. Not thread-safe.
 class fake_vm_list {
 public:
-    /// Tells whether nothing runs on a VM. A drain is done when it first returns true.
+    /// Tells whether nothing runs on a VM. A VM is drained when it first returns true.
     using idle_check = std::function<bool(boot_time now, const std::string& vm)>;
     /// Called once when a reboot begins; work that still runs on the VM is lost.
     using reboot_hook = std::function<void(boot_time now, const std::string& vm)>;
@@ -54,7 +49,7 @@
     /// @return the list without lag
     [[nodiscard]] const vm_list& truth() const;
 
-    /// Begins a drain: the VM is to take no new work and the operation is done when nothing runs on it.
+    /// Begins a drain: the VM is to take no new work and is drained when nothing runs on it.
     /// @return false when the VM is unknown or the platform does not answer
     bool drain(boot_time now, const std::string& vm, const std::string& operation_id);
 
--- a/src/protocol/platform.hpp
+++ b/src/protocol/platform.hpp
@@ -4,7 +4,9 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace hornbeamrail {
@@ -50,4 +52,18 @@
     std::vector<vm_listing> vms;
 };
 
+/// State of the newest operation on a VM as the platform reports it.
+enum class vm_operation_state {
+    unknown, ///< the platform knows no such operation on the VM
+    draining,
+    drained, ///< nothing runs on the VM; it waits for its reboot
+    rebooting,
+    done,
+    failed, ///< the platform did not answer
+};
+
+/// @return "unknown", "draining", "drained", "rebooting", "done" or "failed"
+std::string_view to_string(vm_operation_state state) noexcept;
+std::optional<vm_operation_state> parse_vm_operation_state(std::string_view text) noexcept;
+
 } // namespace hornbeamrail
--- a/tests/fakes_test.cpp
+++ b/tests/fakes_test.cpp
@@ -69,7 +69,7 @@
     BOOST_TEST(vms.drain(start, "a", "op"));
     BOOST_CHECK(vms.operation(start, "a")->state == hr::vm_operation_state::draining);
     idle = true;
-    BOOST_CHECK(vms.operation(start, "a")->state == hr::vm_operation_state::done);
+    BOOST_CHECK(vms.operation(start, "a")->state == hr::vm_operation_state::drained);
     BOOST_TEST(vms.reboot(start, "a", "op", "cards"));
     BOOST_TEST(vms.reboot(start + 1s, "a", "op", "cards"));
     BOOST_TEST(reboots == 1);
--- a/tests/planner_test.cpp
+++ b/tests/planner_test.cpp
@@ -80,14 +80,14 @@
     }
 
     /// A platform that finishes each step by the next call.
-    vm_call_status answer(const vm_call& call) {
+    vm_operation_state answer(const vm_call& call) {
         auto& status =
-            this->platform.try_emplace(call.operation_id, vm_call_status::unknown_operation).first->second;
+            this->platform.try_emplace(call.operation_id, vm_operation_state::unknown).first->second;
         if (call.what == vm_call::kind::drain) {
             ++this->drains[call.operation_id];
-            status = vm_call_status::drained;
+            status = vm_operation_state::drained;
         } else if (call.what == vm_call::kind::reboot) {
-            status = vm_call_status::done;
+            status = vm_operation_state::done;
         }
         return status;
     }
@@ -106,7 +106,7 @@
     vm_list list;
     std::map<std::string, double, std::less<>> demand;
     std::map<std::string, double, std::less<>> budget;
-    std::map<std::string, vm_call_status> platform;
+    std::map<std::string, vm_operation_state> platform;
     std::chrono::sys_seconds wall = wall_start;
     boot_time now{};
     planner subject{planner_options{.maintenance = {.lead = 0h}}};
