Add the platform stand-in on loopback sockets

Cause: entry nodes as separate processes need a platform to talk to. Change: platform_server serves the log with long polls, the VM list and VM operations over the in-memory fakes; executor_server serves leases, runs and tasks on a port per VM; tools/platform_standin runs both as a process. Conclusion: faults of the fakes (down, lost answers, hangs) reach nodes over sockets.

--- /dev/null
+++ b/src/fakes/executor_server.hpp
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "fakes/fake_executor.hpp"
+#include "fakes/fake_worker.hpp"
+#include "hornbeamrail/error.hpp"
+#include "hornbeamrail/node_settings.hpp"
+#include "transport/io_threads.hpp"
+
+#include <atomic>
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace hornbeamrail {
+
+struct executor_server_options {
+    endpoint address{"127.0.0.1", 0};
+    std::uint64_t seed = 1;
+    std::chrono::microseconds run_time{2000};
+    fake_executor_options executor;
+    fake_worker_options worker;
+};
+
+/// Stand-in of the executor and worker of one VM on a loopback port. Thread-safe.
+class executor_server {
+public:
+    static result<std::unique_ptr<executor_server>> make(io_threads& threads,
+                                                         executor_server_options options);
+    ~executor_server();
+
+    [[nodiscard]] endpoint address() const;
+
+    /// Runs @p function on the fakes under their lock.
+    void with(const std::function<void(fake_executor&, fake_worker&)>& function);
+
+    /// Sets whether lease answers state that the VM is leaving.
+    void set_leaving(bool leaving);
+
+    [[nodiscard]] std::int64_t runs_started() const;
+
+private:
+    struct impl;
+    explicit executor_server(std::shared_ptr<impl> state) : self(std::move(state)) {}
+    std::shared_ptr<impl> self;
+};
+
+} // namespace hornbeamrail
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -23,6 +23,9 @@
 using boost::system::error_code;
 using steady = std::chrono::steady_clock;
 
+/// Status that tells the connection to close without an answer.
+constexpr int abandoned_status = 0;
+
 namespace detail {
 
 /// Hands one answer from the handler, on any thread, to the coroutine of the connection.
@@ -71,6 +74,10 @@
     this->exchange->send(std::move(response));
 }
 
+void http_reply::abandon() const {
+    this->exchange->send(http_response{.status = abandoned_status});
+}
+
 void http_reply::on_caller_gone(std::function<void()> function) const {
     this->exchange->caller_gone = std::move(function);
 }
@@ -335,6 +342,10 @@
             co_await exchange->wait_answer();
         }
         const bool close = !keep_alive || this->stopping.load();
+        if (exchange->response.status == abandoned_status) {
+            this->counters.active_requests.fetch_sub(1, std::memory_order_relaxed);
+            co_return false;
+        }
         const bool written = co_await this->write(*peer, exchange->response, close);
         this->counters.active_requests.fetch_sub(1, std::memory_order_relaxed);
         if (written && close) {
--- a/src/transport/http_server.hpp
+++ b/src/transport/http_server.hpp
@@ -26,6 +26,9 @@
     /// Gives the answer. Thread-safe; never runs the connection's code inside the call.
     void send(http_response response) const;
 
+    /// Closes the connection without an answer, so that the caller learns nothing about the outcome.
+    void abandon() const;
+
     /// Registers a function that runs (on a worker) if the caller closes its connection before the answer.
     /// At most one; must be called before the handler returns and before `send`. It may still run shortly
     /// after the answer was given.
--- /dev/null
+++ b/tools/platform_standin.cpp
@@ -0,0 +1,78 @@
+// Runs the stand-in of the platform as a process of its own: log, VM list, VM operations and executors.
+
+#include "cli/command.hpp"
+#include "fakes/platform_server.hpp"
+
+#include <fmt/format.h>
+#include <gflags/gflags.h>
+
+#include <csignal>
+
+DEFINE_string(address, "127.0.0.1:8400", "address and port of the platform interface");
+DEFINE_int32(executors_per_pool, 0, "executors of each pool; 0 takes the number in the fleet text");
+DEFINE_string(fleet, "config/lakeshore.json", "fleet text that gives the pools and zones");
+DEFINE_bool(publish, false, "publish the fleet text in the log at the start");
+DEFINE_string(key, "", "with --publish: also grant this key to the first team");
+DEFINE_int32(run_ms, 2, "run time of a request whose body does not begin with run_ms=N;");
+DEFINE_int32(threads, 2, "worker threads");
+DEFINE_uint64(seed, 1, "seed of the injected faults");
+
+using namespace hornbeamrail;
+
+namespace {
+
+result<void> run() {
+    BOOST_LEAF_AUTO(text, cli::read_file(FLAGS_fleet, max_fleet_text_bytes));
+    BOOST_LEAF_AUTO(parsed, parse_fleet_config(text));
+    const auto fleet = std::make_shared<const fleet_config>(std::move(parsed));
+    const auto address = parse_endpoint(FLAGS_address);
+    if (!address) {
+        return make_error(errc::invalid_argument, "--address is not an IP address and port",
+                          "write it as 127.0.0.1:8400");
+    }
+    io_threads threads(FLAGS_threads);
+    BOOST_LEAF_AUTO(platform,
+                    platform_server::make(threads, {.address = *address,
+                                                    .seed = FLAGS_seed,
+                                                    .fleet = fleet,
+                                                    .executors_per_pool = FLAGS_executors_per_pool,
+                                                    .run_time = std::chrono::milliseconds(FLAGS_run_ms)}));
+    if (FLAGS_publish) {
+        platform->publish_fleet(*fleet, FLAGS_key);
+    }
+    fmt::print("platform stand-in on {} with {} executors\n", to_string(platform->address()),
+               platform->vms().size());
+    std::fflush(stdout);
+    sigset_t signals{};
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    int received = 0;
+    sigwait(&signals, &received);
+    threads.stop();
+    return {};
+}
+
+} // namespace
+
+int main(int argc, char** argv) {
+    gflags::SetUsageMessage("runs a stand-in of the platform on loopback ports");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    // Blocked before the workers start, so that only sigwait receives them.
+    sigset_t signals{};
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    error failure;
+    const auto done = value_or_error(
+        [&]() -> result<bool> {
+            BOOST_LEAF_CHECK(run());
+            return true;
+        },
+        failure);
+    if (!done) {
+        return cli::print_error(failure);
+    }
+    return 0;
+}
