Add the policies of shares, queues, placement, health and budgets

Cause: the dispatcher and the task manager need decisions that depend on nothing but state, time and seed.

Conclusion: the dispatcher can be written against these.

--- /dev/null
+++ b/src/policy/admission.cpp
@@ -0,0 +1,111 @@
+#include "policy/admission.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace hornbeamrail {
+
+namespace {
+
+/// Longest advice to wait: the load of a queue is not predictable beyond it.
+constexpr std::chrono::milliseconds max_retry_after{30000};
+constexpr std::chrono::milliseconds min_retry_after{100};
+
+std::chrono::milliseconds bounded(std::chrono::microseconds wait) {
+    return std::clamp(std::chrono::ceil<std::chrono::milliseconds>(wait), min_retry_after, max_retry_after);
+}
+
+std::optional<std::chrono::microseconds> expected_wait(const arrival_load& load) {
+    if (!load.drain) {
+        return std::nullopt;
+    }
+    if (*load.drain <= 0) {
+        return load.ahead > 0 ? std::optional(std::chrono::microseconds(std::chrono::hours(1)))
+                              : std::nullopt;
+    }
+    const double seconds = static_cast<double>(load.ahead) / *load.drain;
+    return std::chrono::microseconds(std::llround(std::min(seconds, 3600.0) * 1e6));
+}
+
+} // namespace
+
+std::string_view to_string(admission_reason reason) noexcept {
+    switch (reason) {
+    case admission_reason::no_key:
+        return "no_key";
+    case admission_reason::unknown_key:
+        return "unknown_key";
+    case admission_reason::revoked_key:
+        return "revoked_key";
+    case admission_reason::wrong_team:
+        return "wrong_team";
+    case admission_reason::unknown_service:
+        return "unknown_service";
+    case admission_reason::limit_reached:
+        return "limit_reached";
+    case admission_reason::queue_full:
+        return "queue_full";
+    case admission_reason::deadline_infeasible:
+        return "deadline_infeasible";
+    case admission_reason::dependency_short:
+        return "dependency_short";
+    }
+    return "unknown";
+}
+
+std::variant<const team_config*, admission_reason> identify_team(const fleet_state& state,
+                                                                 std::string_view service_name,
+                                                                 const std::optional<std::string>& key_hash) {
+    const auto& config = state.config();
+    const auto* service = config.find_service(service_name);
+    if (service == nullptr) {
+        return admission_reason::unknown_service;
+    }
+    if (!key_hash) {
+        const auto* open_team = service->open ? config.find_team(service->open_team) : nullptr;
+        if (open_team == nullptr) {
+            return admission_reason::no_key;
+        }
+        return open_team;
+    }
+    const auto found = state.keys().find(*key_hash);
+    if (found == state.keys().end()) {
+        return admission_reason::unknown_key;
+    }
+    if (found->second.revoked) {
+        return admission_reason::revoked_key;
+    }
+    const auto* team = config.find_team(found->second.team);
+    if (team == nullptr || !config.team_may_use(*team, service_name)) {
+        return admission_reason::wrong_team;
+    }
+    return team;
+}
+
+bool key_still_valid(const fleet_state& state, std::string_view service,
+                     const std::optional<std::string>& key_hash, std::string_view team) {
+    const auto found = identify_team(state, service, key_hash);
+    const auto* const* config = std::get_if<const team_config*>(&found);
+    return config != nullptr && (*config)->name == team;
+}
+
+std::optional<load_refusal> check_load(const arrival_load& load) {
+    if (load.upper_limit <= 0) {
+        return load_refusal{admission_reason::limit_reached, max_retry_after};
+    }
+    if (load.dependency_short) {
+        return load_refusal{admission_reason::dependency_short, std::chrono::seconds(1)};
+    }
+    const auto wait = expected_wait(load);
+    if (load.queue_full) {
+        return load_refusal{admission_reason::queue_full, bounded(wait.value_or(std::chrono::seconds(1)))};
+    }
+    if (wait && load.ahead > 0 && *wait + load.run > load.deadline) {
+        const auto reason =
+            load.limit_binds ? admission_reason::limit_reached : admission_reason::deadline_infeasible;
+        return load_refusal{reason, bounded(*wait + load.run - load.deadline)};
+    }
+    return std::nullopt;
+}
+
+} // namespace hornbeamrail
--- /dev/null
+++ b/src/policy/placement.hpp
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "protocol/platform.hpp"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace hornbeamrail {
+
+/// Weight of an executor that returns to service: grows evenly from 0 to 1.
+/// @param since when it returned
+/// @param duration length of the ramp
+double ramp_weight(boot_time now, boot_time since, std::chrono::milliseconds duration);
+
+/// Executors of one service as one node sees them, for choosing one of them in constant time.
+///
+/// The best of two random executors with free slots is taken, by used part of the slots. Taking the best of
+/// all would send the callers of all nodes to the same executor between two lease answers.
+class placement_pool {
+public:
+    struct entry {
+        std::string rack;
+        bool same_zone = false;  ///< as the node
+        std::int64_t slots = 0;  ///< that may be used now; 0 takes the executor out
+        std::int64_t in_use = 0; ///< by all nodes, as far as known
+    };
+
+    /// @return index of the new executor
+    std::size_t add(entry executor);
+    void update(std::size_t index, std::int64_t slots, std::int64_t in_use);
+    [[nodiscard]] const entry& at(std::size_t index) const { return this->executors[index]; }
+    [[nodiscard]] std::size_t size() const noexcept { return this->executors.size(); }
+
+    /// @return slots of all executors that may be used now
+    [[nodiscard]] std::int64_t usable_slots() const noexcept { return this->total_slots; }
+    [[nodiscard]] bool has_free_slot() const noexcept {
+        return !this->free_local.empty() || !this->free_remote.empty();
+    }
+
+    /// @param exclude executor that is chosen only if no other has a free slot
+    /// @return index of an executor with a free slot, or nothing
+    std::optional<std::size_t> choose(std::mt19937_64& random,
+                                      std::optional<std::size_t> exclude = std::nullopt) const;
+
+    /// An executor of another zone is taken only if it is less loaded by this part of its slots.
+    static constexpr double zone_preference = 0.25;
+    /// Weight of the load of the rack against that of the executor.
+    static constexpr double rack_weight = 0.2;
+
+private:
+    struct rack_load {
+        std::int64_t slots = 0;
+        std::int64_t in_use = 0;
+    };
+    static constexpr std::size_t not_listed = static_cast<std::size_t>(-1);
+
+    std::vector<std::size_t>& list_of(std::size_t index);
+    void set_listed(std::size_t index, bool listed);
+    [[nodiscard]] double load_of(std::size_t index) const;
+    std::optional<std::size_t> best_of_two(const std::vector<std::size_t>& candidates,
+                                           std::mt19937_64& random, std::optional<std::size_t> exclude) const;
+
+    std::vector<entry> executors;
+    std::vector<std::size_t> position; ///< in the free list, or `not_listed`
+    std::vector<rack_load*> rack_of;
+    std::map<std::string, rack_load> racks;
+    std::vector<std::size_t> free_local;
+    std::vector<std::size_t> free_remote;
+    std::int64_t total_slots = 0;
+};
+
+} // namespace hornbeamrail
--- /dev/null
+++ b/src/policy/request_queue.cpp
@@ -0,0 +1,331 @@
+#include "policy/request_queue.hpp"
+
+#include <algorithm>
+
+namespace hornbeamrail {
+
+struct request_queue::team_queue {
+    std::string name;
+    std::uint64_t order = 0;
+    double part = min_part;
+    double received = 0; ///< slot seconds over part, on the scale of `virtual_time`
+    std::int64_t running = 0;
+    bool blocked = false;
+    std::set<std::pair<boot_time, std::uint64_t>> urgent;
+    std::set<std::pair<boot_time, std::uint64_t>> normal;
+    std::set<std::pair<boot_time, std::uint64_t>> arrivals;
+
+    bool listed_ready = false;
+    bool listed_urgent = false;
+    bool listed_backlog = false;
+    double listed_part = 0;
+    rank ready_rank;
+    rank backlog_rank;
+
+    [[nodiscard]] std::int64_t queued() const {
+        return static_cast<std::int64_t>(this->urgent.size() + this->normal.size());
+    }
+};
+
+namespace {
+
+double seconds_of(std::chrono::microseconds value) {
+    return std::chrono::duration<double>(value).count();
+}
+
+/// A start always costs something, so that teams with unknown run times still alternate.
+constexpr double min_cost_seconds = 0.001;
+
+} // namespace
+
+request_queue::request_queue(request_queue_options queue_options) : options(queue_options) {}
+request_queue::~request_queue() = default;
+request_queue::request_queue(request_queue&&) noexcept = default;
+request_queue& request_queue::operator=(request_queue&&) noexcept = default;
+
+request_queue::team_queue& request_queue::team_of(std::string_view name) {
+    if (const auto found = this->team_table.find(name); found != this->team_table.end()) {
+        return *found->second;
+    }
+    auto team = std::make_unique<team_queue>();
+    team->name = std::string(name);
+    team->order = this->next_order++;
+    team->received = this->virtual_time;
+    auto& slot = this->team_table[team->name];
+    slot = std::move(team);
+    return *slot;
+}
+
+const request_queue::team_queue* request_queue::find_team(std::string_view name) const {
+    const auto found = this->team_table.find(name);
+    return found == this->team_table.end() ? nullptr : found->second.get();
+}
+
+bool request_queue::within_part(const team_queue& team) const {
+    return static_cast<double>(team.running + 1) <= team.part || team.received <= this->virtual_time;
+}
+
+void request_queue::unlist(team_queue& team) {
+    if (team.listed_ready) {
+        this->ready.erase(team.ready_rank);
+    }
+    if (team.listed_urgent) {
+        this->urgent_ready.erase(team.ready_rank);
+    }
+    if (team.listed_backlog) {
+        this->backlog.erase(team.backlog_rank);
+        this->queued_parts -= team.listed_part;
+    }
+    team.listed_ready = team.listed_urgent = team.listed_backlog = false;
+}
+
+void request_queue::list(team_queue& team) {
+    if (team.queued() == 0) {
+        return;
+    }
+    team.listed_backlog = true;
+    team.listed_part = team.part;
+    this->queued_parts += team.part;
+    team.backlog_rank = {static_cast<double>(team.queued()) / team.part, team.order};
+    this->backlog.emplace(team.backlog_rank, &team);
+    if (team.blocked) {
+        return;
+    }
+    team.ready_rank = {team.received, team.order};
+    team.listed_ready = true;
+    this->ready.emplace(team.ready_rank, &team);
+    if (!team.urgent.empty()) {
+        team.listed_urgent = true;
+        this->urgent_ready.emplace(team.ready_rank, &team);
+    }
+}
+
+void request_queue::set_part(std::string_view name, double slots) {
+    auto& team = this->team_of(name);
+    const double part = std::max(slots, min_part);
+    if (part == team.part) {
+        return;
+    }
+    this->unlist(team);
+    team.part = part;
+    this->list(team);
+    this->drop_if_unused(team);
+}
+
+double request_queue::queue_share(const team_queue& team) const {
+    const double others = this->queued_parts - (team.listed_backlog ? team.listed_part : 0);
+    return static_cast<double>(this->options.limit) * team.part / (others + team.part);
+}
+
+request_queue::team_queue* request_queue::team_to_displace(const team_queue& newcomer) const {
+    if (this->backlog.empty() || static_cast<double>(newcomer.queued() + 1) > this->queue_share(newcomer)) {
+        return nullptr;
+    }
+    auto* fullest = this->backlog.rbegin()->second;
+    if (fullest == &newcomer || fullest->normal.empty() ||
+        static_cast<double>(fullest->queued()) <= this->queue_share(*fullest)) {
+        return nullptr;
+    }
+    return fullest;
+}
+
+bool request_queue::would_refuse(std::string_view name) const {
+    const auto* known = this->find_team(name);
+    const team_queue fresh;
+    const auto& team = known != nullptr ? *known : fresh;
+    const auto team_limit = std::max<std::int64_t>(
+        1, static_cast<std::int64_t>(static_cast<double>(this->options.limit) * this->options.team_part));
+    if (team.queued() >= team_limit) {
+        return true;
+    }
+    return this->size() >= this->options.limit && this->team_to_displace(team) == nullptr;
+}
+
+request_queue::push_result request_queue::push(const queued_request& request) {
+    push_result outcome;
+    if (this->requests.contains(request.id) || this->would_refuse(request.team)) {
+        return outcome;
+    }
+    auto& team = this->team_of(request.team);
+    if (this->size() >= this->options.limit) {
+        auto* fullest = this->team_to_displace(team);
+        if (fullest == nullptr) {
+            return outcome;
+        }
+        outcome.displaced = fullest->normal.rbegin()->second;
+        this->erase_request(*fullest, *outcome.displaced);
+    }
+    this->unlist(team);
+    if (team.queued() == 0) {
+        // A team that was idle starts at the present level: idle time gives no credit.
+        team.received = std::max(team.received, this->virtual_time);
+    }
+    (request.urgent ? team.urgent : team.normal).emplace(request.deadline, request.id);
+    team.arrivals.emplace(request.arrived, request.id);
+    this->deadlines.emplace(request.deadline, request.id);
+    this->requests.emplace(request.id, std::pair(&team, request));
+    this->list(team);
+    outcome.accepted = true;
+    return outcome;
+}
+
+void request_queue::erase_request(team_queue& team, std::uint64_t id) {
+    const auto found = this->requests.find(id);
+    const auto& request = found->second.second;
+    this->unlist(team);
+    (request.urgent ? team.urgent : team.normal).erase({request.deadline, id});
+    team.arrivals.erase({request.arrived, id});
+    this->deadlines.erase({request.deadline, id});
+    this->requests.erase(found);
+    this->list(team);
+}
+
+bool request_queue::remove(std::uint64_t id) {
+    const auto found = this->requests.find(id);
+    if (found == this->requests.end()) {
+        return false;
+    }
+    auto& team = *found->second.first;
+    this->erase_request(team, id);
+    this->drop_if_unused(team);
+    return true;
+}
+
+std::optional<queued_request> request_queue::front() const {
+    if (this->ready.empty()) {
+        return std::nullopt;
+    }
+    // Only the first few urgent teams are examined: they are ordered by what they received, so that those
+    // further back are beyond their part as well unless they have slots left in it.
+    int examined = 0;
+    for (const auto& [unused, team] : this->urgent_ready) {
+        if (this->within_part(*team)) {
+            return this->requests.at(team->urgent.begin()->second).second;
+        }
+        if (++examined == 16) {
+            break;
+        }
+    }
+    const auto& team = *this->ready.begin()->second;
+    const auto& first = !team.urgent.empty() ? *team.urgent.begin() : *team.normal.begin();
+    return this->requests.at(first.second).second;
+}
+
+void request_queue::block(std::string_view name) {
+    auto& team = this->team_of(name);
+    if (team.blocked) {
+        return;
+    }
+    this->unlist(team);
+    team.blocked = true;
+    this->blocked.insert(&team);
+    this->list(team);
+}
+
+void request_queue::unblock(std::string_view name) {
+    const auto found = this->team_table.find(name);
+    if (found == this->team_table.end() || !found->second->blocked) {
+        return;
+    }
+    auto& team = *found->second;
+    this->unlist(team);
+    team.blocked = false;
+    this->blocked.erase(&team);
+    // What a team could not take while it was blocked is not owed to it later.
+    team.received = std::max(team.received, this->virtual_time);
+    this->list(team);
+    this->drop_if_unused(team);
+}
+
+void request_queue::unblock_all() {
+    const auto teams = this->blocked;
+    for (auto* team : teams) {
+        this->unblock(std::string(team->name));
+    }
+}
+
+void request_queue::on_start(std::string_view name, std::chrono::microseconds expected) {
+    auto& team = this->team_of(name);
+    this->unlist(team);
+    ++team.running;
+    this->virtual_time = std::max(this->virtual_time, team.received);
+    team.received += std::max(seconds_of(expected), min_cost_seconds) / team.part;
+    this->list(team);
+}
+
+void request_queue::on_end(std::string_view name, std::chrono::microseconds expected,
+                           std::chrono::microseconds actual) {
+    auto& team = this->team_of(name);
+    this->unlist(team);
+    team.running = std::max<std::int64_t>(0, team.running - 1);
+    const double charged = std::max(seconds_of(expected), min_cost_seconds);
+    team.received += (std::max(seconds_of(actual), min_cost_seconds) - charged) / team.part;
+    this->list(team);
+    this->drop_if_unused(team);
+}
+
+std::vector<std::uint64_t> request_queue::expire(boot_time now) {
+    std::vector<std::uint64_t> expired;
+    while (!this->deadlines.empty() && this->deadlines.begin()->first <= now) {
+        const auto id = this->deadlines.begin()->second;
+        expired.push_back(id);
+        this->remove(id);
+    }
+    return expired;
+}
+
+std::int64_t request_queue::size(std::string_view team) const {
+    const auto* found = this->find_team(team);
+    return found == nullptr ? 0 : found->queued();
+}
+
+std::int64_t request_queue::running(std::string_view team) const {
+    const auto* found = this->find_team(team);
+    return found == nullptr ? 0 : found->running;
+}
+
+std::int64_t request_queue::ahead_of(std::string_view name, boot_time deadline, bool urgent) const {
+    const auto* team = this->find_team(name);
+    if (team == nullptr) {
+        return 0;
+    }
+    // Counted from the back: most arrivals have nearly the latest deadline.
+    const auto later_than = [&](const auto& set) {
+        std::int64_t count = 0;
+        for (auto it = set.rbegin(); it != set.rend() && it->first > deadline; ++it) {
+            ++count;
+        }
+        return static_cast<std::int64_t>(set.size()) - count;
+    };
+    if (urgent) {
+        return later_than(team->urgent);
+    }
+    return static_cast<std::int64_t>(team->urgent.size()) + later_than(team->normal);
+}
+
+std::vector<request_queue::team_summary> request_queue::teams() const {
+    std::vector<team_summary> list;
+    for (const auto& [name, team] : this->team_table) {
+        if (team->queued() == 0 && team->running == 0) {
+            continue;
+        }
+        list.push_back(
+            {.team = name,
+             .queued = team->queued(),
+             .running = team->running,
+             .oldest_arrival = team->arrivals.empty() ? boot_time{} : team->arrivals.begin()->first,
+             .part = team->part});
+    }
+    std::sort(list.begin(), list.end(), [](const auto& a, const auto& b) { return a.team < b.team; });
+    return list;
+}
+
+void request_queue::drop_if_unused(team_queue& team) {
+    // A team that is ahead of the others keeps its entry, or it would return with its debt forgotten.
+    if (team.queued() == 0 && team.running == 0 && !team.blocked && team.received <= this->virtual_time &&
+        team.part <= min_part) {
+        this->team_table.erase(std::string(team.name));
+    }
+}
+
+} // namespace hornbeamrail
--- /dev/null
+++ b/src/policy/retry_budget.cpp
@@ -0,0 +1,35 @@
+#include "policy/retry_budget.hpp"
+
+#include <algorithm>
+
+namespace hornbeamrail {
+
+void retry_budget::on_first_dispatch() {
+    this->available = std::min(this->available + this->options.part, this->options.reserve);
+}
+
+bool retry_budget::try_spend() {
+    // The small term makes ten additions of 0.1 count as one.
+    if (this->available < 1 - 1e-9) {
+        return false;
+    }
+    this->available -= 1;
+    return true;
+}
+
+std::optional<boot_time> retry_budget::next_attempt(boot_time now, int attempt, boot_time deadline,
+                                                    std::chrono::microseconds run,
+                                                    std::mt19937_64& random) const {
+    const auto doublings = std::clamp(attempt - 1, 0, 20);
+    const auto ceiling = std::min<std::chrono::microseconds>(
+        this->options.base_delay * (std::int64_t{1} << doublings), this->options.longest_delay);
+    const std::chrono::microseconds delay(static_cast<std::int64_t>(
+        random() % static_cast<std::uint64_t>(std::max<std::int64_t>(1, ceiling.count()))));
+    const auto at = now + delay;
+    if (at + run >= deadline) {
+        return std::nullopt;
+    }
+    return at;
+}
+
+} // namespace hornbeamrail
