--- a/gen/peer_types.cpp
+++ b/gen/peer_types.cpp
@@ -256,6 +256,118 @@
 }
 
 
+RegionConfirmed::~RegionConfirmed() noexcept {
+}
+
+
+void RegionConfirmed::__set_region(const std::string& val) {
+  this->region = val;
+}
+
+void RegionConfirmed::__set_next_offset(const int64_t val) {
+  this->next_offset = val;
+}
+std::ostream& operator<<(std::ostream& out, const RegionConfirmed& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RegionConfirmed::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->region);
+          this->__isset.region = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->next_offset);
+          this->__isset.next_offset = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RegionConfirmed::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RegionConfirmed");
+
+  xfer += oprot->writeFieldBegin("region", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->region);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("next_offset", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->next_offset);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RegionConfirmed &a, RegionConfirmed &b) {
+  using ::std::swap;
+  swap(a.region, b.region);
+  swap(a.next_offset, b.next_offset);
+  swap(a.__isset, b.__isset);
+}
+
+RegionConfirmed::RegionConfirmed(const RegionConfirmed& other2) {
+  region = other2.region;
+  next_offset = other2.next_offset;
+  __isset = other2.__isset;
+}
+RegionConfirmed& RegionConfirmed::operator=(const RegionConfirmed& other3) {
+  region = other3.region;
+  next_offset = other3.next_offset;
+  __isset = other3.__isset;
+  return *this;
+}
+void RegionConfirmed::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RegionConfirmed(";
+  out << "region=" << to_string(region);
+  out << ", " << "next_offset=" << to_string(next_offset);
+  out << ")";
+}
+
+
 Heartbeat::~Heartbeat() noexcept {
 }
 
@@ -303,6 +415,26 @@
 void Heartbeat::__set_vm_list_version(const int64_t val) {
   this->vm_list_version = val;
 }
+
+void Heartbeat::__set_level(const int32_t val) {
+  this->level = val;
+}
+
+void Heartbeat::__set_demand_reset(const bool val) {
+  this->demand_reset = val;
+}
+
+void Heartbeat::__set_outside(const std::vector<Demand> & val) {
+  this->outside = val;
+}
+
+void Heartbeat::__set_silent(const std::vector<int64_t> & val) {
+  this->silent = val;
+}
+
+void Heartbeat::__set_confirmed(const std::vector<RegionConfirmed> & val) {
+  this->confirmed = val;
+}
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj)
 {
   obj.printTo(out);
@@ -407,14 +539,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->demand.clear();
-            uint32_t _size2;
-            ::apache::thrift::protocol::TType _etype5;
-            xfer += iprot->readListBegin(_etype5, _size2);
-            this->demand.resize(_size2);
-            uint32_t _i6;
-            for (_i6 = 0; _i6 < _size2; ++_i6)
+            uint32_t _size4;
+            ::apache::thrift::protocol::TType _etype7;
+            xfer += iprot->readListBegin(_etype7, _size4);
+            this->demand.resize(_size4);
+            uint32_t _i8;
+            for (_i8 = 0; _i8 < _size4; ++_i8)
             {
-              xfer += this->demand[_i6].read(iprot);
+              xfer += this->demand[_i8].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -431,6 +563,82 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->level);
+          this->__isset.level = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->demand_reset);
+          this->__isset.demand_reset = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->outside.clear();
+            uint32_t _size9;
+            ::apache::thrift::protocol::TType _etype12;
+            xfer += iprot->readListBegin(_etype12, _size9);
+            this->outside.resize(_size9);
+            uint32_t _i13;
+            for (_i13 = 0; _i13 < _size9; ++_i13)
+            {
+              xfer += this->outside[_i13].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.outside = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->silent.clear();
+            uint32_t _size14;
+            ::apache::thrift::protocol::TType _etype17;
+            xfer += iprot->readListBegin(_etype17, _size14);
+            this->silent.resize(_size14);
+            uint32_t _i18;
+            for (_i18 = 0; _i18 < _size14; ++_i18)
+            {
+              xfer += iprot->readI64(this->silent[_i18]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.silent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->confirmed.clear();
+            uint32_t _size19;
+            ::apache::thrift::protocol::TType _etype22;
+            xfer += iprot->readListBegin(_etype22, _size19);
+            this->confirmed.resize(_size19);
+            uint32_t _i23;
+            for (_i23 = 0; _i23 < _size19; ++_i23)
+            {
+              xfer += this->confirmed[_i23].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.confirmed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -487,10 +695,10 @@
   xfer += oprot->writeFieldBegin("demand", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->demand.size()));
-    std::vector<Demand> ::const_iterator _iter7;
-    for (_iter7 = this->demand.begin(); _iter7 != this->demand.end(); ++_iter7)
+    std::vector<Demand> ::const_iterator _iter24;
+    for (_iter24 = this->demand.begin(); _iter24 != this->demand.end(); ++_iter24)
     {
-      xfer += (*_iter7).write(oprot);
+      xfer += (*_iter24).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -500,6 +708,50 @@
   xfer += oprot->writeI64(this->vm_list_version);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("level", ::apache::thrift::protocol::T_I32, 12);
+  xfer += oprot->writeI32(this->level);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("demand_reset", ::apache::thrift::protocol::T_BOOL, 13);
+  xfer += oprot->writeBool(this->demand_reset);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("outside", ::apache::thrift::protocol::T_LIST, 14);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->outside.size()));
+    std::vector<Demand> ::const_iterator _iter25;
+    for (_iter25 = this->outside.begin(); _iter25 != this->outside.end(); ++_iter25)
+    {
+      xfer += (*_iter25).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("silent", ::apache::thrift::protocol::T_LIST, 15);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->silent.size()));
+    std::vector<int64_t> ::const_iterator _iter26;
+    for (_iter26 = this->silent.begin(); _iter26 != this->silent.end(); ++_iter26)
+    {
+      xfer += oprot->writeI64((*_iter26));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("confirmed", ::apache::thrift::protocol::T_LIST, 16);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->confirmed.size()));
+    std::vector<RegionConfirmed> ::const_iterator _iter27;
+    for (_iter27 = this->confirmed.begin(); _iter27 != this->confirmed.end(); ++_iter27)
+    {
+      xfer += (*_iter27).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -518,36 +770,51 @@
   swap(a.leaving, b.leaving);
   swap(a.demand, b.demand);
   swap(a.vm_list_version, b.vm_list_version);
+  swap(a.level, b.level);
+  swap(a.demand_reset, b.demand_reset);
+  swap(a.outside, b.outside);
+  swap(a.silent, b.silent);
+  swap(a.confirmed, b.confirmed);
   swap(a.__isset, b.__isset);
 }
 
-Heartbeat::Heartbeat(const Heartbeat& other8) {
-  incarnation = other8.incarnation;
-  node_id = other8.node_id;
-  zone = other8.zone;
-  region = other8.region;
-  next_offset = other8.next_offset;
-  log_age_ms = other8.log_age_ms;
-  log_head = other8.log_head;
-  log_answers = other8.log_answers;
-  leaving = other8.leaving;
-  demand = other8.demand;
-  vm_list_version = other8.vm_list_version;
-  __isset = other8.__isset;
-}
-Heartbeat& Heartbeat::operator=(const Heartbeat& other9) {
-  incarnation = other9.incarnation;
-  node_id = other9.node_id;
-  zone = other9.zone;
-  region = other9.region;
-  next_offset = other9.next_offset;
-  log_age_ms = other9.log_age_ms;
-  log_head = other9.log_head;
-  log_answers = other9.log_answers;
-  leaving = other9.leaving;
-  demand = other9.demand;
-  vm_list_version = other9.vm_list_version;
-  __isset = other9.__isset;
+Heartbeat::Heartbeat(const Heartbeat& other28) {
+  incarnation = other28.incarnation;
+  node_id = other28.node_id;
+  zone = other28.zone;
+  region = other28.region;
+  next_offset = other28.next_offset;
+  log_age_ms = other28.log_age_ms;
+  log_head = other28.log_head;
+  log_answers = other28.log_answers;
+  leaving = other28.leaving;
+  demand = other28.demand;
+  vm_list_version = other28.vm_list_version;
+  level = other28.level;
+  demand_reset = other28.demand_reset;
+  outside = other28.outside;
+  silent = other28.silent;
+  confirmed = other28.confirmed;
+  __isset = other28.__isset;
+}
+Heartbeat& Heartbeat::operator=(const Heartbeat& other29) {
+  incarnation = other29.incarnation;
+  node_id = other29.node_id;
+  zone = other29.zone;
+  region = other29.region;
+  next_offset = other29.next_offset;
+  log_age_ms = other29.log_age_ms;
+  log_head = other29.log_head;
+  log_answers = other29.log_answers;
+  leaving = other29.leaving;
+  demand = other29.demand;
+  vm_list_version = other29.vm_list_version;
+  level = other29.level;
+  demand_reset = other29.demand_reset;
+  outside = other29.outside;
+  silent = other29.silent;
+  confirmed = other29.confirmed;
+  __isset = other29.__isset;
   return *this;
 }
 void Heartbeat::printTo(std::ostream& out) const {
@@ -564,6 +831,11 @@
   out << ", " << "leaving=" << to_string(leaving);
   out << ", " << "demand=" << to_string(demand);
   out << ", " << "vm_list_version=" << to_string(vm_list_version);
+  out << ", " << "level=" << to_string(level);
+  out << ", " << "demand_reset=" << to_string(demand_reset);
+  out << ", " << "outside=" << to_string(outside);
+  out << ", " << "silent=" << to_string(silent);
+  out << ", " << "confirmed=" << to_string(confirmed);
   out << ")";
 }
 
@@ -660,15 +932,15 @@
   swap(a.__isset, b.__isset);
 }
 
-FetchRecords::FetchRecords(const FetchRecords& other10) noexcept {
-  from_offset = other10.from_offset;
-  max_records = other10.max_records;
-  __isset = other10.__isset;
+FetchRecords::FetchRecords(const FetchRecords& other30) noexcept {
+  from_offset = other30.from_offset;
+  max_records = other30.max_records;
+  __isset = other30.__isset;
 }
-FetchRecords& FetchRecords::operator=(const FetchRecords& other11) noexcept {
-  from_offset = other11.from_offset;
-  max_records = other11.max_records;
-  __isset = other11.__isset;
+FetchRecords& FetchRecords::operator=(const FetchRecords& other31) noexcept {
+  from_offset = other31.from_offset;
+  max_records = other31.max_records;
+  __isset = other31.__isset;
   return *this;
 }
 void FetchRecords::printTo(std::ostream& out) const {
@@ -772,15 +1044,15 @@
   swap(a.__isset, b.__isset);
 }
 
-Record::Record(const Record& other12) {
-  offset = other12.offset;
-  data = other12.data;
-  __isset = other12.__isset;
+Record::Record(const Record& other32) {
+  offset = other32.offset;
+  data = other32.data;
+  __isset = other32.__isset;
 }
-Record& Record::operator=(const Record& other13) {
-  offset = other13.offset;
-  data = other13.data;
-  __isset = other13.__isset;
+Record& Record::operator=(const Record& other33) {
+  offset = other33.offset;
+  data = other33.data;
+  __isset = other33.__isset;
   return *this;
 }
 void Record::printTo(std::ostream& out) const {
@@ -839,14 +1111,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size14;
-            ::apache::thrift::protocol::TType _etype17;
-            xfer += iprot->readListBegin(_etype17, _size14);
-            this->records.resize(_size14);
-            uint32_t _i18;
-            for (_i18 = 0; _i18 < _size14; ++_i18)
+            uint32_t _size34;
+            ::apache::thrift::protocol::TType _etype37;
+            xfer += iprot->readListBegin(_etype37, _size34);
+            this->records.resize(_size34);
+            uint32_t _i38;
+            for (_i38 = 0; _i38 < _size34; ++_i38)
             {
-              xfer += this->records[_i18].read(iprot);
+              xfer += this->records[_i38].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -891,10 +1163,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<Record> ::const_iterator _iter19;
-    for (_iter19 = this->records.begin(); _iter19 != this->records.end(); ++_iter19)
+    std::vector<Record> ::const_iterator _iter39;
+    for (_iter39 = this->records.begin(); _iter39 != this->records.end(); ++_iter39)
     {
-      xfer += (*_iter19).write(oprot);
+      xfer += (*_iter39).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -921,17 +1193,17 @@
   swap(a.__isset, b.__isset);
 }
 
-Records::Records(const Records& other20) {
-  records = other20.records;
-  next_offset = other20.next_offset;
-  truncated = other20.truncated;
-  __isset = other20.__isset;
+Records::Records(const Records& other40) {
+  records = other40.records;
+  next_offset = other40.next_offset;
+  truncated = other40.truncated;
+  __isset = other40.__isset;
 }
-Records& Records::operator=(const Records& other21) {
-  records = other21.records;
-  next_offset = other21.next_offset;
-  truncated = other21.truncated;
-  __isset = other21.__isset;
+Records& Records::operator=(const Records& other41) {
+  records = other41.records;
+  next_offset = other41.next_offset;
+  truncated = other41.truncated;
+  __isset = other41.__isset;
   return *this;
 }
 void Records::printTo(std::ostream& out) const {
@@ -998,11 +1270,11 @@
   (void) b;
 }
 
-FetchSnapshot::FetchSnapshot(const FetchSnapshot& other22) noexcept {
-  (void) other22;
+FetchSnapshot::FetchSnapshot(const FetchSnapshot& other42) noexcept {
+  (void) other42;
 }
-FetchSnapshot& FetchSnapshot::operator=(const FetchSnapshot& other23) noexcept {
-  (void) other23;
+FetchSnapshot& FetchSnapshot::operator=(const FetchSnapshot& other43) noexcept {
+  (void) other43;
   return *this;
 }
 void FetchSnapshot::printTo(std::ostream& out) const {
@@ -1104,15 +1376,15 @@
   swap(a.__isset, b.__isset);
 }
 
-Snapshot::Snapshot(const Snapshot& other24) {
-  next_offset = other24.next_offset;
-  data = other24.data;
-  __isset = other24.__isset;
+Snapshot::Snapshot(const Snapshot& other44) {
+  next_offset = other44.next_offset;
+  data = other44.data;
+  __isset = other44.__isset;
 }
-Snapshot& Snapshot::operator=(const Snapshot& other25) {
-  next_offset = other25.next_offset;
-  data = other25.data;
-  __isset = other25.__isset;
+Snapshot& Snapshot::operator=(const Snapshot& other45) {
+  next_offset = other45.next_offset;
+  data = other45.data;
+  __isset = other45.__isset;
   return *this;
 }
 void Snapshot::printTo(std::ostream& out) const {
@@ -1139,6 +1411,10 @@
 void Claim::__set_team_name(const std::string& val) {
   this->team_name = val;
 }
+
+void Claim::__set_attempt(const int64_t val) {
+  this->attempt = val;
+}
 std::ostream& operator<<(std::ostream& out, const Claim& obj)
 {
   obj.printTo(out);
@@ -1191,6 +1467,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->attempt);
+          this->__isset.attempt = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1220,6 +1504,10 @@
   xfer += oprot->writeString(this->team_name);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("attempt", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->attempt);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1230,20 +1518,23 @@
   swap(a.request_id, b.request_id);
   swap(a.claimant, b.claimant);
   swap(a.team_name, b.team_name);
+  swap(a.attempt, b.attempt);
   swap(a.__isset, b.__isset);
 }
 
-Claim::Claim(const Claim& other26) {
-  request_id = other26.request_id;
-  claimant = other26.claimant;
-  team_name = other26.team_name;
-  __isset = other26.__isset;
+Claim::Claim(const Claim& other46) {
+  request_id = other46.request_id;
+  claimant = other46.claimant;
+  team_name = other46.team_name;
+  attempt = other46.attempt;
+  __isset = other46.__isset;
 }
-Claim& Claim::operator=(const Claim& other27) {
-  request_id = other27.request_id;
-  claimant = other27.claimant;
-  team_name = other27.team_name;
-  __isset = other27.__isset;
+Claim& Claim::operator=(const Claim& other47) {
+  request_id = other47.request_id;
+  claimant = other47.claimant;
+  team_name = other47.team_name;
+  attempt = other47.attempt;
+  __isset = other47.__isset;
   return *this;
 }
 void Claim::printTo(std::ostream& out) const {
@@ -1252,6 +1543,7 @@
   out << "request_id=" << to_string(request_id);
   out << ", " << "claimant=" << to_string(claimant);
   out << ", " << "team_name=" << to_string(team_name);
+  out << ", " << "attempt=" << to_string(attempt);
   out << ")";
 }
 
@@ -1297,9 +1589,9 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast28;
-          xfer += iprot->readI32(ecast28);
-          this->status = static_cast<ClaimStatus::type>(ecast28);
+          int32_t ecast48;
+          xfer += iprot->readI32(ecast48);
+          this->status = static_cast<ClaimStatus::type>(ecast48);
           this->__isset.status = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -1350,15 +1642,15 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimAnswer::ClaimAnswer(const ClaimAnswer& other29) noexcept {
-  status = other29.status;
-  owner_next_offset = other29.owner_next_offset;
-  __isset = other29.__isset;
+ClaimAnswer::ClaimAnswer(const ClaimAnswer& other49) noexcept {
+  status = other49.status;
+  owner_next_offset = other49.owner_next_offset;
+  __isset = other49.__isset;
 }
-ClaimAnswer& ClaimAnswer::operator=(const ClaimAnswer& other30) noexcept {
-  status = other30.status;
-  owner_next_offset = other30.owner_next_offset;
-  __isset = other30.__isset;
+ClaimAnswer& ClaimAnswer::operator=(const ClaimAnswer& other50) noexcept {
+  status = other50.status;
+  owner_next_offset = other50.owner_next_offset;
+  __isset = other50.__isset;
   return *this;
 }
 void ClaimAnswer::printTo(std::ostream& out) const {
@@ -1385,6 +1677,10 @@
 void ResolveClaim::__set_resolution(const ClaimResolution::type val) {
   this->resolution = val;
 }
+
+void ResolveClaim::__set_attempt(const int64_t val) {
+  this->attempt = val;
+}
 std::ostream& operator<<(std::ostream& out, const ResolveClaim& obj)
 {
   obj.printTo(out);
@@ -1431,14 +1727,22 @@
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast31;
-          xfer += iprot->readI32(ecast31);
-          this->resolution = static_cast<ClaimResolution::type>(ecast31);
+          int32_t ecast51;
+          xfer += iprot->readI32(ecast51);
+          this->resolution = static_cast<ClaimResolution::type>(ecast51);
           this->__isset.resolution = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->attempt);
+          this->__isset.attempt = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1468,6 +1772,10 @@
   xfer += oprot->writeI32(static_cast<int32_t>(this->resolution));
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("attempt", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->attempt);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1478,20 +1786,23 @@
   swap(a.request_id, b.request_id);
   swap(a.claimant, b.claimant);
   swap(a.resolution, b.resolution);
+  swap(a.attempt, b.attempt);
   swap(a.__isset, b.__isset);
 }
 
-ResolveClaim::ResolveClaim(const ResolveClaim& other32) {
-  request_id = other32.request_id;
-  claimant = other32.claimant;
-  resolution = other32.resolution;
-  __isset = other32.__isset;
+ResolveClaim::ResolveClaim(const ResolveClaim& other52) {
+  request_id = other52.request_id;
+  claimant = other52.claimant;
+  resolution = other52.resolution;
+  attempt = other52.attempt;
+  __isset = other52.__isset;
 }
-ResolveClaim& ResolveClaim::operator=(const ResolveClaim& other33) {
-  request_id = other33.request_id;
-  claimant = other33.claimant;
-  resolution = other33.resolution;
-  __isset = other33.__isset;
+ResolveClaim& ResolveClaim::operator=(const ResolveClaim& other53) {
+  request_id = other53.request_id;
+  claimant = other53.claimant;
+  resolution = other53.resolution;
+  attempt = other53.attempt;
+  __isset = other53.__isset;
   return *this;
 }
 void ResolveClaim::printTo(std::ostream& out) const {
@@ -1500,6 +1811,7 @@
   out << "request_id=" << to_string(request_id);
   out << ", " << "claimant=" << to_string(claimant);
   out << ", " << "resolution=" << to_string(resolution);
+  out << ", " << "attempt=" << to_string(attempt);
   out << ")";
 }
 
@@ -1558,11 +1870,11 @@
   (void) b;
 }
 
-Acknowledgement::Acknowledgement(const Acknowledgement& other34) noexcept {
-  (void) other34;
+Acknowledgement::Acknowledgement(const Acknowledgement& other54) noexcept {
+  (void) other54;
 }
-Acknowledgement& Acknowledgement::operator=(const Acknowledgement& other35) noexcept {
-  (void) other35;
+Acknowledgement& Acknowledgement::operator=(const Acknowledgement& other55) noexcept {
+  (void) other55;
   return *this;
 }
 void Acknowledgement::printTo(std::ostream& out) const {
@@ -1725,21 +2037,21 @@
   swap(a.__isset, b.__isset);
 }
 
-PeerRequest::PeerRequest(const PeerRequest& other36) {
-  heartbeat = other36.heartbeat;
-  fetch_records = other36.fetch_records;
-  fetch_snapshot = other36.fetch_snapshot;
-  claim = other36.claim;
-  resolve_claim = other36.resolve_claim;
-  __isset = other36.__isset;
-}
-PeerRequest& PeerRequest::operator=(const PeerRequest& other37) {
-  heartbeat = other37.heartbeat;
-  fetch_records = other37.fetch_records;
-  fetch_snapshot = other37.fetch_snapshot;
-  claim = other37.claim;
-  resolve_claim = other37.resolve_claim;
-  __isset = other37.__isset;
+PeerRequest::PeerRequest(const PeerRequest& other56) {
+  heartbeat = other56.heartbeat;
+  fetch_records = other56.fetch_records;
+  fetch_snapshot = other56.fetch_snapshot;
+  claim = other56.claim;
+  resolve_claim = other56.resolve_claim;
+  __isset = other56.__isset;
+}
+PeerRequest& PeerRequest::operator=(const PeerRequest& other57) {
+  heartbeat = other57.heartbeat;
+  fetch_records = other57.fetch_records;
+  fetch_snapshot = other57.fetch_snapshot;
+  claim = other57.claim;
+  resolve_claim = other57.resolve_claim;
+  __isset = other57.__isset;
   return *this;
 }
 void PeerRequest::printTo(std::ostream& out) const {
@@ -1907,21 +2219,21 @@
   swap(a.__isset, b.__isset);
 }
 
-PeerResponse::PeerResponse(const PeerResponse& other38) {
-  heartbeat = other38.heartbeat;
-  records = other38.records;
-  snapshot = other38.snapshot;
-  claim = other38.claim;
-  acknowledgement = other38.acknowledgement;
-  __isset = other38.__isset;
-}
-PeerResponse& PeerResponse::operator=(const PeerResponse& other39) {
-  heartbeat = other39.heartbeat;
-  records = other39.records;
-  snapshot = other39.snapshot;
-  claim = other39.claim;
-  acknowledgement = other39.acknowledgement;
-  __isset = other39.__isset;
+PeerResponse::PeerResponse(const PeerResponse& other58) {
+  heartbeat = other58.heartbeat;
+  records = other58.records;
+  snapshot = other58.snapshot;
+  claim = other58.claim;
+  acknowledgement = other58.acknowledgement;
+  __isset = other58.__isset;
+}
+PeerResponse& PeerResponse::operator=(const PeerResponse& other59) {
+  heartbeat = other59.heartbeat;
+  records = other59.records;
+  snapshot = other59.snapshot;
+  claim = other59.claim;
+  acknowledgement = other59.acknowledgement;
+  __isset = other59.__isset;
   return *this;
 }
 void PeerResponse::printTo(std::ostream& out) const {
--- a/gen/peer_types.h
+++ b/gen/peer_types.h
@@ -55,6 +55,8 @@
 
 class Demand;
 
+class RegionConfirmed;
+
 class Heartbeat;
 
 class FetchRecords;
@@ -150,8 +152,58 @@
 
 std::ostream& operator<<(std::ostream& out, const Demand& obj);
 
+typedef struct _RegionConfirmed__isset {
+  _RegionConfirmed__isset() : region(false), next_offset(false) {}
+  bool region :1;
+  bool next_offset :1;
+} _RegionConfirmed__isset;
+
+class RegionConfirmed : public virtual ::apache::thrift::TBase {
+ public:
+
+  RegionConfirmed(const RegionConfirmed&);
+  RegionConfirmed& operator=(const RegionConfirmed&);
+  RegionConfirmed() noexcept
+                  : region(),
+                    next_offset(0) {
+  }
+
+  virtual ~RegionConfirmed() noexcept;
+  std::string region;
+  int64_t next_offset;
+
+  _RegionConfirmed__isset __isset;
+
+  void __set_region(const std::string& val);
+
+  void __set_next_offset(const int64_t val);
+
+  bool operator == (const RegionConfirmed & rhs) const
+  {
+    if (!(region == rhs.region))
+      return false;
+    if (!(next_offset == rhs.next_offset))
+      return false;
+    return true;
+  }
+  bool operator != (const RegionConfirmed &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RegionConfirmed & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RegionConfirmed &a, RegionConfirmed &b);
+
+std::ostream& operator<<(std::ostream& out, const RegionConfirmed& obj);
+
 typedef struct _Heartbeat__isset {
-  _Heartbeat__isset() : incarnation(false), node_id(false), zone(false), region(false), next_offset(false), log_age_ms(false), log_head(false), log_answers(false), leaving(false), demand(false), vm_list_version(false) {}
+  _Heartbeat__isset() : incarnation(false), node_id(false), zone(false), region(false), next_offset(false), log_age_ms(false), log_head(false), log_answers(false), leaving(false), demand(false), vm_list_version(false), level(false), demand_reset(false), outside(false), silent(false), confirmed(false) {}
   bool incarnation :1;
   bool node_id :1;
   bool zone :1;
@@ -163,6 +215,11 @@
   bool leaving :1;
   bool demand :1;
   bool vm_list_version :1;
+  bool level :1;
+  bool demand_reset :1;
+  bool outside :1;
+  bool silent :1;
+  bool confirmed :1;
 } _Heartbeat__isset;
 
 class Heartbeat : public virtual ::apache::thrift::TBase {
@@ -180,7 +237,9 @@
               log_head(0),
               log_answers(0),
               leaving(0),
-              vm_list_version(0) {
+              vm_list_version(0),
+              level(0),
+              demand_reset(0) {
   }
 
   virtual ~Heartbeat() noexcept;
@@ -195,6 +254,11 @@
   bool leaving;
   std::vector<Demand>  demand;
   int64_t vm_list_version;
+  int32_t level;
+  bool demand_reset;
+  std::vector<Demand>  outside;
+  std::vector<int64_t>  silent;
+  std::vector<RegionConfirmed>  confirmed;
 
   _Heartbeat__isset __isset;
 
@@ -220,6 +284,16 @@
 
   void __set_vm_list_version(const int64_t val);
 
+  void __set_level(const int32_t val);
+
+  void __set_demand_reset(const bool val);
+
+  void __set_outside(const std::vector<Demand> & val);
+
+  void __set_silent(const std::vector<int64_t> & val);
+
+  void __set_confirmed(const std::vector<RegionConfirmed> & val);
+
   bool operator == (const Heartbeat & rhs) const
   {
     if (!(incarnation == rhs.incarnation))
@@ -244,6 +318,16 @@
       return false;
     if (!(vm_list_version == rhs.vm_list_version))
       return false;
+    if (!(level == rhs.level))
+      return false;
+    if (!(demand_reset == rhs.demand_reset))
+      return false;
+    if (!(outside == rhs.outside))
+      return false;
+    if (!(silent == rhs.silent))
+      return false;
+    if (!(confirmed == rhs.confirmed))
+      return false;
     return true;
   }
   bool operator != (const Heartbeat &rhs) const {
@@ -500,10 +584,11 @@
 std::ostream& operator<<(std::ostream& out, const Snapshot& obj);
 
 typedef struct _Claim__isset {
-  _Claim__isset() : request_id(false), claimant(false), team_name(false) {}
+  _Claim__isset() : request_id(false), claimant(false), team_name(false), attempt(false) {}
   bool request_id :1;
   bool claimant :1;
   bool team_name :1;
+  bool attempt :1;
 } _Claim__isset;
 
 class Claim : public virtual ::apache::thrift::TBase {
@@ -514,13 +599,15 @@
   Claim() noexcept
         : request_id(),
           claimant(0),
-          team_name() {
+          team_name(),
+          attempt(0) {
   }
 
   virtual ~Claim() noexcept;
   std::string request_id;
   int64_t claimant;
   std::string team_name;
+  int64_t attempt;
 
   _Claim__isset __isset;
 
@@ -530,6 +617,8 @@
 
   void __set_team_name(const std::string& val);
 
+  void __set_attempt(const int64_t val);
+
   bool operator == (const Claim & rhs) const
   {
     if (!(request_id == rhs.request_id))
@@ -538,6 +627,8 @@
       return false;
     if (!(team_name == rhs.team_name))
       return false;
+    if (!(attempt == rhs.attempt))
+      return false;
     return true;
   }
   bool operator != (const Claim &rhs) const {
@@ -611,10 +702,11 @@
 std::ostream& operator<<(std::ostream& out, const ClaimAnswer& obj);
 
 typedef struct _ResolveClaim__isset {
-  _ResolveClaim__isset() : request_id(false), claimant(false), resolution(false) {}
+  _ResolveClaim__isset() : request_id(false), claimant(false), resolution(false), attempt(false) {}
   bool request_id :1;
   bool claimant :1;
   bool resolution :1;
+  bool attempt :1;
 } _ResolveClaim__isset;
 
 class ResolveClaim : public virtual ::apache::thrift::TBase {
@@ -625,7 +717,8 @@
   ResolveClaim() noexcept
                : request_id(),
                  claimant(0),
-                 resolution(static_cast<ClaimResolution::type>(0)) {
+                 resolution(static_cast<ClaimResolution::type>(0)),
+                 attempt(0) {
   }
 
   virtual ~ResolveClaim() noexcept;
@@ -636,6 +729,7 @@
    * @see ClaimResolution
    */
   ClaimResolution::type resolution;
+  int64_t attempt;
 
   _ResolveClaim__isset __isset;
 
@@ -645,6 +739,8 @@
 
   void __set_resolution(const ClaimResolution::type val);
 
+  void __set_attempt(const int64_t val);
+
   bool operator == (const ResolveClaim & rhs) const
   {
     if (!(request_id == rhs.request_id))
@@ -653,6 +749,8 @@
       return false;
     if (!(resolution == rhs.resolution))
       return false;
+    if (!(attempt == rhs.attempt))
+      return false;
     return true;
   }
   bool operator != (const ResolveClaim &rhs) const {
--- a/src/protocol/peer.thrift
+++ b/src/protocol/peer.thrift
@@ -10,19 +10,30 @@
   5: i64 oldest_wait_ms
 }
 
-// State of one node as another node last heard it; relayed by aggregators.
+// Offset below which a strict majority of the counted nodes of a region has folded every record.
+struct RegionConfirmed {
+  1: string region
+  2: i64 next_offset
+}
+
+// State of the sender, with sums for which it is the aggregator.
 struct Heartbeat {
   1: i64 incarnation
   2: string node_id
   3: string zone
   4: string region
   5: i64 next_offset        // the sender has folded every record below this offset
-  6: i64 log_age_ms         // age of the newest log read that reached the head, its own or relayed; -1: none
-  7: i64 log_head           // next offset to be written as of that read
-  8: bool log_answers       // the sender's own last log read succeeded
+  6: i64 log_age_ms         // age of the sender's newest evidence of a log head, its own or relayed; -1: none
+  7: i64 log_head           // every record accepted before that age has an offset below this one
+  8: bool log_answers       // the log has answered the sender recently
   9: bool leaving
-  10: list<Demand> demand
+  10: list<Demand> demand   // changes of the sum over the sender's group at `level`, since the last answered request
   11: i64 vm_list_version
+  12: i32 level             // level of the exchange: 0 inside a group, 1 between groups, ...
+  13: bool demand_reset     // `demand` and `outside` replace everything sent before
+  14: list<Demand> outside  // changes of the sum over all nodes outside the group; from the group's aggregator only
+  15: list<i64> silent      // incarnations that the sender has not heard for the suspicion time
+  16: list<RegionConfirmed> confirmed
 }
 
 struct FetchRecords {
@@ -53,6 +64,7 @@
   1: string request_id
   2: i64 claimant           // incarnation
   3: string team_name
+  4: i64 attempt            // chosen by the claimant, different for each claim it sends
 }
 
 enum ClaimStatus {
@@ -81,6 +93,7 @@
   1: string request_id
   2: i64 claimant
   3: ClaimResolution resolution
+  4: i64 attempt            // of the claim that this resolves; a late duplicate must not end a newer claim
 }
 
 struct Acknowledgement {
