--- a/src/coordination/core_action.hpp
+++ b/src/coordination/core_action.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/planner.hpp"
 #include "hornbeamrail/node_settings.hpp"
 #include "peer_types.h"
 #include "protocol/log_record.hpp"
@@ -41,26 +42,7 @@
     std::chrono::milliseconds timeout{0};
 };
 
-enum class vm_command { drain, reboot };
-
-/// Call `POST /vms/{id}/drain` or `/reboot` on the platform. Answered by `on_vm_operation`.
-struct run_vm_operation {
-    std::string vm;
-    vm_command command = vm_command::drain;
-    std::string operation_id; ///< change id of the record that began the operation
-    std::string pool;         ///< pool that the VM joins; empty for maintenance
-};
-
-/// Ask the platform for the state of the VM's last operation. Answered by `on_vm_operation`.
-struct query_vm_operation {
-    std::string vm;
-    std::string operation_id;
-};
-
-using core_action = std::variant<append_records, read_log, fetch_vm_list, send_peer_request, run_vm_operation,
-                                 query_vm_operation>;
-
-/// State of a VM operation as the platform reports it; `failed` when the platform did not answer.
-enum class vm_operation_state { draining, rebooting, done, failed };
+/// `vm_call` asks the platform for a VM operation and is answered by `on_vm_call_answer`.
+using core_action = std::variant<append_records, read_log, fetch_vm_list, send_peer_request, vm_call>;
 
 } // namespace hornbeamrail
--- a/src/coordination/node_core.hpp
+++ b/src/coordination/node_core.hpp
@@ -8,7 +8,10 @@
 
 #include <boost/json/value.hpp>
 
+#include <chrono>
 #include <cstdint>
+#include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -65,8 +68,13 @@
     void on_peer_response(boot_time now, const peer_call& call, const wire::PeerResponse& response);
     void on_peer_failed(boot_time now, const peer_call& call);
 
-    void on_vm_operation(boot_time now, std::string_view vm, std::string_view operation_id,
-                         vm_operation_state state);
+    void on_vm_call_answer(boot_time now, const vm_call& call, vm_operation_state state);
+
+    /// Tells the wall clock, at least once a minute. Only the maintenance calendar uses it.
+    void on_wall_clock(boot_time now, std::chrono::sys_seconds wall);
+
+    /// @param budget_left part of each service's availability budget that is left, as this node knows it
+    void report_budgets(std::map<std::string, double, std::less<>> budget_left);
 
     /// What this node runs and queues. Called at least every 250 ms; units that run may not grow above
     /// `usable_units` between two calls.
