--- a/src/node/dispatcher.hpp
+++ b/src/node/dispatcher.hpp
@@ -214,7 +214,10 @@
     /// @return units of @p team that run or are being dispatched here, tasks included
     [[nodiscard]] std::int64_t running_units(std::string_view team) const;
 
-    /// @return running and queued units of this node, for `report_demand` of the core
+    /// @return running and queued units of this node, for `report_demand` of the core. The core returns units
+    /// that
+    ///         this report shows as unused, so the driver reports and ticks the core under both locks,
+    ///         without a start in between.
     [[nodiscard]] std::vector<service_demand> demand(boot_time now) const;
 
     /// @return counters, queues, executors and the reasons of the last refusals
--- a/src/policy/fleet_demand.hpp
+++ b/src/policy/fleet_demand.hpp
@@ -11,7 +11,8 @@
 
 /// Units of one team on one service at one node.
 struct service_demand {
-    std::string service;
+    std::string
+        service; ///< empty for units outside any queue: tasks, and units held back after a lost answer
     std::string team;
     std::int64_t running = 0; ///< units running or being dispatched
     std::int64_t queued = 0;  ///< units waiting
--- a/src/policy/request_queue.cpp
+++ b/src/policy/request_queue.cpp
@@ -33,6 +33,11 @@
     return std::chrono::duration<double>(value).count();
 }
 
+/// A burst of urgent requests may take its team this far ahead of the others, measured in time at the team's
+/// full part. Without the bound, a team with steady urgent work would starve the others whenever there are
+/// fewer slots than planned.
+constexpr double urgent_lead_seconds = 1.0;
+
 /// A start always costs something, so that teams with unknown run times still alternate.
 constexpr double min_cost_seconds = 0.001;
 
@@ -62,7 +67,11 @@
 }
 
 bool request_queue::within_part(const team_queue& team) const {
-    return static_cast<double>(team.running + 1) <= team.part || team.received <= this->virtual_time;
+    if (team.received <= this->virtual_time) {
+        return true;
+    }
+    return static_cast<double>(team.running + 1) <= team.part &&
+           team.received <= this->virtual_time + urgent_lead_seconds;
 }
 
 void request_queue::unlist(team_queue& team) {
@@ -248,7 +257,10 @@
     auto& team = this->team_of(name);
     this->unlist(team);
     ++team.running;
-    this->virtual_time = std::max(this->virtual_time, team.received);
+    // An urgent start may be ahead of its turn: the level is that of the team whose turn it is.
+    const double level =
+        this->ready.empty() ? team.received : std::min(team.received, this->ready.begin()->first.first);
+    this->virtual_time = std::max(this->virtual_time, level);
     team.received += std::max(seconds_of(expected), min_cost_seconds) / team.part;
     this->list(team);
 }
