--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -360,9 +360,11 @@
                             fmt::format("all zones of service \"{}\" are out", request.service));
     }
     auto& load = service.teams[team.name];
-    if (service.queue.size(team.name) == 0 && service.queue.running(team.name) == 0 &&
-        !service.plan.parts.contains(team.name)) {
-        service.queue.set_part(team.name, service.plan.part_of_newcomer(team.share));
+    if (service.queue.size(team.name) == 0 && service.queue.running(team.name) == 0) {
+        const auto planned = service.plan.parts.find(team.name);
+        service.queue.set_part(team.name, planned != service.plan.parts.end()
+                                              ? planned->second
+                                              : service.plan.part_of_newcomer(team.share));
     }
     const auto ahead = service.queue.ahead_of(team.name, now + request.deadline, request.urgent);
     const auto drain = load.drain.per_second(now);
--- a/src/policy/grant_plan.cpp
+++ b/src/policy/grant_plan.cpp
@@ -26,11 +26,16 @@
 
 using team_use = std::vector<node_use>;
 
-std::unordered_map<std::string, std::map<incarnation_id, node_use>> collect(const fleet_demand& demand) {
-    std::unordered_map<std::string, std::map<incarnation_id, node_use>> teams;
+/// Demand by team, each list in the order of the nodes. The keys view strings of @p demand.
+std::unordered_map<std::string_view, team_use> collect(const fleet_demand& demand) {
+    std::unordered_map<std::string_view, team_use> teams;
     for (const auto& node : demand.nodes) {
         for (const auto& entry : node.services) {
-            auto& use = teams[entry.team][node.incarnation];
+            auto& uses = teams[entry.team];
+            if (uses.empty() || uses.back().node != node.incarnation) {
+                uses.push_back({.node = node.incarnation});
+            }
+            auto& use = uses.back();
             use.running += entry.running;
             use.queued += entry.queued;
             use.oldest_wait_ms =
@@ -40,6 +45,41 @@
     return teams;
 }
 
+/// Adds the grants of a team to its uses.
+/// @param live incarnations of live nodes, ascending
+/// @return one entry per live node with demand or a grant, and one for @p self
+team_use with_grants(team_use uses, const std::map<incarnation_id, std::int64_t>* grants,
+                     const std::vector<incarnation_id>& live, incarnation_id self) {
+    const auto by_node = [](const node_use& a, const node_use& b) {
+        return a.node < b.node;
+    };
+    std::sort(uses.begin(), uses.end(), by_node);
+    const auto asked = uses.size();
+    const auto add_missing = [&](incarnation_id node) -> node_use& {
+        const auto end = uses.begin() + static_cast<std::ptrdiff_t>(asked);
+        const auto found = std::lower_bound(uses.begin(), end, node_use{.node = node}, by_node);
+        if (found != end && found->node == node) {
+            return *found;
+        }
+        uses.push_back({.node = node});
+        return uses.back();
+    };
+    bool self_added = false;
+    if (grants != nullptr) {
+        for (const auto& [node, units] : *grants) {
+            add_missing(node).granted = units;
+            self_added = self_added || node == self;
+        }
+    }
+    if (!self_added) {
+        add_missing(self);
+    }
+    std::erase_if(uses,
+                  [&](const auto& use) { return !std::binary_search(live.begin(), live.end(), use.node); });
+    std::sort(uses.begin(), uses.end(), by_node);
+    return uses;
+}
+
 /// Sets each node's part of the limit: in proportion to demand, and at least 1 unit for a node with demand.
 /// When there are fewer units than nodes with demand, those whose requests have waited longest come first, so
 /// that the units pass from node to node.
@@ -75,9 +115,9 @@
 
 class team_plan {
 public:
-    team_plan(team_use uses, std::int64_t upper_limit, std::int64_t granted_by_all,
+    team_plan(team_use uses, std::size_t live, std::int64_t upper_limit, std::int64_t granted_by_all,
               const grant_plan_options& plan_options)
-        : nodes(std::move(uses)), limit(upper_limit), free(upper_limit - granted_by_all),
+        : nodes(std::move(uses)), live_nodes(live), limit(upper_limit), free(upper_limit - granted_by_all),
           options(plan_options) {
         set_targets(this->nodes, this->limit);
     }
@@ -154,11 +194,12 @@
     [[nodiscard]] std::int64_t standing(const node_use& own) const {
         const auto level =
             static_cast<std::int64_t>(this->options.standing_part * static_cast<double>(this->limit) /
-                                      static_cast<double>(this->nodes.size()));
+                                      static_cast<double>(this->live_nodes));
         return std::min(this->free, std::max<std::int64_t>(0, level - own.granted));
     }
 
     team_use nodes;
+    std::size_t live_nodes;
     std::int64_t limit;
     std::int64_t free;
     const grant_plan_options& options;
@@ -172,26 +213,21 @@
     if (own == nullptr || !own->live()) {
         return {};
     }
-    const auto uses = collect(demand);
+    auto uses = collect(demand);
+    std::vector<incarnation_id> live;
+    for (const auto& [incarnation, node] : state.nodes()) {
+        if (node.live()) {
+            live.push_back(incarnation);
+        }
+    }
     std::vector<team_units> deltas;
     for (const auto& team : state.config().teams) {
+        const auto grants = state.grants().find(team.name);
         const auto asked = uses.find(team.name);
-        team_use nodes;
-        for (const auto& [incarnation, node] : state.nodes()) {
-            if (!node.live()) {
-                continue;
-            }
-            node_use use{.node = incarnation};
-            if (asked != uses.end()) {
-                if (const auto found = asked->second.find(incarnation); found != asked->second.end()) {
-                    use = found->second;
-                    use.node = incarnation;
-                }
-            }
-            use.granted = state.grant_of(team.name, incarnation);
-            nodes.push_back(use);
-        }
-        const team_plan plan(std::move(nodes), team.upper_limit, state.granted_units(team.name), options);
+        const team_plan plan(with_grants(asked == uses.end() ? team_use{} : std::move(asked->second),
+                                         grants == state.grants().end() ? nullptr : &grants->second, live,
+                                         self),
+                             live.size(), team.upper_limit, state.granted_units(team.name), options);
         if (const auto delta = plan.delta_of(self); delta != 0) {
             deltas.push_back({.team = team.name, .units = delta});
         }
--- a/src/policy/request_queue.cpp
+++ b/src/policy/request_queue.cpp
@@ -118,7 +118,6 @@
     this->unlist(team);
     team.part = part;
     this->list(team);
-    this->drop_if_unused(team);
 }
 
 double request_queue::queue_share(const team_queue& team) const {
@@ -334,8 +333,7 @@
 
 void request_queue::drop_if_unused(team_queue& team) {
     // A team that is ahead of the others keeps its entry, or it would return with its debt forgotten.
-    if (team.queued() == 0 && team.running == 0 && !team.blocked && team.received <= this->virtual_time &&
-        team.part <= min_part) {
+    if (team.queued() == 0 && team.running == 0 && !team.blocked && team.received <= this->virtual_time) {
         this->team_table.erase(std::string(team.name));
     }
 }
--- a/src/policy/request_queue.hpp
+++ b/src/policy/request_queue.hpp
@@ -46,6 +46,8 @@
     void set_limit(std::int64_t limit) noexcept { this->options.limit = limit; }
 
     /// Sets the team's fair part of the service's slots at this node.
+    ///
+    /// To be set before the first request of a team: the entry of a team without requests may be dropped.
     /// @param slots fractional; values below `min_part` count as that
     void set_part(std::string_view team, double slots);
 
--- a/src/policy/slot_plan.cpp
+++ b/src/policy/slot_plan.cpp
@@ -12,30 +12,31 @@
            static_cast<double>(this->nodes);
 }
 
-slot_planner::slot_planner(const fleet_config& config, const fleet_demand& demand, incarnation_id self) {
-    std::unordered_map<std::string_view, const team_config*> teams;
-    for (const auto& team : config.teams) {
-        teams.emplace(team.name, &team);
+slot_planner::slot_planner(const fleet_config& fleet, const fleet_demand& demand, incarnation_id self)
+    : config(fleet) {
+    std::unordered_map<std::string_view, std::uint32_t> teams;
+    for (std::uint32_t i = 0; i < this->config.teams.size(); ++i) {
+        teams.emplace(this->config.teams[i].name, i);
+    }
+    for (const auto& service : this->config.services) {
+        this->services.emplace(service.name, std::vector<entry>());
     }
     const bool listed = std::any_of(demand.nodes.begin(), demand.nodes.end(),
                                     [&](const auto& node) { return node.incarnation == self; });
     this->node_count = demand.nodes.size() + (listed ? 0 : 1);
     this->own = this->node_count - 1;
-    for (std::size_t n = 0; n < demand.nodes.size(); ++n) {
+    for (std::uint32_t n = 0; n < demand.nodes.size(); ++n) {
         const auto& node = demand.nodes[n];
         if (node.incarnation == self) {
             this->own = n;
         }
-        for (const auto& entry : node.services) {
-            const auto team = teams.find(entry.team);
-            if (team == teams.end() || entry.running + entry.queued <= 0) {
-                continue;
+        for (const auto& item : node.services) {
+            const auto units = item.running + item.queued;
+            const auto team = teams.find(item.team);
+            const auto service = this->services.find(item.service);
+            if (units > 0 && team != teams.end() && service != this->services.end()) {
+                service->second.push_back({.team = team->second, .node = n, .demand = units});
             }
-            auto& item = this->services[entry.service][entry.team];
-            item.team = team->second;
-            item.by_node.resize(this->node_count);
-            item.by_node[n] += entry.running + entry.queued;
-            item.total += entry.running + entry.queued;
         }
     }
 }
@@ -44,46 +45,55 @@
     const auto found = this->services.find(service);
     std::int64_t total = 0;
     if (found != this->services.end()) {
-        for (const auto& [name, team] : found->second) {
-            total += team.total;
+        for (const auto& item : found->second) {
+            total += item.demand;
         }
     }
     return total;
 }
 
 slot_plan slot_planner::plan(std::string_view service, std::int64_t capacity) const {
-    slot_plan result{.capacity = capacity, .nodes = this->node_count};
+    slot_plan result{.demand = this->demand_of(service), .capacity = capacity, .nodes = this->node_count};
     const auto found = this->services.find(service);
     std::vector<double> by_node(this->node_count, 0.0);
     std::vector<std::int64_t> node_demand(this->node_count, 0);
     double divided = 0;
     if (found != this->services.end()) {
+        std::vector<std::int64_t> totals(this->config.teams.size(), 0);
+        for (const auto& item : found->second) {
+            totals[item.team] += item.demand;
+        }
         std::vector<share_claim> claims;
-        for (const auto& [name, team] : found->second) {
+        std::vector<std::size_t> claimants;
+        for (std::size_t t = 0; t < totals.size(); ++t) {
+            if (totals[t] == 0) {
+                continue;
+            }
             // What is above the upper limit cannot run and must not take slots from others.
-            const auto usable = std::min(team.total, team.team->upper_limit);
-            claims.push_back({.weight = team.team->share, .demand = static_cast<double>(usable)});
-            result.weights += std::max(team.team->share, min_share_weight);
-            result.demand += team.total;
+            const auto& team = this->config.teams[t];
+            claims.push_back(
+                {.weight = team.share, .demand = static_cast<double>(std::min(totals[t], team.upper_limit))});
+            claimants.push_back(t);
+            result.weights += std::max(team.share, min_share_weight);
         }
         const auto division = divide_max_min(static_cast<double>(capacity), claims);
-        std::size_t index = 0;
-        for (const auto& [name, team] : found->second) {
-            const double part = division[index++];
-            divided += part;
-            for (std::size_t n = 0; n < this->node_count; ++n) {
-                by_node[n] += part * static_cast<double>(team.by_node[n]) / static_cast<double>(team.total);
-                node_demand[n] += team.by_node[n];
-            }
-            if (team.by_node[this->own] > 0) {
-                result.parts[name] =
-                    part * static_cast<double>(team.by_node[this->own]) / static_cast<double>(team.total);
+        std::vector<double> part_per_unit(totals.size(), 0.0);
+        for (std::size_t i = 0; i < claimants.size(); ++i) {
+            divided += division[i];
+            part_per_unit[claimants[i]] = division[i] / static_cast<double>(totals[claimants[i]]);
+        }
+        for (const auto& item : found->second) {
+            const double part = part_per_unit[item.team] * static_cast<double>(item.demand);
+            by_node[item.node] += part;
+            node_demand[item.node] += item.demand;
+            if (item.node == this->own) {
+                result.parts[this->config.teams[item.team].name] += part;
             }
         }
     }
     const double idle = std::max(0.0, static_cast<double>(capacity) - divided);
+    const double even = 1.0 / static_cast<double>(this->node_count);
     for (std::size_t n = 0; n < this->node_count; ++n) {
-        const double even = 1.0 / static_cast<double>(this->node_count);
         const double asked = result.demand > 0
                                  ? static_cast<double>(node_demand[n]) / static_cast<double>(result.demand)
                                  : even;
--- a/src/policy/slot_plan.hpp
+++ b/src/policy/slot_plan.hpp
@@ -34,10 +34,10 @@
 /// overbook meanwhile.
 class slot_planner {
 public:
-    /// @param config must outlive the planner
+    /// @param fleet must outlive the planner
     /// @param demand of all nodes
     /// @param self the node to plan for
-    slot_planner(const fleet_config& config, const fleet_demand& demand, incarnation_id self);
+    slot_planner(const fleet_config& fleet, const fleet_demand& demand, incarnation_id self);
 
     /// @param capacity slots of the service's executors in service
     [[nodiscard]] slot_plan plan(std::string_view service, std::int64_t capacity) const;
@@ -46,12 +46,13 @@
     [[nodiscard]] std::int64_t demand_of(std::string_view service) const;
 
 private:
-    struct team_demand {
-        const team_config* team = nullptr;
-        std::vector<std::int64_t> by_node;
-        std::int64_t total = 0;
+    struct entry {
+        std::uint32_t team = 0; ///< index in the configuration
+        std::uint32_t node = 0;
+        std::int64_t demand = 0;
     };
-    std::map<std::string, std::map<std::string, team_demand, std::less<>>, std::less<>> services;
+    const fleet_config& config;
+    std::unordered_map<std::string_view, std::vector<entry>> services; ///< entries with demand
     std::size_t node_count = 1;
     std::size_t own = 0;
 };
