--- /dev/null
+++ b/src/policy/slot_plan.cpp
@@ -0,0 +1,108 @@
+#include "policy/slot_plan.hpp"
+
+#include "policy/fair_share.hpp"
+
+#include <algorithm>
+
+namespace hornbeamrail {
+
+double slot_plan::part_of_newcomer(double share) const {
+    const double weight = std::max(share, min_share_weight);
+    return static_cast<double>(this->capacity) * weight / (this->weights + weight) /
+           static_cast<double>(this->nodes);
+}
+
+slot_planner::slot_planner(const fleet_config& fleet, const fleet_demand& demand, incarnation_id self)
+    : config(fleet) {
+    std::unordered_map<std::string_view, std::uint32_t> teams;
+    for (std::uint32_t i = 0; i < this->config.teams.size(); ++i) {
+        teams.emplace(this->config.teams[i].name, i);
+    }
+    for (const auto& service : this->config.services) {
+        this->services.emplace(service.name, std::vector<entry>());
+    }
+    const bool listed = std::any_of(demand.nodes.begin(), demand.nodes.end(),
+                                    [&](const auto& node) { return node.incarnation == self; });
+    this->node_count = demand.nodes.size() + (listed ? 0 : 1);
+    this->own = this->node_count - 1;
+    for (std::uint32_t n = 0; n < demand.nodes.size(); ++n) {
+        const auto& node = demand.nodes[n];
+        if (node.incarnation == self) {
+            this->own = n;
+        }
+        for (const auto& item : node.services) {
+            const auto units = item.running + item.queued;
+            const auto team = teams.find(item.team);
+            const auto service = this->services.find(item.service);
+            if (units > 0 && team != teams.end() && service != this->services.end()) {
+                service->second.push_back({.team = team->second, .node = n, .demand = units});
+            }
+        }
+    }
+}
+
+std::int64_t slot_planner::demand_of(std::string_view service) const {
+    const auto found = this->services.find(service);
+    std::int64_t total = 0;
+    if (found != this->services.end()) {
+        for (const auto& item : found->second) {
+            total += item.demand;
+        }
+    }
+    return total;
+}
+
+slot_plan slot_planner::plan(std::string_view service, std::int64_t capacity) const {
+    slot_plan result{.demand = this->demand_of(service), .capacity = capacity, .nodes = this->node_count};
+    const auto found = this->services.find(service);
+    std::vector<double> by_node(this->node_count, 0.0);
+    std::vector<std::int64_t> node_demand(this->node_count, 0);
+    double divided = 0;
+    if (found != this->services.end()) {
+        std::vector<std::int64_t> totals(this->config.teams.size(), 0);
+        for (const auto& item : found->second) {
+            totals[item.team] += item.demand;
+        }
+        std::vector<share_claim> claims;
+        std::vector<std::size_t> claimants;
+        for (std::size_t t = 0; t < totals.size(); ++t) {
+            if (totals[t] == 0) {
+                continue;
+            }
+            // What is above the upper limit cannot run and must not take slots from others.
+            const auto& team = this->config.teams[t];
+            claims.push_back(
+                {.weight = team.share, .demand = static_cast<double>(std::min(totals[t], team.upper_limit))});
+            claimants.push_back(t);
+            result.weights += std::max(team.share, min_share_weight);
+        }
+        const auto division = divide_max_min(static_cast<double>(capacity), claims);
+        std::vector<double> part_per_unit(totals.size(), 0.0);
+        for (std::size_t i = 0; i < claimants.size(); ++i) {
+            divided += division[i];
+            part_per_unit[claimants[i]] = division[i] / static_cast<double>(totals[claimants[i]]);
+        }
+        for (const auto& item : found->second) {
+            const double part = part_per_unit[item.team] * static_cast<double>(item.demand);
+            by_node[item.node] += part;
+            node_demand[item.node] += item.demand;
+            if (item.node == this->own) {
+                result.parts[this->config.teams[item.team].name] += part;
+            }
+        }
+    }
+    const double idle = std::max(0.0, static_cast<double>(capacity) - divided);
+    const double even = 1.0 / static_cast<double>(this->node_count);
+    for (std::size_t n = 0; n < this->node_count; ++n) {
+        const double asked = result.demand > 0
+                                 ? static_cast<double>(node_demand[n]) / static_cast<double>(result.demand)
+                                 : even;
+        by_node[n] += idle * (even + asked) / 2;
+    }
+    // At least one slot, or a node with a rounded part of none would never serve its callers.
+    result.node_slots =
+        std::max<std::int64_t>(capacity > 0 ? 1 : 0, round_largest_remainder(by_node)[this->own]);
+    return result;
+}
+
+} // namespace hornbeamrail
