--- a/src/fakes/fake_worker.cpp
+++ b/src/fakes/fake_worker.cpp
@@ -40,13 +40,16 @@
 
 fake_worker::fake_worker(fake_worker_options initial) : options(initial) {}
 
-task_lease_answer fake_worker::reserve(boot_time now, const task_reservation& request) {
+task_lease_answer fake_worker::reserve(boot_time now, const task_lease_request& request) {
     this->advance(now);
     auto found = this->tasks.find(request.task_id);
     if (found != this->tasks.end() && request.fencing_token < found->second.reservation.fencing_token) {
         return {worker_verdict::stale_token, {}};
     }
     const bool held = found != this->tasks.end() && holds_resources(found->second.state);
+    if (!held && request.adopt) {
+        return {worker_verdict::unknown_task, {}};
+    }
     if (!held && !this->fits(request)) {
         return {worker_verdict::no_room, {}};
     }
@@ -86,10 +89,13 @@
     case task_command::renew:
         entry->lease_end = now + entry->reservation.ttl;
         break;
+    case task_command::start:
+        return worker_verdict::not_supported; // `start` takes the run time as well
     case task_command::checkpoint:
-        set_state(now, *entry,
-                  this->options.can_checkpoint ? worker_task_state::checkpointed
-                                               : worker_task_state::stopped);
+        if (!this->options.can_checkpoint) {
+            return worker_verdict::not_supported;
+        }
+        set_state(now, *entry, worker_task_state::checkpointed);
         break;
     case task_command::throttle:
         if (entry->state == worker_task_state::running) {
@@ -151,7 +157,7 @@
     entry.changed = now;
 }
 
-bool fake_worker::fits(const task_reservation& request) const {
+bool fake_worker::fits(const task_lease_request& request) const {
     std::int64_t cores = request.cores;
     std::int64_t memory = request.memory_mb;
     std::int64_t accelerators = request.accelerators;
--- a/src/fakes/fake_worker.hpp
+++ b/src/fakes/fake_worker.hpp
@@ -24,16 +24,17 @@
     bool can_checkpoint = true;
 };
 
-struct task_reservation {
+struct task_lease_request {
     std::string task_id;
     log_offset fencing_token = 0;
     std::int64_t cores = 0;
     std::int64_t memory_mb = 0;
     std::int64_t accelerators = 0;
     std::chrono::microseconds ttl{10'000'000};
+    bool adopt = false; ///< only if the worker holds the task already
 };
 
-enum class worker_verdict { done, stale_token, no_room, lease_lapsed, unknown_task };
+enum class worker_verdict { done, stale_token, no_room, lease_lapsed, unknown_task, not_supported };
 
 struct task_lease_answer {
     worker_verdict verdict = worker_verdict::done;
@@ -52,8 +53,6 @@
     double memory_mb_used = 0;
 };
 
-enum class task_command { renew, checkpoint, throttle, stop };
-
 /// In-memory stand-in of a guarded worker: tasks run under leases that it granted itself. Not thread-safe.
 /// While it is paused the caller delivers nothing to it before `paused_until()`; leases lapse meanwhile.
 class fake_worker {
@@ -64,7 +63,7 @@
 
     /// Reserves resources. A reservation with a higher fencing token adopts a running task; one with a lower
     /// token than the highest seen for the task is refused.
-    task_lease_answer reserve(boot_time now, const task_reservation& request);
+    task_lease_answer reserve(boot_time now, const task_lease_request& request);
 
     /// Starts a reserved task. A repeated start has no second effect.
     /// @param run_time true run time before `run_time_factor`
@@ -88,7 +87,7 @@
 
 private:
     struct task_entry {
-        task_reservation reservation;
+        task_lease_request reservation;
         std::string lease_id;
         boot_time lease_end{};
         worker_task_state state = worker_task_state::reserved;
@@ -99,7 +98,7 @@
 
     void advance(boot_time now);
     static void set_state(boot_time now, task_entry& entry, worker_task_state state);
-    [[nodiscard]] bool fits(const task_reservation& request) const;
+    [[nodiscard]] bool fits(const task_lease_request& request) const;
     task_entry* find_leased(boot_time now, const std::string& task_id, const std::string& lease_id,
                             worker_verdict& verdict);
 
--- a/src/protocol/log_record.cpp
+++ b/src/protocol/log_record.cpp
@@ -409,7 +409,8 @@
             {"accelerators", task.accelerators},
             {"run_ms", task.run_time.count()},
             {"idempotent", task.idempotent},
-            {"urgent", task.urgent}};
+            {"urgent", task.urgent},
+            {"key_id", task.key_id}};
 }
 
 task_spec read_task_spec(const boost::json::value& value, std::string path,
@@ -423,7 +424,8 @@
             .accelerators = reader.optional_integer("accelerators", 0, 0, 1 << 20),
             .run_time = std::chrono::milliseconds(reader.optional_integer("run_ms", 0, 0, 1LL << 40)),
             .idempotent = reader.optional_bool("idempotent", true),
-            .urgent = reader.optional_bool("urgent", false)};
+            .urgent = reader.optional_bool("urgent", false),
+            .key_id = reader.optional_string("key_id", "")};
 }
 
 boost::json::value to_json(const log_record& record) {
--- a/src/protocol/log_record.hpp
+++ b/src/protocol/log_record.hpp
@@ -162,6 +162,7 @@
     std::chrono::milliseconds run_time{0}; ///< declared; may be far off
     bool idempotent = true;
     bool urgent = false;
+    std::string key_id; ///< key that it was submitted with; empty on an open queue
 };
 
 struct task_submit_record {
--- a/src/protocol/platform.cpp
+++ b/src/protocol/platform.cpp
@@ -9,6 +9,7 @@
 
 constexpr std::array<std::string_view, 6> operation_states{"unknown",   "draining", "drained",
                                                            "rebooting", "done",     "failed"};
+constexpr std::array<std::string_view, 5> task_commands{"start", "renew", "checkpoint", "throttle", "stop"};
 
 } // namespace
 
@@ -32,4 +33,8 @@
     return std::nullopt;
 }
 
+std::string_view to_string(task_command command) noexcept {
+    return task_commands[static_cast<std::size_t>(command)];
+}
+
 } // namespace hornbeamrail
--- a/src/protocol/platform.hpp
+++ b/src/protocol/platform.hpp
@@ -66,4 +66,10 @@
 std::string_view to_string(vm_operation_state state) noexcept;
 std::optional<vm_operation_state> parse_vm_operation_state(std::string_view text) noexcept;
 
+/// Calls to a worker about a task that it holds under a lease.
+enum class task_command { start, renew, checkpoint, throttle, stop };
+
+/// @return "start", "renew", "checkpoint", "throttle" or "stop", as in the path of the call
+std::string_view to_string(task_command command) noexcept;
+
 } // namespace hornbeamrail
--- a/src/state/fold_tasks.cpp
+++ b/src/state/fold_tasks.cpp
@@ -49,6 +49,8 @@
     task.detail = body.detail;
     if (has_ended(body.phase)) {
         this->end_task(task, body.phase, body.detail);
+    } else if (task.cancel_requested && body.phase == task_phase::queued) {
+        this->end_task(task, task_phase::cancelled, body.detail);
     } else {
         task.phase = body.phase;
     }
