Add history recorder and checker of the eleven guarantees

Change: fakes/history holds the event types and a thread-safe recorder; fakes/history_checker decides each guarantee from the events alone and names the guarantee and the shortest list of events that shows the violation. Conclusion: drivers can record; verdicts are not proven until the tests of the checker are in.

--- /dev/null
+++ b/src/fakes/history_checker.cpp
@@ -0,0 +1,809 @@
+#include "fakes/history_checker.hpp"
+
+#include "fakes/fake_executor.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <set>
+#include <sstream>
+#include <utility>
+
+namespace hornbeamrail {
+
+namespace {
+
+using std::size_t;
+constexpr size_t none = static_cast<size_t>(-1);
+constexpr boot_time never = boot_time::max();
+
+/// An operator's change: where it was submitted and decided.
+struct change_trace {
+    size_t submitted = none;
+    size_t accepted = none;
+    bool rejected = false;
+    std::int64_t version = 0; ///< log offset; 0 while unknown
+};
+
+struct run_trace {
+    size_t start = none;
+    size_t end = none;
+};
+
+struct attempt_trace {
+    size_t invoke = none;
+    std::vector<size_t> answers;
+    size_t lost = none;
+    std::vector<size_t> runs; ///< indices of run_start events
+};
+
+using attempt_key = std::pair<std::string, std::int64_t>;
+
+/// Events grouped by what they are about.
+struct history_index {
+    explicit history_index(const std::vector<history_event>& events);
+
+    [[nodiscard]] const history_event& at(size_t index) const { return this->history[index]; }
+    [[nodiscard]] boot_time time(size_t index) const {
+        return index == none ? never : this->history[index].at;
+    }
+
+    const std::vector<history_event>& history;
+    std::map<attempt_key, attempt_trace> attempts;
+    std::map<std::int64_t, run_trace> runs;
+    std::map<std::string, change_trace> changes;
+    std::map<std::string, size_t> services; ///< by name: service_defined
+    std::map<std::string, size_t> teams;    ///< by name: team_defined
+};
+
+history_index::history_index(const std::vector<history_event>& events) : history(events) {
+    for (size_t i = 0; i < events.size(); ++i) {
+        const history_event& event = events[i];
+        switch (event.kind) {
+        case event_kind::service_defined:
+            this->services[event.service] = i;
+            break;
+        case event_kind::team_defined:
+            this->teams[event.team] = i;
+            break;
+        case event_kind::invoke:
+            this->attempts[{event.request, event.attempt}].invoke = i;
+            break;
+        case event_kind::answer:
+            this->attempts[{event.request, event.attempt}].answers.push_back(i);
+            break;
+        case event_kind::connection_lost:
+            this->attempts[{event.request, event.attempt}].lost = i;
+            break;
+        case event_kind::run_start:
+            this->attempts[{event.request, event.attempt}].runs.push_back(i);
+            this->runs[event.run].start = i;
+            break;
+        case event_kind::run_end:
+            this->runs[event.run].end = i;
+            break;
+        case event_kind::change_submitted:
+            this->changes[event.change_id].submitted = i;
+            break;
+        case event_kind::change_accepted:
+            this->changes[event.change_id].accepted = i;
+            this->changes[event.change_id].version = event.version;
+            break;
+        case event_kind::change_rejected:
+            this->changes[event.change_id].rejected = true;
+            break;
+        default:
+            break;
+        }
+    }
+}
+
+/// A stretch of time during which an operator's change forbids new work.
+struct barred_interval {
+    size_t cause = none; ///< the change_accepted or vm_leaving event
+    boot_time from;
+    boot_time until = never;
+};
+
+class checker {
+public:
+    checker(const std::vector<history_event>& events, const history_bounds& stated, size_t largest)
+        : history(events), index(events), bounds(stated), max_per_guarantee(largest) {}
+
+    std::vector<violation> run() {
+        this->check_availability();
+        this->check_pools();
+        this->check_keys();
+        this->check_limits();
+        this->check_zones();
+        this->check_answers();
+        this->check_refusals();
+        this->check_at_most_once();
+        this->check_leaving_servers();
+        this->check_stops();
+        this->check_configuration();
+        return std::move(this->found);
+    }
+
+private:
+    void add(guarantee broken, std::string message, std::vector<size_t> events) {
+        const auto same = std::ranges::count(this->found, broken, &violation::broken);
+        if (static_cast<size_t>(same) >= this->max_per_guarantee) {
+            return;
+        }
+        std::erase(events, none);
+        std::ranges::sort(events);
+        const auto repeated = std::ranges::unique(events);
+        events.erase(repeated.begin(), repeated.end());
+        this->found.push_back({broken, std::move(message), std::move(events)});
+    }
+
+    /// @return the team that a presented key belongs to by the operators' grants, or nothing
+    struct key_grant {
+        std::string team;
+        size_t submitted = none;
+        size_t revoked = none; ///< change_accepted of the revocation
+    };
+    [[nodiscard]] std::map<std::string, key_grant> key_grants() const {
+        std::map<std::string, key_grant> grants;
+        for (const auto& [id, change] : this->index.changes) {
+            if (change.submitted == none || change.rejected) {
+                continue;
+            }
+            const history_event& event = this->index.at(change.submitted);
+            key_grant& grant = grants[event.key];
+            if (event.text == "key_grant") {
+                grant.team = event.team;
+                grant.submitted = change.submitted;
+            } else if (event.text == "key_revoke" && change.accepted != none) {
+                grant.revoked = std::min(grant.revoked, change.accepted);
+            }
+        }
+        return grants;
+    }
+
+    /// @return the team that an attempt runs for, or "" when it may not run at all
+    [[nodiscard]] std::string team_of(const attempt_trace& attempt,
+                                      const std::map<std::string, key_grant>& grants) const {
+        if (attempt.invoke == none) {
+            return {};
+        }
+        const history_event& invoke = this->index.at(attempt.invoke);
+        if (invoke.key.empty()) {
+            const auto service = this->index.services.find(invoke.service);
+            const bool open = service != this->index.services.end() && this->index.at(service->second).open;
+            return open ? this->index.at(service->second).team : std::string();
+        }
+        const auto grant = grants.find(invoke.key);
+        return grant == grants.end() ? std::string() : grant->second.team;
+    }
+
+    // 1. Every service stays within its availability budget.
+    void check_availability();
+    [[nodiscard]] bool is_failure(const std::vector<const attempt_trace*>& attempts) const;
+    [[nodiscard]] bool was_full(const history_event& refusal, const std::string& team) const;
+    void record_occupancy();
+
+    // 2. Each VM belongs to exactly one pool.
+    void check_pools() {
+        std::map<std::int64_t, size_t> first_view;
+        std::map<std::string, size_t> serving;
+        for (size_t i = 0; i < this->history.size(); ++i) {
+            const history_event& event = this->history[i];
+            if (event.kind == event_kind::pool_view) {
+                this->check_pool_view(i);
+                const auto [seen, added] = first_view.emplace(event.version, i);
+                if (!added && this->index.at(seen->second).body != event.body) {
+                    this->add(
+                        guarantee::one_pool_per_vm,
+                        fmt::format("two nodes place a VM in different pools at offset {}", event.version),
+                        {seen->second, i});
+                }
+            } else if (event.kind == event_kind::vm_in_pool) {
+                serving[event.vm] = i;
+            } else if (event.kind == event_kind::run_start) {
+                const auto service = this->index.services.find(event.service);
+                const auto vm = serving.find(event.vm);
+                if (service != this->index.services.end() && vm != serving.end() &&
+                    this->index.at(service->second).pool != this->index.at(vm->second).pool) {
+                    this->add(guarantee::one_pool_per_vm,
+                              fmt::format("VM {} runs service {} outside its pool", event.vm, event.service),
+                              {vm->second, i});
+                }
+            }
+        }
+    }
+
+    void check_pool_view(size_t index_of_view) {
+        std::istringstream pairs(this->history[index_of_view].body);
+        std::set<std::string> seen;
+        for (std::string pair; pairs >> pair;) {
+            const auto split = pair.find('=');
+            if (!seen.insert(pair.substr(0, split)).second || split + 1 >= pair.size()) {
+                this->add(guarantee::one_pool_per_vm,
+                          fmt::format("a node holds VM {} in no pool or in two", pair.substr(0, split)),
+                          {index_of_view});
+            }
+        }
+    }
+
+    // 3. Work runs only for the team whose key was presented; a revoked key stops working.
+    void check_keys() {
+        const auto grants = this->key_grants();
+        for (const auto& [id, attempt] : this->index.attempts) {
+            if (attempt.runs.empty()) {
+                continue;
+            }
+            if (attempt.invoke == none) {
+                this->add(guarantee::key_of_team, "work runs that nobody asked for", {attempt.runs.front()});
+                continue;
+            }
+            const history_event& invoke = this->index.at(attempt.invoke);
+            const std::string team = this->team_of(attempt, grants);
+            if (team.empty()) {
+                this->add(guarantee::key_of_team, "work runs without a valid key on a queue that is not open",
+                          {attempt.invoke, attempt.runs.front()});
+                continue;
+            }
+            this->check_team_may_use(attempt, team, invoke);
+            const auto grant = grants.find(invoke.key);
+            if (grant == grants.end()) {
+                continue;
+            }
+            if (this->index.time(grant->second.submitted) > this->index.time(attempt.runs.front())) {
+                this->add(guarantee::key_of_team, "work runs under a key before the key was granted",
+                          {attempt.runs.front(), grant->second.submitted});
+            }
+            if (grant->second.revoked != none &&
+                invoke.at > this->index.time(grant->second.revoked) + this->bounds.revoked_key) {
+                this->add(guarantee::key_of_team,
+                          fmt::format("key {} still works {:.1f} s after its revocation was accepted",
+                                      invoke.key,
+                                      seconds(invoke.at - this->index.time(grant->second.revoked))),
+                          {grant->second.revoked, attempt.invoke, attempt.runs.front()});
+            }
+        }
+    }
+
+    void check_team_may_use(const attempt_trace& attempt, const std::string& team,
+                            const history_event& invoke) {
+        const auto defined = this->index.teams.find(team);
+        if (defined == this->index.teams.end()) {
+            return;
+        }
+        const auto& services = this->index.at(defined->second).names;
+        if (!invoke.key.empty() && std::ranges::find(services, invoke.service) == services.end()) {
+            this->add(
+                guarantee::key_of_team,
+                fmt::format("team {} runs work on service {} that is not open to it", team, invoke.service),
+                {defined->second, attempt.invoke, attempt.runs.front()});
+        }
+    }
+
+    // 4. No team has more running than its upper limit.
+    struct limit_phase {
+        boot_time from;
+        boot_time until = never;
+        std::int64_t units = 0;
+        size_t cause = none;
+    };
+    [[nodiscard]] std::map<std::string, std::vector<limit_phase>> limit_phases() const;
+    void check_limits();
+
+    // 5. No task starts in a zone that is out.
+    void check_zones() {
+        const auto barred = this->barred("zone_out", "zone_in", &history_event::zone, this->bounds.zone_out);
+        this->check_barred_starts(barred, &history_event::zone, guarantee::zone_out,
+                                  "work starts in zone {} {:.1f} s after its zone-out was accepted");
+    }
+
+    // 6. Each caller gets the complete answer to its own request.
+    void check_answers() {
+        for (const auto& [id, attempt] : this->index.attempts) {
+            if (attempt.answers.size() > 1) {
+                auto events = attempt.answers;
+                events.push_back(attempt.invoke);
+                this->add(guarantee::own_answer, "a request got two answers", std::move(events));
+            }
+            for (const size_t answer : attempt.answers) {
+                this->check_answer(attempt, answer);
+            }
+        }
+    }
+
+    void check_answer(const attempt_trace& attempt, size_t answer) {
+        const history_event& event = this->index.at(answer);
+        if (attempt.invoke == none) {
+            this->add(guarantee::own_answer, "an answer to a request that nobody sent", {answer});
+            return;
+        }
+        if (event.status != 200) {
+            return;
+        }
+        const std::string expected = fake_executor::answer_body(this->index.at(attempt.invoke).body);
+        if (!event.complete || event.body != expected) {
+            this->add(guarantee::own_answer, "a caller got an incomplete answer or that of another request",
+                      {attempt.invoke, answer});
+            return;
+        }
+        const bool ran = std::ranges::any_of(attempt.runs, [&](size_t run) { return run < answer; });
+        if (!ran) {
+            this->add(guarantee::own_answer, "a caller got a result before its request ran",
+                      {attempt.invoke, answer});
+        }
+    }
+
+    // 7. A refusal stating that the work did not run is true.
+    void check_refusals() {
+        for (const auto& [id, attempt] : this->index.attempts) {
+            for (const size_t answer : attempt.answers) {
+                const history_event& event = this->index.at(answer);
+                if (event.status != 200 && event.outcome == "not_run" && !attempt.runs.empty()) {
+                    this->add(guarantee::true_refusal,
+                              fmt::format("refused with outcome not_run ({}), but the work ran", event.text),
+                              {attempt.invoke, attempt.runs.front(), answer});
+                }
+            }
+        }
+    }
+
+    // 8. A request marked as non-idempotent runs at most once.
+    void check_at_most_once() {
+        std::map<std::string, std::vector<size_t>> runs;
+        for (const auto& [id, attempt] : this->index.attempts) {
+            if (attempt.invoke != none && !this->index.at(attempt.invoke).idempotent) {
+                auto& all = runs[id.first];
+                all.insert(all.end(), attempt.runs.begin(), attempt.runs.end());
+            }
+        }
+        for (auto& [request, starts] : runs) {
+            if (starts.size() > 1) {
+                std::ranges::sort(starts);
+                std::vector<size_t> events{starts[0], starts[1]};
+                for (const size_t start : {starts[0], starts[1]}) {
+                    events.push_back(
+                        this->index.attempts.at({request, this->index.at(start).attempt}).invoke);
+                }
+                this->add(guarantee::at_most_once,
+                          fmt::format("non-idempotent request {} ran {} times", request, starts.size()),
+                          std::move(events));
+            }
+        }
+    }
+
+    // 9. A leaving backend server gets no new work.
+    void check_leaving_servers() {
+        auto barred = this->barred("vm_out", "vm_in", &history_event::vm, this->bounds.leaving_server);
+        for (size_t i = 0; i < this->history.size(); ++i) {
+            const history_event& event = this->history[i];
+            if (event.kind == event_kind::vm_leaving) {
+                barred[event.vm].push_back({i, event.at + this->bounds.leaving_server, never});
+            } else if (event.kind == event_kind::vm_returned || event.kind == event_kind::vm_ended) {
+                for (barred_interval& interval : barred[event.vm]) {
+                    if (this->index.at(interval.cause).kind == event_kind::vm_leaving &&
+                        interval.until == never) {
+                        interval.until = event.at;
+                    }
+                }
+            }
+        }
+        this->check_barred_starts(barred, &history_event::vm, guarantee::leaving_server,
+                                  "leaving VM {} gets new work {:.1f} s after it began to leave");
+    }
+
+    // 10. Every planned stop is a graceful shutdown.
+    void check_stops() {
+        std::map<std::string, size_t> stopping;
+        for (size_t i = 0; i < this->history.size(); ++i) {
+            const history_event& event = this->history[i];
+            const std::string& subject = event.vm.empty() ? event.node : event.vm;
+            if (event.kind == event_kind::stop_begin) {
+                stopping[subject] = i;
+            } else if (event.kind == event_kind::connection_lost && event.text == "stopped") {
+                const auto& attempt = this->index.attempts.at({event.request, event.attempt});
+                this->add(guarantee::graceful_stop, "a planned stop of a node cut off a request in progress",
+                          {stopping.contains(event.node) ? stopping[event.node] : none, attempt.invoke, i});
+            } else if (event.kind == event_kind::run_end && event.text == "stopped") {
+                const size_t start = this->index.runs.at(event.run).start;
+                const std::string& vm = start == none ? event.vm : this->index.at(start).vm;
+                this->add(guarantee::graceful_stop, "a planned stop of a VM cut off work in progress",
+                          {stopping.contains(vm) ? stopping[vm] : none, start, i});
+            }
+        }
+    }
+
+    // 11. An accepted configuration is in force everywhere within seconds and never reverts.
+    void check_configuration();
+    void check_view_interval(size_t view, boot_time until);
+
+    [[nodiscard]] std::map<std::string, std::vector<barred_interval>>
+    barred(std::string_view out, std::string_view back, std::string history_event::*subject,
+           std::chrono::microseconds bound) const;
+    void check_barred_starts(const std::map<std::string, std::vector<barred_interval>>& barred,
+                             std::string history_event::*subject, guarantee broken, std::string_view format);
+
+    static double seconds(std::chrono::microseconds value) {
+        return static_cast<double>(value.count()) / 1e6;
+    }
+
+    const std::vector<history_event>& history;
+    history_index index;
+    history_bounds bounds;
+    size_t max_per_guarantee;
+    std::vector<violation> found;
+
+    struct occupancy {
+        std::vector<std::pair<boot_time, std::int64_t>> running; ///< after each change
+        [[nodiscard]] std::int64_t highest(boot_time from, boot_time until) const;
+    };
+    std::map<std::string, occupancy> of_service;
+    std::map<std::string, occupancy> of_team;
+    std::map<std::string, occupancy> slots_of_service;
+};
+
+std::int64_t checker::occupancy::highest(boot_time from, boot_time until) const {
+    auto next = std::ranges::upper_bound(this->running, from, {}, &std::pair<boot_time, std::int64_t>::first);
+    std::int64_t result = next == this->running.begin() ? 0 : std::prev(next)->second;
+    for (; next != this->running.end() && next->first <= until; ++next) {
+        result = std::max(result, next->second);
+    }
+    return result;
+}
+
+void checker::record_occupancy() {
+    const auto grants = this->key_grants();
+    std::map<std::string, std::int64_t> service_now;
+    std::map<std::string, std::int64_t> team_now;
+    std::map<std::string, std::int64_t> slots_now;
+    std::map<std::string, std::pair<std::string, std::int64_t>> vm_pool;
+    std::map<std::string, std::string> service_of_pool;
+    for (const auto& [name, definition] : this->index.services) {
+        service_of_pool[this->index.at(definition).pool] = name;
+    }
+    const auto change_slots = [&](boot_time at, const std::string& pool, std::int64_t by) {
+        const std::string& service = service_of_pool[pool];
+        this->slots_of_service[service].running.emplace_back(at, slots_now[service] += by);
+    };
+    for (size_t i = 0; i < this->history.size(); ++i) {
+        const history_event& event = this->history[i];
+        if (event.kind == event_kind::vm_in_pool || event.kind == event_kind::vm_ended) {
+            if (const auto before = vm_pool.find(event.vm); before != vm_pool.end()) {
+                change_slots(event.at, before->second.first, -before->second.second);
+                vm_pool.erase(before);
+            }
+            if (event.kind == event_kind::vm_in_pool) {
+                vm_pool[event.vm] = {event.pool, event.units};
+                change_slots(event.at, event.pool, event.units);
+            }
+        }
+        if (event.kind != event_kind::run_start && event.kind != event_kind::run_end) {
+            continue;
+        }
+        const size_t start = this->index.runs.at(event.run).start;
+        if (start == none) {
+            continue;
+        }
+        const history_event& begun = this->index.at(start);
+        const std::int64_t by = event.kind == event_kind::run_start ? begun.units : -begun.units;
+        const std::string team =
+            this->team_of(this->index.attempts.at({begun.request, begun.attempt}), grants);
+        this->of_service[begun.service].running.emplace_back(event.at, service_now[begun.service] += by);
+        this->of_team[team].running.emplace_back(event.at, team_now[team] += by);
+    }
+}
+
+/// A refusal for lack of capacity is no failure of the service when the pool or the team was at its limit: in
+/// the second before, at least 80% of the slots or of the upper limit were taken.
+bool checker::was_full(const history_event& refusal, const std::string& team) const {
+    const auto attempt = this->index.attempts.find({refusal.request, refusal.attempt});
+    const std::string& service = this->index.at(attempt->second.invoke).service;
+    const boot_time from = refusal.at - std::chrono::seconds(1);
+    const auto highest = [&](const std::map<std::string, occupancy>& all, const std::string& name) {
+        const auto found_one = all.find(name);
+        return found_one == all.end() ? 0 : found_one->second.highest(from, refusal.at);
+    };
+    if (highest(this->of_service, service) * 5 >= highest(this->slots_of_service, service) * 4) {
+        return true;
+    }
+    const auto defined = this->index.teams.find(team);
+    return defined != this->index.teams.end() &&
+           highest(this->of_team, team) * 5 >= this->index.at(defined->second).units * 4;
+}
+
+bool checker::is_failure(const std::vector<const attempt_trace*>& attempts) const {
+    const auto grants = this->key_grants();
+    bool failed = true;
+    for (const attempt_trace* attempt : attempts) {
+        for (const size_t answer : attempt->answers) {
+            const history_event& event = this->index.at(answer);
+            const bool callers_fault = event.status >= 400 && event.status < 500 && event.status != 429 &&
+                                       event.status != 408 && event.status != 409;
+            const bool repeated = event.status == 409; // The first attempt is what counts.
+            const bool excused =
+                event.status == 429 && this->was_full(event, this->team_of(*attempt, grants));
+            failed = failed && event.status != 200 && !callers_fault && !repeated && !excused;
+        }
+    }
+    return failed;
+}
+
+void checker::check_availability() {
+    if (this->history.empty()) {
+        return;
+    }
+    this->record_occupancy();
+    std::map<std::string, std::vector<const attempt_trace*>> by_request;
+    for (const auto& [id, attempt] : this->index.attempts) {
+        if (attempt.invoke != none) {
+            by_request[id.first].push_back(&attempt);
+        }
+    }
+    const boot_time end = this->history.back().at;
+    const auto length = std::max(end - this->history.front().at, std::chrono::microseconds(1));
+    std::map<std::string, std::int64_t> requests;
+    std::map<std::string, std::vector<size_t>> failures;
+    for (const auto& [id, attempts] : by_request) {
+        const history_event& first = this->index.at(attempts.front()->invoke);
+        if (attempts.back()->answers.empty() &&
+            this->index.at(attempts.back()->invoke).at + first.window > end) {
+            continue; // The history ends before the deadline.
+        }
+        ++requests[first.service];
+        if (this->is_failure(attempts)) {
+            failures[first.service].push_back(
+                attempts.back()->answers.empty() ? attempts.back()->invoke : attempts.back()->answers.back());
+        }
+    }
+    for (const auto& [service, defined] : this->index.services) {
+        // The budget is defined over the window. A shorter history is held against the whole window's budget
+        // at the history's mean rate of requests.
+        const history_event& definition = this->index.at(defined);
+        const double windows = std::max(1.0, seconds(definition.window) / seconds(length));
+        const double allowed = definition.part * windows * static_cast<double>(requests[service]);
+        auto& failed = failures[service];
+        if (static_cast<double>(failed.size()) > allowed) {
+            std::ranges::sort(failed);
+            std::vector<size_t> events(failed.begin(),
+                                       failed.begin() + std::min<std::ptrdiff_t>(5, std::ssize(failed)));
+            events.push_back(defined);
+            this->add(guarantee::availability_budget,
+                      fmt::format("service {} failed {} of {} requests; its budget for the window is {:.0f}",
+                                  service, failed.size(), requests[service], allowed),
+                      std::move(events));
+        }
+    }
+}
+
+std::map<std::string, std::vector<checker::limit_phase>> checker::limit_phases() const {
+    std::map<std::string, std::vector<limit_phase>> phases;
+    for (const auto& [team, defined] : this->index.teams) {
+        phases[team].push_back({boot_time::min(), never, this->index.at(defined).units, defined});
+    }
+    for (const auto& [id, change] : this->index.changes) {
+        if (change.submitted == none || change.rejected ||
+            this->index.at(change.submitted).text != "config") {
+            continue;
+        }
+        const history_event& submitted = this->index.at(change.submitted);
+        if (submitted.team.empty()) {
+            continue;
+        }
+        phases[submitted.team].push_back({submitted.at, never, submitted.units, change.submitted});
+    }
+    // A limit ends when a later one is in force on every node.
+    for (const auto& [id, change] : this->index.changes) {
+        if (change.accepted == none || this->index.at(change.accepted).text != "config") {
+            continue;
+        }
+        const history_event& accepted = this->index.at(change.accepted);
+        for (limit_phase& phase : phases[accepted.team]) {
+            const history_event& cause = this->index.at(phase.cause);
+            const auto earlier = this->index.changes.find(cause.change_id);
+            const bool superseded =
+                cause.kind == event_kind::team_defined ||
+                (earlier->second.accepted != none && earlier->second.version < change.version);
+            if (superseded) {
+                phase.until = std::min(phase.until, accepted.at + this->bounds.configuration);
+            }
+        }
+    }
+    return phases;
+}
+
+void checker::check_limits() {
+    const auto phases = this->limit_phases();
+    const auto grants = this->key_grants();
+    const auto allowed_at = [&](const std::string& team, boot_time at) {
+        std::pair<std::int64_t, size_t> allowed{0, none};
+        for (const limit_phase& phase : phases.at(team)) {
+            if (phase.from <= at && at < phase.until) {
+                allowed = std::max(allowed, {phase.units, phase.cause});
+            }
+        }
+        return allowed;
+    };
+    struct running_work {
+        std::int64_t allowed = 0; ///< the limit when it started
+        std::int64_t units = 0;
+        size_t start = none;
+    };
+    std::map<std::string, std::map<std::int64_t, running_work>> running;
+    std::map<std::string, std::map<std::int64_t, std::int64_t>> sums; ///< team -> limit at the start -> units
+    for (size_t i = 0; i < this->history.size(); ++i) {
+        const history_event& event = this->history[i];
+        if (event.kind != event_kind::run_start && event.kind != event_kind::run_end) {
+            continue;
+        }
+        const size_t start = this->index.runs.at(event.run).start;
+        if (start == none) {
+            continue;
+        }
+        const history_event& begun = this->index.at(start);
+        const std::string team =
+            this->team_of(this->index.attempts.at({begun.request, begun.attempt}), grants);
+        if (!phases.contains(team)) {
+            continue;
+        }
+        if (event.kind == event_kind::run_end) {
+            if (const auto ended = running[team].find(event.run); ended != running[team].end()) {
+                sums[team][ended->second.allowed] -= ended->second.units;
+                running[team].erase(ended);
+            }
+            continue;
+        }
+        const auto [allowed, cause] = allowed_at(team, event.at);
+        running[team][event.run] = {allowed, event.units, i};
+        sums[team][allowed] += event.units;
+        // After a limit was lowered, work from before runs to its end and is not counted against the new one.
+        std::int64_t counted = 0;
+        for (auto part = sums[team].begin(); part != sums[team].end() && part->first <= allowed; ++part) {
+            counted += part->second;
+        }
+        if (counted > allowed) {
+            std::vector<size_t> events{cause};
+            for (const auto& [run, work] : running[team]) {
+                events.push_back(work.start);
+            }
+            this->add(
+                guarantee::upper_limit,
+                fmt::format("team {} has {} units running; its upper limit is {}", team, counted, allowed),
+                std::move(events));
+        }
+    }
+}
+
+std::map<std::string, std::vector<barred_interval>> checker::barred(std::string_view out,
+                                                                    std::string_view back,
+                                                                    std::string history_event::*subject,
+                                                                    std::chrono::microseconds bound) const {
+    std::map<std::string, std::vector<barred_interval>> intervals;
+    for (const auto& [id, change] : this->index.changes) {
+        if (change.accepted == none || this->index.at(change.accepted).text != out) {
+            continue;
+        }
+        const history_event& accepted = this->index.at(change.accepted);
+        barred_interval interval{change.accepted, accepted.at + bound, never};
+        for (const auto& [other_id, other] : this->index.changes) {
+            // A return that may have been ordered after the out ends the interval from its submission on.
+            if (other.submitted == none || other.rejected || this->index.at(other.submitted).text != back ||
+                this->index.at(other.submitted).*subject != accepted.*subject) {
+                continue;
+            }
+            if (other.version == 0 || other.version > change.version) {
+                interval.until = std::min(interval.until, this->index.time(other.submitted));
+            }
+        }
+        intervals[accepted.*subject].push_back(interval);
+    }
+    return intervals;
+}
+
+void checker::check_barred_starts(const std::map<std::string, std::vector<barred_interval>>& barred,
+                                  std::string history_event::*subject, guarantee broken,
+                                  std::string_view format) {
+    for (size_t i = 0; i < this->history.size(); ++i) {
+        const history_event& event = this->history[i];
+        const auto intervals = barred.find(event.*subject);
+        if (event.kind != event_kind::run_start || intervals == barred.end()) {
+            continue;
+        }
+        for (const barred_interval& interval : intervals->second) {
+            if (event.at > interval.from && event.at < interval.until) {
+                const double late = seconds(event.at - this->index.time(interval.cause));
+                this->add(broken, fmt::format(fmt::runtime(format), event.*subject, late),
+                          {interval.cause, i});
+            }
+        }
+    }
+}
+
+void checker::check_view_interval(size_t view, boot_time until) {
+    const history_event& event = this->history[view];
+    if (!event.fresh) {
+        return;
+    }
+    for (const auto& [id, change] : this->index.changes) {
+        if (change.accepted == none || this->index.at(change.accepted).text != "config") {
+            continue;
+        }
+        const boot_time due = this->index.time(change.accepted) + this->bounds.configuration;
+        if (event.version < change.version && std::max(due, event.at) < until) {
+            this->add(guarantee::configuration_in_force,
+                      fmt::format("node {} runs configuration {} later than {:.0f} s after {} was accepted",
+                                  event.node, event.version, seconds(this->bounds.configuration),
+                                  change.version),
+                      {change.accepted, view});
+        }
+    }
+}
+
+void checker::check_configuration() {
+    std::map<std::string, size_t> newest;
+    std::map<std::int64_t, size_t> texts;
+    const boot_time end = this->history.empty() ? boot_time::min() : this->history.back().at;
+    for (size_t i = 0; i < this->history.size(); ++i) {
+        const history_event& event = this->history[i];
+        if (event.kind != event_kind::node_view && event.kind != event_kind::node_end) {
+            continue;
+        }
+        const auto before = newest.find(event.node);
+        if (before != newest.end()) {
+            this->check_view_interval(before->second, event.at);
+        }
+        if (event.kind == event_kind::node_end) {
+            newest.erase(event.node);
+            continue;
+        }
+        if (before != newest.end() && this->index.at(before->second).version > event.version) {
+            this->add(guarantee::configuration_in_force,
+                      fmt::format("node {} went back from configuration {} to {}", event.node,
+                                  this->index.at(before->second).version, event.version),
+                      {before->second, i});
+        }
+        const auto [text, added] = texts.emplace(event.version, i);
+        if (!added && this->index.at(text->second).body != event.body) {
+            this->add(guarantee::configuration_in_force,
+                      fmt::format("two nodes hold different texts as configuration {}", event.version),
+                      {text->second, i});
+        }
+        newest[event.node] = i;
+    }
+    for (const auto& [node, view] : newest) {
+        this->check_view_interval(view, end);
+    }
+}
+
+} // namespace
+
+std::string to_string(guarantee value) {
+    static constexpr std::array<std::string_view, guarantee_count> names{"availability_budget",
+                                                                         "one_pool_per_vm",
+                                                                         "key_of_team",
+                                                                         "upper_limit",
+                                                                         "zone_out",
+                                                                         "own_answer",
+                                                                         "true_refusal",
+                                                                         "at_most_once",
+                                                                         "leaving_server",
+                                                                         "graceful_stop",
+                                                                         "configuration_in_force"};
+    const auto number = static_cast<int>(value);
+    return fmt::format("{} {}", number, names.at(static_cast<size_t>(number - 1)));
+}
+
+std::vector<violation> check_history(const std::vector<history_event>& history, const history_bounds& bounds,
+                                     std::size_t max_per_guarantee) {
+    return checker(history, bounds, max_per_guarantee).run();
+}
+
+std::string describe(const violation& found, const std::vector<history_event>& history) {
+    std::string text = fmt::format("guarantee {}: {}\n", to_string(found.broken), found.message);
+    for (const size_t event : found.events) {
+        text += "  " + to_string(history[event]) + "\n";
+    }
+    return text;
+}
+
+} // namespace hornbeamrail
