--- a/src/fakes/fake_vm_list.cpp
+++ b/src/fakes/fake_vm_list.cpp
@@ -12,9 +12,11 @@
     case vm_operation_state::rebooting:
         return "rebooting";
     case vm_operation_state::done:
+        return "done";
+    case vm_operation_state::failed:
         break;
     }
-    return "done";
+    return "failed";
 }
 
 fake_vm_list::fake_vm_list(fake_vm_list_options initial) : options(initial) {
--- a/src/fakes/fake_vm_list.hpp
+++ b/src/fakes/fake_vm_list.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/core_action.hpp"
 #include "protocol/platform.hpp"
 
 #include <chrono>
@@ -13,9 +14,7 @@
 
 namespace hornbeamrail {
 
-enum class vm_operation_state { draining, rebooting, done };
-
-/// @return "draining", "rebooting" or "done"
+/// @return "draining", "rebooting", "done" or "failed"
 std::string_view to_string(vm_operation_state state) noexcept;
 
 struct vm_operation_status {
