Add simulated site: nodes, callers, operators and faults over the fakes

Cause: the guarantees have to be checked on concurrent runs of several cores and dispatchers under mixed faults. One seed decides a run. Injected defects change what a driver or one node sees, not the product code.

--- /dev/null
+++ b/src/fakes/site_simulation.hpp
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "coordination/core_options.hpp"
+#include "fakes/fault_plan.hpp"
+#include "fakes/history.hpp"
+#include "fakes/history_checker.hpp"
+#include "fakes/simulated_node.hpp"
+#include "fakes/site_workload.hpp"
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace hornbeamrail {
+
+/// Timings with a shorter longest run, so that a dead node's part returns within a short simulation.
+core_timings simulation_timings();
+
+/// Everything that decides a run. The same options give the same history.
+struct site_options {
+    std::uint64_t seed = 1;
+    int nodes = 6;
+    site_shape shape;
+    workload_options workload; ///< its seed is replaced by one from `seed`
+    fault_plan faults;
+    injected_defects defects;
+    core_timings timings = simulation_timings();
+    std::chrono::microseconds warm_up{
+        8'000'000}; ///< before the load: nodes register, VMs and keys become known
+    std::chrono::microseconds settle{8'000'000};  ///< after the load
+    std::chrono::microseconds client_delay{3000}; ///< one way
+};
+
+/// What happened to one request of the workload, over all its submissions.
+struct request_outcome {
+    bool done = false;                   ///< got a complete answer
+    bool refused_full = false;           ///< refused for lack of capacity (429)
+    bool lost = false;                   ///< neither answered nor refused
+    std::string error;                   ///< of the last refusal
+    std::chrono::microseconds latency{}; ///< from arrival to answer
+};
+
+/// Figures of a run beside its history.
+struct site_figures {
+    std::int64_t offered = 0;
+    std::int64_t completed = 0;
+    std::int64_t vm_moves = 0;                       ///< reboots into a pool and maintenance
+    std::map<std::string, double> idle_slot_seconds; ///< by pool, during the load
+    std::vector<std::chrono::microseconds> roll_out; ///< from a configuration's submission to its acceptance
+    std::map<std::string, std::int64_t> refusals;    ///< by error
+};
+
+struct site_result {
+    std::vector<history_event> history;
+    std::vector<site_arrival> arrivals;
+    std::vector<request_outcome> outcomes; ///< one per arrival
+    site_figures figures;
+};
+
+/// Runs a site in simulated time: entry nodes over the fakes, callers, operators and faults.
+site_result run_site(const site_options& options);
+
+/// Options of one seed as the history measurements run it.
+site_options history_options(std::uint64_t seed);
+
+} // namespace hornbeamrail
