Drive platform calls of the planner in the simulated node

Cause: the coordination core now hands out one vm_call action and takes the wall clock for its calendar. Change: simulated_node carries out vm_call over the stand-in of the VM list and reports a simulated wall clock.

--- a/src/fakes/simulated_node.cpp
+++ b/src/fakes/simulated_node.cpp
@@ -16,6 +16,9 @@
 constexpr milliseconds platform_timeout{1000};
 constexpr milliseconds refused_after{2}; ///< time until a connection attempt is refused
 
+/// Wall-clock time at the start of every run.
+constexpr std::chrono::sys_seconds wall_start{std::chrono::sys_days{std::chrono::year(2026) / 1 / 1}};
+
 boot_clock::duration log_delay(const fake_log& log) {
     return log.faults().delay;
 }
@@ -128,6 +131,9 @@
         return;
     }
     this->demand_reported = this->site.now();
+    this->coordination.on_wall_clock(
+        this->clock(),
+        wall_start + std::chrono::duration_cast<std::chrono::seconds>(this->site.now() - site_world::start));
     std::vector<team_units> running_units;
     for (const team_config& team : this->coordination.state()->config().teams) {
         if (const std::int64_t units = this->dispatching.running_units(team.name); units > 0) {
@@ -357,35 +363,31 @@
                     });
 }
 
-void simulated_node::carry_out(const run_vm_operation& action) {
-    this->vm_operation_call(action.vm, action.operation_id, [this, action] {
-        return action.command == vm_command::drain
-                   ? this->site.drain_vm(action.vm, action.operation_id)
-                   : this->site.reboot_vm(action.vm, action.operation_id, action.pool);
-    });
-}
-
-void simulated_node::carry_out(const query_vm_operation& action) {
-    this->vm_operation_call(action.vm, action.operation_id, [] { return true; });
+vm_operation_state simulated_node::call_platform(const vm_call& action) {
+    const bool understood = action.what == vm_call::kind::drain
+                                ? this->site.drain_vm(action.vm, action.operation_id)
+                            : action.what == vm_call::kind::reboot
+                                ? this->site.reboot_vm(action.vm, action.operation_id, action.pool)
+                                : true;
+    if (!understood || this->site.vms.faults().down) {
+        return vm_operation_state::failed;
+    }
+    const auto status = this->site.vms.operation(this->site.now(), action.vm);
+    return status && status->operation_id == action.operation_id ? status->state
+                                                                 : vm_operation_state::unknown;
 }
 
-void simulated_node::vm_operation_call(std::string vm, std::string operation_id,
-                                       std::function<bool()> operation) {
+void simulated_node::carry_out(const vm_call& action) {
     const auto self = this->shared_from_this();
     const auto finished = std::make_shared<bool>(false);
-    const auto finish = [self, finished, vm, operation_id](vm_operation_state state) {
+    const auto finish = [self, finished, action](vm_operation_state state) {
         if (!std::exchange(*finished, true)) {
-            self->coordination.on_vm_operation(self->clock(), vm, operation_id, state);
+            self->coordination.on_vm_call_answer(self->clock(), action, state);
         }
     };
     this->after(platform_timeout, [finish] { finish(vm_operation_state::failed); });
-    this->site.send(this->who.node_id, site_world::platform, [self, vm, operation_id, operation, finish] {
-        vm_operation_state state = vm_operation_state::failed;
-        if (operation() && !self->site.vms.faults().down) {
-            const auto status = self->site.vms.operation(self->site.now(), vm);
-            state =
-                status && status->operation_id == operation_id ? status->state : vm_operation_state::unknown;
-        }
+    this->site.send(this->who.node_id, site_world::platform, [self, action, finish] {
+        const vm_operation_state state = self->call_platform(action);
         self->site.send(site_world::platform, self->who.node_id,
                         [self, finish, state] { self->deliver([finish, state] { finish(state); }); });
     });
--- a/src/fakes/simulated_node.hpp
+++ b/src/fakes/simulated_node.hpp
@@ -107,10 +107,9 @@
     void carry_out(const read_log& action);
     void carry_out(const fetch_vm_list& action);
     void carry_out(const send_peer_request& action);
-    void carry_out(const run_vm_operation& action);
-    void carry_out(const query_vm_operation& action);
+    void carry_out(const vm_call& action);
+    [[nodiscard]] vm_operation_state call_platform(const vm_call& action);
     void answer_read(const read_log& action, boot_time read_started, boot_time wait_until);
-    void vm_operation_call(std::string vm, std::string operation_id, std::function<bool()> operation);
 
     void carry_out(const dispatch_action& action);
     void carry_out(const ask_claim& action);
