Wire tasks into the entry node: submit, watch, cancel, handover

Cause: the entry node answered "this node does not take tasks", and a graceful stop waited for every unit, so a node with a long task never left.

Change: worker_client and task_api; node_runtime drives the task manager under the locks of the cores and syncs it before the core's lock is released; units of tasks are handed over instead of waited for when the node leaves.

--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -184,6 +184,7 @@
     std::shared_ptr<const fleet_config> config;
     executor_table executors;
     unit_ledger units;
+    unit_ledger task_units; ///< the part of `units` that tasks hold
     std::map<std::string, service_entry, std::less<>> services;
     std::unordered_map<ticket_id, ticket_entry> tickets;
     std::set<std::pair<boot_time, ticket_id>> deadlines; ///< of tickets that are not dispatched
@@ -976,17 +977,31 @@
 }
 
 bool dispatcher::idle() const {
-    return this->self->tickets.empty() && this->self->units.empty();
+    return this->self->tickets.empty() && this->self->units.all() == this->self->task_units.all();
 }
 
 bool dispatcher::try_reserve_units(boot_time now, std::string_view team, std::int64_t units) {
     this->self->take_state(now);
-    return this->self->may_start_work(now) &&
-           this->self->units.try_take(team, units, this->self->core.usable_units(team));
+    if (!this->self->may_start_work(now) ||
+        !this->self->units.try_take(team, units, this->self->core.usable_units(team))) {
+        return false;
+    }
+    this->self->task_units.take(team, units);
+    return true;
+}
+
+void dispatcher::adopt_units(boot_time, std::string_view team, std::int64_t units) {
+    this->self->units.take(team, units);
+    this->self->task_units.take(team, units);
+}
+
+std::int64_t dispatcher::task_units_held(std::string_view team) const {
+    return this->self->task_units.in_use(team);
 }
 
 void dispatcher::release_units(boot_time, std::string_view team, std::int64_t units) {
     this->self->units.give_back(team, units);
+    this->self->task_units.give_back(team, units);
     this->self->on_free_units(team);
 }
 
--- a/src/node/dispatcher.hpp
+++ b/src/node/dispatcher.hpp
@@ -202,17 +202,21 @@
     /// Refuses new requests from now on; accepted ones are finished.
     void begin_stop(boot_time now);
 
-    /// @return whether no ticket and no unit is held
+    /// @return whether no ticket is held and no unit but those of tasks
     [[nodiscard]] bool idle() const;
 
     /// Takes units of a team for a task, under the same count as requests.
     /// @return whether the units were free and the view is fresh
     bool try_reserve_units(boot_time now, std::string_view team, std::int64_t units);
-    /// Returns units taken by `try_reserve_units`.
+    /// Takes units of a task that runs already and was handed over by another node.
+    void adopt_units(boot_time now, std::string_view team, std::int64_t units);
+    /// Returns units taken by `try_reserve_units` or `adopt_units`.
     void release_units(boot_time now, std::string_view team, std::int64_t units);
 
     /// @return units of @p team that run or are being dispatched here, tasks included
     [[nodiscard]] std::int64_t running_units(std::string_view team) const;
+    /// @return units of @p team that tasks hold here
+    [[nodiscard]] std::int64_t task_units_held(std::string_view team) const;
 
     /// @return running and queued units of this node, for `report_demand` of the core. The core returns units
     /// that
--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -3,6 +3,7 @@
 #include "node/admin_api.hpp"
 #include "node/node_runtime.hpp"
 #include "node/request_api.hpp"
+#include "node/task_api.hpp"
 #include "protocol/digest.hpp"
 #include "protocol/json_log.hpp"
 #include "transport/peer_server.hpp"
@@ -153,11 +154,30 @@
             this->submit(*served, path.name, std::move(request), reply);
             return;
         }
+        if (this->handle_task(served, path, request, reply)) {
+            return;
+        }
         auto response = this->answer_directly(*served, path, request.method);
         served->decorate(response, std::string(request.headers.value_or("Request-Id", "")));
         reply.send(std::move(response));
     }
 
+    /// @return whether the request was one of the task interface
+    bool handle_task(const std::shared_ptr<node_runtime>& served, const parsed_route& path,
+                     const http_request& request, const http_reply& reply) {
+        task_api tasks(this->threads, served);
+        if (path.route == caller_route::tasks && request.method == "POST") {
+            tasks.submit(request, reply);
+        } else if (path.route == caller_route::task && request.method == "GET") {
+            tasks.show(path.name, request, reply);
+        } else if (path.route == caller_route::task && request.method == "DELETE") {
+            tasks.cancel(path.name, request, reply);
+        } else {
+            return false;
+        }
+        return true;
+    }
+
     http_response answer_directly(const node_runtime& served, const parsed_route& path,
                                   std::string_view method) const {
         const bool get = method == "GET";
@@ -167,10 +187,6 @@
         if (path.route == caller_route::health && get) {
             return this->health(served);
         }
-        if (path.route == caller_route::tasks || path.route == caller_route::task) {
-            return make_error_response(503, "not_available", "this node does not take tasks",
-                                       "submit the work as requests", "not_run");
-        }
         if (path.route != caller_route::unknown) {
             return make_error_response(405, "wrong_method", "the method does not fit the path",
                                        "use POST for requests and GET for documents", "not_run");
@@ -234,7 +250,7 @@
             }
             this->leaving = true;
             this->leave_deadline = boot_clock::now() + this->options.leave_timeout;
-            served->with_core([](node_core& core, boot_time now) { core.begin_stop(now); });
+            served->begin_leave();
         }
         const bool left =
             served->read([](const node_core& core, const dispatcher&, boot_time) { return core.stopped(); });
--- a/src/node/node_runtime.cpp
+++ b/src/node/node_runtime.cpp
@@ -15,6 +15,7 @@
 
 constexpr std::chrono::milliseconds core_tick{20};
 constexpr std::chrono::milliseconds dispatcher_tick{10};
+constexpr std::chrono::milliseconds task_tick{50};
 constexpr std::chrono::milliseconds demand_interval{100};
 constexpr std::chrono::milliseconds wall_clock_interval{10000};
 constexpr std::chrono::milliseconds lease_timeout{1000};
@@ -50,11 +51,13 @@
 } // namespace
 
 node_runtime::node_runtime(io_threads& workers, core_options core_settings,
-                           dispatcher_options dispatcher_settings, const endpoint& platform_address,
+                           const dispatcher_options& dispatcher_settings, const endpoint& platform_address,
                            std::shared_ptr<tls_settings> identity)
     : threads(workers), node_id(core_settings.node_id), core(std::move(core_settings)),
-      dispatch(read_from(this->core), std::move(dispatcher_settings)), platform(workers, platform_address),
-      executors(workers, {.max_connections = 64}), peers(workers, {.tls = std::move(identity)}),
+      dispatch(read_from(this->core), dispatcher_settings),
+      tasks(read_from(this->core), refer_to(this->dispatch), {.seed = dispatcher_settings.seed + 1}),
+      platform(workers, platform_address), executors(workers, {.max_connections = 64}),
+      task_workers(this->executors), peers(workers, {.tls = std::move(identity)}),
       published_state(std::make_shared<const fleet_state>()),
       request_latency(this->counters.latency_of("request_latency")),
       answered_ok(this->counters.counter_of("requests_answered_total")),
@@ -73,6 +76,7 @@
     };
     repeat(core_tick, [](node_runtime& self) { self.with_core([](node_core&, boot_time) {}); });
     repeat(dispatcher_tick, [](node_runtime& self) { self.with_dispatcher([](dispatcher&, boot_time) {}); });
+    repeat(task_tick, [](node_runtime& self) { self.with_tasks([](task_manager&, boot_time) {}); });
     repeat(demand_interval, [](node_runtime& self) { self.report_demand(); });
     const auto tell_wall_clock = [](node_runtime& self) {
         self.with_core([](node_core& target, boot_time now) {
@@ -95,6 +99,18 @@
     this->published_serving.store(incarnation != 0 && this->core.view_is_fresh(now));
 }
 
+void node_runtime::sync_tasks(boot_time now) {
+    auto newest = this->core.state();
+    if (newest == this->tasks_synced) {
+        return;
+    }
+    this->tasks_synced = std::move(newest);
+    // Before the core's lock is released: units of tasks that were handed over must be taken before a request
+    // can use the grant that came with them.
+    const std::lock_guard lock(this->dispatcher_mutex);
+    this->tasks.sync(now);
+}
+
 void node_runtime::report_demand() {
     {
         // The core returns units that the report shows as unused: no start may come between the two.
@@ -103,12 +119,19 @@
         const auto now = boot_clock::now();
         std::vector<team_units> running;
         for (const auto& team : this->core.state()->config().teams) {
-            if (const auto units = this->dispatch.running_units(team.name); units > 0) {
+            auto units = this->dispatch.running_units(team.name);
+            if (this->leaving.load()) {
+                units -=
+                    this->dispatch.task_units_held(team.name); // handed over with their tasks, not waited for
+            }
+            if (units > 0) {
                 running.push_back({team.name, units});
             }
         }
         this->core.report_demand(now, this->dispatch.demand(now), running);
         this->tick_core(now);
+        this->tasks_synced = this->core.state();
+        this->tasks.sync(now);
     }
     this->drain_outbox();
 }
@@ -159,6 +182,9 @@
 
 void node_runtime::carry_out(const fetch_vm_list&) {
     this->platform.list_vms([self = this->shared_from_this()](const std::optional<vm_list>& list) {
+        if (list) {
+            self->with_tasks([&](task_manager& manager, boot_time) { manager.on_vm_list(*list); });
+        }
         self->with_core([&](node_core& target, boot_time now) {
             if (list) {
                 target.on_vm_list(now, *list);
@@ -441,6 +467,46 @@
         return;
     }
     this->with_dispatcher([](dispatcher& target, boot_time now) { target.begin_stop(now); });
+    this->with_tasks([](task_manager& manager, boot_time) { manager.begin_stop(); });
+}
+
+void node_runtime::begin_leave() {
+    this->leaving.store(true);
+    this->with_core([](node_core& target, boot_time now) { target.begin_stop(now); });
+}
+
+void node_runtime::carry_out(const append_task_record& action) {
+    this->with_core([&](node_core& target, boot_time now) {
+        // A full queue drops the record; the task manager sees no outcome and its leases lapse.
+        target.submit_change(now, action.change_id, action.body);
+    });
+}
+
+void node_runtime::carry_out(const reserve_worker& action) {
+    this->task_workers.reserve(action,
+                               [self = this->shared_from_this(), id = action.task_id,
+                                sent_at = boot_clock::now()](worker_answer answer, const std::string& lease) {
+                                   self->with_tasks([&](task_manager& manager, boot_time now) {
+                                       manager.on_reserved(now, id, sent_at, answer, lease);
+                                   });
+                               });
+}
+
+void node_runtime::carry_out(const command_worker& action) {
+    this->task_workers.command(action,
+                               [self = this->shared_from_this(), id = action.task_id, what = action.command,
+                                sent_at = boot_clock::now()](worker_answer answer) {
+                                   self->with_tasks([&](task_manager& manager, boot_time now) {
+                                       manager.on_command_done(now, id, what, sent_at, answer);
+                                   });
+                               });
+}
+
+void node_runtime::carry_out(const read_usage& action) {
+    this->task_workers.usage(action, [self = this->shared_from_this(),
+                                      vm = action.vm](const std::vector<task_report>& reports) {
+        self->with_tasks([&](task_manager& manager, boot_time now) { manager.on_usage(now, vm, reports); });
+    });
 }
 
 } // namespace hornbeamrail
--- a/src/node/node_runtime.hpp
+++ b/src/node/node_runtime.hpp
@@ -4,6 +4,8 @@
 #include "hornbeamrail/node_settings.hpp"
 #include "node/dispatcher.hpp"
 #include "node/platform_client.hpp"
+#include "node/task_manager.hpp"
+#include "node/worker_client.hpp"
 #include "state/counters.hpp"
 #include "transport/http_client_pool.hpp"
 #include "transport/http_server.hpp"
@@ -32,8 +34,9 @@
 public:
     /// @param workers runs the sockets and timers; must be stopped before the runtime is destroyed
     /// @param identity TLS identity for calls to peers; may be null
-    node_runtime(io_threads& workers, core_options core_settings, dispatcher_options dispatcher_settings,
-                 const endpoint& platform_address, std::shared_ptr<tls_settings> identity);
+    node_runtime(io_threads& workers, core_options core_settings,
+                 const dispatcher_options& dispatcher_settings, const endpoint& platform_address,
+                 std::shared_ptr<tls_settings> identity);
 
     /// Starts the timers that tick both cores.
     void start();
@@ -63,6 +66,22 @@
         this->carry_out(std::move(actions));
     }
 
+    /// Runs @p input(task manager, now) under both locks, and what the task manager asks for afterwards.
+    template <class Input>
+    void with_tasks(Input&& input) {
+        std::vector<task_action> actions;
+        {
+            const std::lock_guard core_lock(this->core_mutex);
+            const std::lock_guard lock(this->dispatcher_mutex);
+            const auto now = boot_clock::now();
+            input(this->tasks, now);
+            actions = this->tasks.tick(now);
+        }
+        for (auto& action : actions) {
+            std::visit([this](auto& chosen) { this->carry_out(chosen); }, action);
+        }
+    }
+
     /// Runs @p query(core, dispatcher, now) under both locks.
     template <class Query>
     auto read(Query&& query) const {
@@ -71,6 +90,12 @@
         return query(std::as_const(this->core), std::as_const(this->dispatch), boot_clock::now());
     }
 
+    /// @return the state of the task manager, for `dump`
+    [[nodiscard]] boost::json::value dump_tasks() const {
+        const std::lock_guard lock(this->dispatcher_mutex);
+        return this->tasks.dump();
+    }
+
     /// @return the newest fold, without a lock on the cores
     [[nodiscard]] std::shared_ptr<const fleet_state> state() const { return this->published_state.load(); }
 
@@ -83,7 +108,10 @@
     /// @return the incarnation, or 0 while the node is not registered; a moment old
     [[nodiscard]] incarnation_id incarnation() const { return this->published_incarnation.load(); }
 
+    /// Refuses new requests and starts no further task.
     void begin_stop();
+    /// Leaves the fleet once nothing but tasks runs; these are handed over.
+    void begin_leave();
     [[nodiscard]] bool stopping() const { return this->stop_begun.load(); }
 
     /// Adds the headers that every answer to a caller carries.
@@ -110,11 +138,13 @@
         if constexpr (std::is_void_v<decltype(input(now))>) {
             input(now);
             this->tick_core(now);
+            this->sync_tasks(now);
             lock.unlock();
             this->drain_outbox();
         } else {
             auto answer = input(now);
             this->tick_core(now);
+            this->sync_tasks(now);
             lock.unlock();
             this->drain_outbox();
             return answer;
@@ -122,6 +152,7 @@
     }
 
     void tick_core(boot_time now);
+    void sync_tasks(boot_time now);
     void report_demand();
     void drain_outbox();
 
@@ -138,6 +169,11 @@
     void carry_out(const renew_lease& action);
     void carry_out(const refuse_ticket& action);
 
+    void carry_out(const append_task_record& action);
+    void carry_out(const reserve_worker& action);
+    void carry_out(const command_worker& action);
+    void carry_out(const read_usage& action);
+
     void ask_owner(incarnation_id owner, const wire::PeerRequest& request,
                    std::function<void(std::optional<wire::PeerResponse>)> done);
     void on_run_answer(const dispatch_request& action, boot_time sent_at, http_call_result result);
@@ -150,15 +186,18 @@
     std::string node_id;
     node_core core;
     dispatcher dispatch;
+    task_manager tasks;
     platform_client platform;
     http_client_pool executors;
+    worker_client task_workers;
     peer_client peers;
 
-    mutable std::mutex core_mutex;       ///< guards `core`, `outbox` and `draining`
-    mutable std::mutex dispatcher_mutex; ///< guards `dispatch`
+    mutable std::mutex core_mutex;       ///< guards `core`, `outbox`, `draining`, `tasks_synced`
+    mutable std::mutex dispatcher_mutex; ///< guards `dispatch` and `tasks`
     mutable std::mutex pending_mutex;    ///< guards `pending`
     std::deque<core_action> outbox;      ///< actions of the core in the order in which it gave them
     bool draining = false;
+    std::shared_ptr<const fleet_state> tasks_synced; ///< guarded by `core_mutex`: state that `tasks` has seen
     std::unordered_map<ticket_id, pending_request> pending;
 
     std::atomic<std::shared_ptr<const fleet_state>> published_state;
@@ -166,6 +205,7 @@
     std::atomic<incarnation_id> published_incarnation{0};
     std::atomic<bool> published_serving{false};
     std::atomic<bool> stop_begun{false};
+    std::atomic<bool> leaving{false};
     latency_histogram& request_latency;
     counter& answered_ok;
     counter& refused;
--- a/src/node/unit_ledger.cpp
+++ b/src/node/unit_ledger.cpp
@@ -11,13 +11,17 @@
     if (units <= 0 || this->in_use(team) + units > usable) {
         return false;
     }
+    this->take(team, units);
+    return true;
+}
+
+void unit_ledger::take(std::string_view team, std::int64_t units) {
     const auto found = this->units_of.find(team);
     if (found == this->units_of.end()) {
         this->units_of.emplace(std::string(team), units);
     } else {
         found->second += units;
     }
-    return true;
 }
 
 void unit_ledger::give_back(std::string_view team, std::int64_t units) {
--- a/src/node/unit_ledger.hpp
+++ b/src/node/unit_ledger.hpp
@@ -23,6 +23,8 @@
     /// @param usable units that the node may use now
     /// @return whether the units fitted under @p usable and were taken
     bool try_take(std::string_view team, std::int64_t units, std::int64_t usable);
+    /// Takes units without a check: they are in use already.
+    void take(std::string_view team, std::int64_t units);
     void give_back(std::string_view team, std::int64_t units);
 
     /// Gives one unit back at @p until instead of now.
