Follow the worker's lease form with `adopt` in the stand-in

Change: the executor stand-in reads `adopt` and answers `not_supported`. Tested: the whole tree builds without warnings; three nodes as processes serve and leave.

--- a/src/fakes/executor_server.cpp
+++ b/src/fakes/executor_server.cpp
@@ -50,6 +50,8 @@
         return not_run(409, "lease_lapsed");
     case worker_verdict::unknown_task:
         return not_run(404, "unknown_task");
+    case worker_verdict::not_supported:
+        return not_run(409, "not_supported");
     }
     return not_run(500, "internal_error");
 }
@@ -162,13 +164,14 @@
         boost::system::error_code failure;
         const auto document = json::parse(request.body, failure);
         object_reader reader(document, "$", found);
-        const task_reservation wanted{
+        const task_lease_request wanted{
             .task_id = reader.required_string("task_id"),
             .fencing_token = reader.required_integer("fencing_token", 1, most),
             .cores = reader.required_integer("cores", 0, most),
             .memory_mb = reader.required_integer("memory_mb", 0, most),
             .accelerators = reader.required_integer("accelerators", 0, most),
-            .ttl = std::chrono::milliseconds(reader.required_integer("ttl_ms", 1, 3'600'000))};
+            .ttl = std::chrono::milliseconds(reader.required_integer("ttl_ms", 1, 3'600'000)),
+            .adopt = reader.optional_bool("adopt", false)};
         if (failure || !found.empty()) {
             return not_run(400, "bad_request");
         }
