--- /dev/null
+++ b/tests/http_client_pool_test.cpp
@@ -0,0 +1,179 @@
+#include "transport/http_client_pool.hpp"
+
+#include "raw_socket.hpp"
+#include "transport/http_server.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace hornbeamrail;
+
+namespace {
+
+class client_fixture {
+public:
+    ~client_fixture() { this->threads.stop(); }
+
+    http_call_result call(const endpoint& target, std::string correlation_id = "",
+                          std::chrono::milliseconds timeout = generous) {
+        const auto result = std::make_shared<awaited<http_call_result>>();
+        this->pool.call({.target = target,
+                         .request = {.method = "POST", .target = "/run", .headers = {}, .body = "body"},
+                         .timeout = timeout,
+                         .correlation_id = std::move(correlation_id)},
+                        [result](http_call_result given) { result->set(std::move(given)); });
+        return result->get();
+    }
+
+    io_threads threads{2};
+    http_client_pool pool{threads, {.max_connections = 2, .max_waiting = 64}};
+};
+
+std::string answer(std::string_view body, std::string_view id) {
+    return "HTTP/1.1 200 OK\r\nCorrelation-Id: " + std::string(id) +
+           "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + std::string(body);
+}
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(http_client_pool_suite, client_fixture)
+
+// Guards against a connection per call.
+BOOST_AUTO_TEST_CASE(connection_is_used_again) {
+    std::atomic<int> connections{0};
+    raw_server server([&](raw_socket& peer, int) {
+        ++connections;
+        while (!peer.receive_until("body").empty()) {
+            peer.send(answer("ok", "id"));
+        }
+    });
+    for (int count = 0; count < 5; ++count) {
+        const auto result = this->call(server.address(), "id");
+        BOOST_TEST((result.status == call_status::answered), result.failure);
+        BOOST_TEST(result.response.body == "ok");
+    }
+    BOOST_TEST(connections == 1);
+    BOOST_TEST(this->pool.open_connections(server.address()) == 1U);
+}
+
+// Guards against giving a caller the answer to another request, and against reading on from that connection.
+BOOST_AUTO_TEST_CASE(crossed_answer_is_dropped_with_its_connection) {
+    raw_server server([&](raw_socket& peer, int number) {
+        while (!peer.receive_until("body").empty()) {
+            peer.send(answer(number == 0 ? "crossed" : "right", number == 0 ? "other" : "mine"));
+        }
+    });
+    const auto crossed = this->call(server.address(), "mine");
+    BOOST_TEST((crossed.status == call_status::unknown));
+    BOOST_TEST(crossed.response.body == "");
+    const auto next = this->call(server.address(), "mine");
+    BOOST_TEST((next.status == call_status::answered), next.failure);
+    BOOST_TEST(next.response.body == "right");
+    BOOST_TEST(this->pool.counters().crossed == 1);
+}
+
+// Guards against passing on half an answer, and against calling a request that was written `unsent`.
+BOOST_AUTO_TEST_CASE(half_answers_are_unknown) {
+    for (const std::string& half :
+         {std::string(), std::string("HTTP/1.1 200 OK\r\nCorr"), answer("long body", "id").substr(0, 60),
+          std::string("HTTP/1.1 200 OK\r\nCorrelation-Id: id\r\n\r\nno length"),
+          std::string(
+              "HTTP/1.1 200 OK\r\nCorrelation-Id: id\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n"),
+          std::string("not http\r\n\r\n")}) {
+        raw_server server([&](raw_socket& peer, int) {
+            peer.receive_until("body");
+            peer.send(half);
+        });
+        const auto result = this->call(server.address(), "id");
+        BOOST_TEST((result.status == call_status::unknown), half);
+        BOOST_TEST(result.response.body == "");
+    }
+}
+
+// Guards against reporting `unknown`, which forbids a retry, when nothing was written.
+BOOST_AUTO_TEST_CASE(refused_connection_is_unsent) {
+    endpoint closed;
+    {
+        closed = raw_server([](raw_socket&, int) {}).address();
+    }
+    BOOST_TEST((this->call(closed).status == call_status::unsent));
+}
+
+// Guards against sending on a connection that the server closed while it was idle.
+BOOST_AUTO_TEST_CASE(closed_idle_connection_is_replaced) {
+    raw_server server([&](raw_socket& peer, int) {
+        peer.receive_until("body");
+        peer.send(answer("ok", "id"));
+    }); // closes after each answer without announcing it
+    for (int count = 0; count < 3; ++count) {
+        const auto result = this->call(server.address(), "id");
+        BOOST_TEST((result.status == call_status::answered), result.failure);
+        // The server closes a connection before it accepts the next: after this exchange the close has
+        // arrived.
+        auto probe = raw_socket::connect(server.address());
+        probe.send("body");
+        probe.receive_all();
+    }
+}
+
+// Guards against calls that wait for an executor that hangs.
+BOOST_AUTO_TEST_CASE(deadline_ends_a_call) {
+    awaited<bool> done;
+    raw_server server([&](raw_socket& peer, int) {
+        peer.receive_until("body");
+        done.get();
+    });
+    const auto result = this->call(server.address(), "id", 100ms);
+    BOOST_TEST((result.status == call_status::unknown));
+    done.set(true);
+}
+
+// Guards against more connections to an executor than it allows, and against waiting calls without a
+// deadline.
+BOOST_AUTO_TEST_CASE(connections_are_capped_and_waiting_calls_expire_unsent) {
+    awaited<bool> release;
+    std::mutex mutex;
+    std::vector<http_reply> held;
+    const auto server = require_value([&] {
+        return http_server::make(this->threads, {.address = {"127.0.0.1", 0}},
+                                 [&](const http_request&, const http_reply& reply) {
+                                     const std::lock_guard lock(mutex);
+                                     held.push_back(reply);
+                                 });
+    });
+    std::atomic<int> answered{0};
+    std::atomic<int> unsent{0};
+    const auto start = [&](std::chrono::milliseconds timeout) {
+        this->pool.call(
+            {.target = server->address(), .request = {}, .timeout = timeout, .correlation_id = {}},
+            [&](const http_call_result& result) {
+                answered += result.status == call_status::answered ? 1 : 0;
+                unsent += result.status == call_status::unsent ? 1 : 0;
+            });
+    };
+    start(generous);
+    start(generous);
+    BOOST_REQUIRE(eventually([&] {
+        const std::lock_guard lock(mutex);
+        return held.size() == 2;
+    }));
+    for (int count = 0; count < 10; ++count) {
+        start(50ms);
+    }
+    BOOST_TEST(eventually([&] { return unsent == 10; }));
+    BOOST_TEST(this->pool.open_connections(server->address()) == 2U);
+    BOOST_TEST(server->counters().accepted == 2);
+    const std::lock_guard lock(mutex);
+    for (const auto& reply : held) {
+        reply.send({});
+    }
+    BOOST_TEST(eventually([&] { return answered == 2; }));
+}
+
+// Guards against request splitting through a header value.
+BOOST_AUTO_TEST_CASE(control_characters_in_headers_are_not_sent) {
+    raw_server server([](raw_socket& peer, int) { peer.receive_all(); });
+    const auto result = this->call(server.address(), "id\r\nX: y");
+    BOOST_TEST((result.status == call_status::unsent));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/raw_socket.hpp
@@ -0,0 +1,204 @@
+#pragma once
+
+#include "hornbeamrail/node_settings.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <sys/time.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <condition_variable>
+#include <functional>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <thread>
+
+namespace hornbeamrail {
+
+using namespace std::chrono_literals;
+
+/// Longest wait for something that must happen; a verdict never depends on it being short.
+inline constexpr std::chrono::seconds generous{30};
+
+/// A blocking TCP socket that sends and receives bytes as they are.
+class raw_socket {
+public:
+    explicit raw_socket(int descriptor) : handle(descriptor) {
+        const timeval limit{.tv_sec = generous.count(), .tv_usec = 0};
+        ::setsockopt(this->handle, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+    }
+    raw_socket(raw_socket&& other) noexcept : handle(std::exchange(other.handle, -1)) {}
+    raw_socket(const raw_socket&) = delete;
+    raw_socket& operator=(const raw_socket&) = delete;
+    ~raw_socket() { this->close(); }
+
+    static raw_socket connect(const endpoint& target) {
+        const int made = ::socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(target.port);
+        inet_pton(AF_INET, target.address.c_str(), &address.sin_addr);
+        BOOST_REQUIRE_EQUAL(::connect(made, reinterpret_cast<sockaddr*>(&address), sizeof address), 0);
+        return raw_socket(made);
+    }
+
+    void send(std::string_view bytes) {
+        while (!bytes.empty()) {
+            const auto sent = ::send(this->handle, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+            if (sent <= 0) {
+                return; // the other side may have closed already; the test looks at the answer
+            }
+            bytes.remove_prefix(static_cast<std::size_t>(sent));
+        }
+    }
+
+    void end_sending() { ::shutdown(this->handle, SHUT_WR); }
+
+    /// @return what arrives up to and including @p mark, or up to the end of the stream
+    std::string receive_until(std::string_view mark) {
+        char part[4096];
+        while (this->received.find(mark) == std::string::npos) {
+            const auto got = ::recv(this->handle, part, sizeof part, 0);
+            if (got <= 0) {
+                return std::exchange(this->received, {});
+            }
+            this->received.append(part, static_cast<std::size_t>(got));
+        }
+        const auto end = this->received.find(mark) + mark.size();
+        auto text = this->received.substr(0, end);
+        this->received.erase(0, end);
+        return text;
+    }
+
+    /// @return what arrives until the other side closes
+    std::string receive_all() { return this->receive_until(std::string_view("\0no such text\0", 14)); }
+
+    /// Ends pending and later operations; safe from another thread.
+    void interrupt() { ::shutdown(this->handle, SHUT_RDWR); }
+
+    void close() {
+        if (this->handle >= 0) {
+            ::close(std::exchange(this->handle, -1));
+        }
+    }
+
+private:
+    int handle;
+    std::string received;
+};
+
+/// Accepts connections one after the other and runs a script on each, on its own thread.
+class raw_server {
+public:
+    explicit raw_server(std::function<void(raw_socket&, int number)> on_connection)
+        : script(std::move(on_connection)), listener(::socket(AF_INET, SOCK_STREAM, 0)) {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
+        BOOST_REQUIRE_EQUAL(::bind(this->listener, reinterpret_cast<sockaddr*>(&address), sizeof address), 0);
+        BOOST_REQUIRE_EQUAL(::listen(this->listener, 16), 0);
+        socklen_t size = sizeof address;
+        ::getsockname(this->listener, reinterpret_cast<sockaddr*>(&address), &size);
+        this->bound = {"127.0.0.1", ntohs(address.sin_port)};
+        this->worker = std::thread([this] { this->run(); });
+    }
+    ~raw_server() {
+        ::shutdown(this->listener, SHUT_RDWR);
+        {
+            const std::lock_guard lock(this->mutex);
+            if (this->current != nullptr) {
+                this->current->interrupt();
+            }
+            this->ending = true;
+        }
+        this->worker.join();
+        ::close(this->listener);
+    }
+    raw_server(const raw_server&) = delete;
+    raw_server& operator=(const raw_server&) = delete;
+
+    [[nodiscard]] const endpoint& address() const { return this->bound; }
+
+private:
+    void run() {
+        for (int number = 0;; ++number) {
+            const int accepted = ::accept(this->listener, nullptr, nullptr);
+            if (accepted < 0) {
+                return;
+            }
+            raw_socket connection(accepted);
+            this->set_current(&connection);
+            this->script(connection, number);
+            this->set_current(nullptr);
+        }
+    }
+
+    void set_current(raw_socket* connection) {
+        const std::lock_guard lock(this->mutex);
+        this->current = connection;
+        if (connection != nullptr && this->ending) {
+            connection->interrupt();
+        }
+    }
+
+    std::function<void(raw_socket&, int)> script;
+    std::mutex mutex;
+    raw_socket* current = nullptr;
+    bool ending = false;
+    int listener;
+    endpoint bound;
+    std::thread worker;
+};
+
+/// A value that one thread sets and another waits for.
+template <class Value>
+class awaited {
+public:
+    void set(Value given) {
+        const std::lock_guard lock(this->mutex);
+        this->value = std::move(given);
+        this->filled = true;
+        this->changed.notify_all();
+    }
+
+    Value get() {
+        std::unique_lock lock(this->mutex);
+        BOOST_REQUIRE(this->changed.wait_for(lock, generous, [this] { return this->filled; }));
+        return std::move(this->value);
+    }
+
+private:
+    std::mutex mutex;
+    std::condition_variable changed;
+    Value value{};
+    bool filled = false;
+};
+
+/// Waits until @p condition holds.
+/// @return whether it held within the generous limit
+inline bool eventually(const std::function<bool()>& condition) {
+    const auto limit = std::chrono::steady_clock::now() + generous;
+    while (!condition()) {
+        if (std::chrono::steady_clock::now() > limit) {
+            return false;
+        }
+        std::this_thread::sleep_for(2ms);
+    }
+    return true;
+}
+
+/// @return the value; fails the test on an error
+template <class Function>
+auto require_value(Function&& function) {
+    error failure;
+    auto value = value_or_error(std::forward<Function>(function), failure);
+    BOOST_REQUIRE_MESSAGE(value.has_value(), failure.message);
+    return std::move(*value);
+}
+
+} // namespace hornbeamrail
