--- a/src/policy/retry_budget.hpp
+++ b/src/policy/retry_budget.hpp
@@ -9,8 +9,8 @@
 namespace hornbeamrail {
 
 struct retry_budget_options {
-    double part = 0.1;   ///< retries per first dispatch
-    double reserve = 10; ///< unspent retries kept for later
+    double part = 0.09; ///< retries per first dispatch
+    double reserve = 3; ///< unspent retries kept for later
     double initial = 1;  ///< retries available before any load
     std::chrono::milliseconds base_delay{25};
     std::chrono::milliseconds longest_delay{1000};
