Tell claims of one id apart in the dispatcher

Cause: the dispatcher left Claim.attempt at 0. A late "not dispatched" of one claim ended a newer claim of the same id by the same node, the owner forgot the id and granted it again: a non-idempotent request ran twice. Change: every claim of a node carries its own number, and its resolution carries the same number.

--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -65,6 +65,7 @@
     // Claim, for non-idempotent requests
     bool claimed = false;
     int claim_asks = 0;
+    std::int64_t claim_attempt = 0; ///< tells the claims of one id by this node apart
     incarnation_id claimant = 0;
     incarnation_id owner = 0;
 
@@ -193,6 +194,7 @@
     counters count;
     std::string correlation_prefix;
     ticket_id next_ticket = 1;
+    std::int64_t claims_asked = 0;
     boot_time next_plan{};
     bool stopping = false;
 };
@@ -445,10 +447,12 @@
     ticket.claimant = this->core.incarnation();
     ticket.owner = this->core.partition_owner(ticket.request.request_id);
     ++ticket.claim_asks;
+    ticket.claim_attempt = ++this->claims_asked;
     wire::Claim claim;
     claim.request_id = ticket.request.request_id;
     claim.claimant = ticket.claimant;
     claim.team_name = ticket.team;
+    claim.attempt = ticket.claim_attempt;
     this->actions.emplace_back(
         ask_claim{.ticket = ticket.id, .owner = ticket.owner, .claim = std::move(claim)});
 }
@@ -828,6 +832,7 @@
     message.request_id = ticket.request.request_id;
     message.claimant = ticket.claimant;
     message.resolution = resolution;
+    message.attempt = ticket.claim_attempt;
     this->actions.emplace_back(resolve_claim{.owner = ticket.owner, .resolution = std::move(message)});
 }
 
--- a/tests/dispatcher_test.cpp
+++ b/tests/dispatcher_test.cpp
@@ -138,6 +138,22 @@
     BOOST_TEST(this->node->idle());
 }
 
+// Guards against a late release of one claim that ends a newer claim of the same id by the same node: the
+// owner would forget the newer one and grant the id again.
+BOOST_AUTO_TEST_CASE(claims_of_one_id_are_told_apart) {
+    const auto first = this->submit(once("same-id-twice"));
+    const auto second = this->submit(once("same-id-twice"));
+    this->step();
+    BOOST_REQUIRE(this->asked.size() == 2u);
+    BOOST_TEST(this->asked[0].claim.attempt != this->asked[1].claim.attempt);
+    this->node->on_claim_failed(this->now, first);
+    this->step();
+    BOOST_REQUIRE(this->resolved.size() == 1u);
+    BOOST_TEST(this->resolved[0].resolution.attempt == this->asked[0].claim.attempt);
+    this->answer_claim(second, wire::ClaimStatus::granted);
+    BOOST_TEST(this->dispatches.size() == 1u);
+}
+
 // Guards against a start under a view that may miss a revocation or a zone-out.
 BOOST_AUTO_TEST_CASE(nothing_starts_without_a_fresh_view) {
     this->step();
