--- /dev/null
+++ b/src/fakes/fuzz_targets.cpp
@@ -0,0 +1,250 @@
+#include "fakes/fuzz_targets.hpp"
+
+#include "fakes/sample_records.hpp"
+#include "hornbeamrail/fleet_config.hpp"
+#include "hornbeamrail/node_settings.hpp"
+#include "hornbeamrail/request_id.hpp"
+#include "protocol/log_record.hpp"
+
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <algorithm>
+#include <array>
+#include <exception>
+
+namespace hornbeamrail {
+
+namespace {
+
+constexpr std::array<std::string_view, 18> json_tokens{"null",
+                                                       "true",
+                                                       "false",
+                                                       "[]",
+                                                       "{}",
+                                                       "\"\"",
+                                                       "-1",
+                                                       "0",
+                                                       "1e308",
+                                                       "-0.0",
+                                                       "1.5",
+                                                       "\"a\"",
+                                                       "[[]",
+                                                       "[null",
+                                                       "\\u00",
+                                                       "\xff\xfe",
+                                                       "99999999999999999999",
+                                                       ",,"};
+
+std::size_t below(std::size_t bound, std::mt19937_64& generator) {
+    return bound == 0 ? 0 : generator() % bound;
+}
+
+std::string read_settings(std::string_view bytes, bool& accepted) {
+    error failure;
+    accepted = value_or_error([&] { return parse_node_settings(bytes); }, failure).has_value();
+    return accepted || !failure.remedy.empty() ? "" : "rejected without a remedy";
+}
+
+std::string read_fleet_text(std::string_view bytes, bool& accepted) {
+    error failure;
+    const auto config = value_or_error([&] { return parse_fleet_config(bytes); }, failure);
+    accepted = config.has_value();
+    if (!config) {
+        return failure.remedy.empty() ? "rejected without a remedy" : "";
+    }
+    const auto text = boost::json::serialize(to_json(*config));
+    const auto again = value_or_error([&] { return parse_fleet_config(text); }, failure);
+    if (!again) {
+        return "its encoded form is rejected: " + failure.message;
+    }
+    return boost::json::serialize(to_json(*again)) == text ? "" : "its encoded form decodes differently";
+}
+
+std::string read_log_record(std::string_view bytes, bool& accepted) {
+    error failure;
+    const auto record = value_or_error([&] { return decode_record(bytes); }, failure);
+    accepted = record.has_value();
+    if (!record) {
+        return failure.remedy.empty() ? "rejected without a remedy" : "";
+    }
+    const auto encoded = encode_record(*record);
+    const auto again = value_or_error([&] { return decode_record(encoded); }, failure);
+    if (!again) {
+        return "its encoded form is rejected: " + failure.message;
+    }
+    return encode_record(*again) == encoded ? "" : "its encoded form decodes differently";
+}
+
+std::string read_request_id(std::string_view bytes, bool& accepted) {
+    const auto id = parse_request_id(bytes);
+    accepted = id.has_value();
+    const int partition = claim_partition_of(bytes);
+    if (partition < 0 || partition >= claim_partition_count) {
+        return "claim partition is out of range";
+    }
+    return !id || to_string(*id) == bytes ? "" : "an id has two spellings";
+}
+
+const std::vector<std::string>& settings_seeds() {
+    static const std::vector<std::string> seeds{
+        R"({"node_id":"n1","zone":"a","region":"r","caller_address":"127.0.0.1:8101",)"
+        R"("peer_address":"127.0.0.1:8201","admin_address":"[::1]:8301","platform":"127.0.0.1:8400",)"
+        R"("peer_seeds":["127.0.0.1:8202","127.0.0.1:8203"],"worker_threads":2,"max_body_bytes":65536,)"
+        R"("peer_tls":{"certificate":"c.pem","private_key":"k.pem","ca":"ca.pem"}})"};
+    return seeds;
+}
+
+const std::vector<std::string>& fleet_text_seeds() {
+    static const std::vector<std::string> seeds{boost::json::serialize(to_json(sample_fleet_config()))};
+    return seeds;
+}
+
+const std::vector<std::string>& log_record_seeds() {
+    static const auto seeds = [] {
+        std::mt19937_64 generator(1);
+        std::vector<std::string> encoded;
+        for (std::size_t kind = 0; kind < record_kind_count; ++kind) {
+            encoded.push_back(encode_record(sample_record(kind, generator)));
+        }
+        return encoded;
+    }();
+    return seeds;
+}
+
+const std::vector<std::string>& request_id_seeds() {
+    static const std::vector<std::string> seeds{"e17-0123abcd", "e0-abcdefgh",
+                                                "e9223372036854775807-A_b-c_d-"};
+    return seeds;
+}
+
+constexpr std::array<fuzz_target, 4> targets{{
+    {"node settings", read_settings, settings_seeds},
+    {"fleet text", read_fleet_text, fleet_text_seeds},
+    {"log record", read_log_record, log_record_seeds},
+    {"request id", read_request_id, request_id_seeds},
+}};
+
+void mutate_once(std::string& bytes, std::mt19937_64& generator) {
+    const auto place = below(bytes.size() + 1, generator);
+    const auto length = std::min(below(16, generator) + 1, bytes.size() - place);
+    switch (generator() % 5) {
+    case 0:
+        if (place < bytes.size()) {
+            bytes[place] = static_cast<char>(bytes[place] ^ (1 << (generator() % 8)));
+        }
+        return;
+    case 1:
+        bytes.erase(place, length);
+        return;
+    case 2:
+        bytes.insert(place, bytes.substr(place, length));
+        return;
+    case 3:
+        bytes.insert(place, random_bytes(8, generator));
+        return;
+    default:
+        bytes.replace(place, length, json_tokens[below(json_tokens.size(), generator)]);
+        return;
+    }
+}
+
+boost::json::value random_value(std::mt19937_64& generator) {
+    switch (generator() % 9) {
+    case 0:
+        return nullptr;
+    case 1:
+        return true;
+    case 2:
+        return static_cast<std::int64_t>(generator());
+    case 3:
+        return generator();
+    case 4:
+        return static_cast<double>(generator()) * 1e290;
+    case 5:
+        return boost::json::array{boost::json::object{}};
+    case 6:
+        return boost::json::object{{"name", 1}};
+    case 7:
+        return boost::json::string(random_bytes(12, generator));
+    default:
+        return -1;
+    }
+}
+
+void mutate_value(boost::json::value& value, std::mt19937_64& generator) {
+    if (auto* object = value.if_object(); object != nullptr && !object->empty()) {
+        const auto member = object->begin() + below(object->size(), generator);
+        if (generator() % 8 == 0) {
+            object->erase(member);
+        } else {
+            mutate_value(member->value(), generator);
+        }
+        return;
+    }
+    if (auto* array = value.if_array(); array != nullptr && !array->empty()) {
+        const auto element = array->begin() + below(array->size(), generator);
+        if (generator() % 8 == 0) {
+            array->push_back(*element);
+        } else {
+            mutate_value(*element, generator);
+        }
+        return;
+    }
+    value = random_value(generator);
+}
+
+} // namespace
+
+std::span<const fuzz_target> fuzz_targets() {
+    return targets;
+}
+
+std::string random_bytes(std::size_t max_size, std::mt19937_64& generator) {
+    std::string bytes(below(max_size + 1, generator), '\0');
+    for (auto& byte : bytes) {
+        byte = static_cast<char>(generator());
+    }
+    return bytes;
+}
+
+std::string mutate_bytes(std::string bytes, std::mt19937_64& generator) {
+    for (auto count = 1 + generator() % 8; count > 0; --count) {
+        mutate_once(bytes, generator);
+    }
+    return bytes;
+}
+
+std::string mutate_json(const std::string& bytes, std::mt19937_64& generator) {
+    boost::system::error_code failure;
+    auto document = boost::json::parse(bytes, failure);
+    if (failure) {
+        return bytes;
+    }
+    mutate_value(document, generator);
+    return boost::json::serialize(document);
+}
+
+std::string run_fuzz_case(const fuzz_target& target, std::mt19937_64& generator, std::string& input) {
+    const auto& seeds = target.seeds();
+    const auto& seed = seeds[below(seeds.size(), generator)];
+    switch (generator() % 4) {
+    case 0:
+        input = random_bytes(256, generator);
+        break;
+    case 1:
+        input = mutate_bytes(seed, generator);
+        break;
+    default:
+        input = mutate_json(seed, generator);
+        break;
+    }
+    try {
+        bool accepted = false;
+        return target.read(input, accepted);
+    } catch (const std::exception& caught) {
+        return std::string("threw: ") + caught.what();
+    }
+}
+
+} // namespace hornbeamrail
--- /dev/null
+++ b/tools/measure_fuzz.cpp
@@ -0,0 +1,67 @@
+// Runs the robustness targets for a given time and prints one JSON line per target.
+
+#include "fakes/fuzz_targets.hpp"
+#include "protocol/digest.hpp"
+
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+#include <fmt/format.h>
+#include <gflags/gflags.h>
+
+#include <chrono>
+
+DEFINE_uint64(seed, 1, "seed of the inputs");
+DEFINE_int32(seconds, 20, "time for all targets together");
+
+using namespace hornbeamrail;
+
+namespace {
+
+/// @return whether every case passed
+bool measure(const fuzz_target& target, std::uint64_t seed, std::chrono::steady_clock::duration time) {
+    std::mt19937_64 generator(seed);
+    std::string input;
+    std::int64_t cases = 0;
+    std::int64_t failures = 0;
+    std::int64_t bytes = 0;
+    const auto start = std::chrono::steady_clock::now();
+    std::chrono::steady_clock::duration slowest{};
+    for (auto now = start; now - start < time;) {
+        const auto problem = run_fuzz_case(target, generator, input);
+        const auto end = std::chrono::steady_clock::now();
+        slowest = std::max(slowest, end - now);
+        now = end;
+        ++cases;
+        bytes += static_cast<std::int64_t>(input.size());
+        if (problem.empty()) {
+            continue;
+        }
+        if (++failures <= 3) {
+            fmt::print(stderr, "{}: seed {}, case {}: {}\n  input (base64): {}\n", target.name, seed, cases,
+                       problem, base64_encode(input));
+        }
+    }
+    const auto slowest_us = std::chrono::duration_cast<std::chrono::microseconds>(slowest).count();
+    fmt::print("{}\n", boost::json::serialize(boost::json::object{{"measure", "fuzz"},
+                                                                  {"target", target.name},
+                                                                  {"seed", seed},
+                                                                  {"cases", cases},
+                                                                  {"bytes", bytes},
+                                                                  {"failures", failures},
+                                                                  {"slowest_us", slowest_us}}));
+    return failures == 0;
+}
+
+} // namespace
+
+int main(int argc, char** argv) {
+    gflags::SetUsageMessage("[--seed N] [--seconds N]");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    const auto targets = fuzz_targets();
+    const auto time = std::chrono::milliseconds(1000LL * FLAGS_seconds) / static_cast<int>(targets.size());
+    bool passed = true;
+    for (const auto& target : targets) {
+        passed = measure(target, FLAGS_seed, time) && passed;
+    }
+    return passed ? 0 : 1;
+}
