--- /dev/null
+++ b/src/node/admin_api.cpp
@@ -0,0 +1,251 @@
+#include "node/admin_api.hpp"
+
+#include "protocol/json_reader.hpp"
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <fmt/format.h>
+
+#include <array>
+
+namespace hornbeamrail {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::string_view changes_path = "/admin/changes";
+
+http_response json_answer(int status, const json::value& body) {
+    http_response response{.status = status, .headers = {}, .body = json::serialize(body)};
+    response.headers.add("Content-Type", "application/json");
+    return response;
+}
+
+http_response bad_request(std::string_view message, std::string_view remedy) {
+    return make_error_response(400, "bad_request", message, remedy, "not_run");
+}
+
+/// Operators may write these kinds; the rest belongs to the protocols between nodes.
+bool is_operator_kind(std::string_view kind) {
+    static constexpr std::array kinds{"config",  "key_grant", "key_revoke", "zone_out",
+                                      "zone_in", "vm_out",    "vm_in"};
+    return std::find(kinds.begin(), kinds.end(), kind) != kinds.end();
+}
+
+/// @return the body of a change, or nothing and the reason in @p failure
+std::optional<log_record> read_change(const std::string& text, error& failure) {
+    return value_or_error(
+        [&]() -> result<log_record> {
+            boost::system::error_code problem;
+            auto document = json::parse(text, problem);
+            if (problem) {
+                return make_error(errc::parse_failed, "the body is not JSON: " + problem.message(),
+                                  "send {\"change_id\",\"record\":{\"kind\",\"body\"}}");
+            }
+            std::vector<diagnostic> found;
+            object_reader reader(document, "$", found);
+            const auto change_id = reader.required_string("change_id");
+            const auto* record = reader.find("record");
+            reader.finish();
+            if (!found.empty() || change_id.empty() || record == nullptr || !record->is_object()) {
+                return make_error(errc::invalid_argument, "the body is not a change",
+                                  "send {\"change_id\",\"record\":{\"kind\",\"body\"}}");
+            }
+            json::object whole = record->get_object();
+            const auto* kind = whole.if_contains("kind");
+            if (kind == nullptr || !kind->is_string() || !is_operator_kind(kind->get_string())) {
+                return make_error(errc::invalid_argument, "the record is of no kind that operators write",
+                                  "use config, key_grant, key_revoke, zone_out, zone_in, vm_out or vm_in");
+            }
+            whole["format"] = log_record_format;
+            whole["change_id"] = change_id;
+            return decode_record(json::serialize(whole));
+        },
+        failure);
+}
+
+json::array pools_of(const fleet_state& state) {
+    json::array pools;
+    for (const auto& pool : state.config().pools) {
+        std::int64_t vms = 0;
+        std::int64_t in_service = 0;
+        std::int64_t out = 0;
+        std::int64_t moving = 0;
+        std::int64_t maintenance = 0;
+        for (const auto& [id, info] : state.vms()) {
+            if (info.vm.pool != pool.name) {
+                continue;
+            }
+            ++vms;
+            in_service += info.in_service() && !state.zone_is_out(info.vm.zone) ? 1 : 0;
+            out += info.out ? 1 : 0;
+            moving += info.operation == vm_operation::moving ? 1 : 0;
+            maintenance += info.operation == vm_operation::maintenance ? 1 : 0;
+        }
+        const auto* service = state.config().service_of_pool(pool.name);
+        pools.push_back(json::object{{"name", pool.name},
+                                     {"service", service != nullptr ? json::value(service->name) : nullptr},
+                                     {"spare", pool.spare},
+                                     {"vms", vms},
+                                     {"in_service", in_service},
+                                     {"out", out},
+                                     {"moving", moving},
+                                     {"maintenance", maintenance}});
+    }
+    return pools;
+}
+
+json::array nodes_of(const fleet_state& state) {
+    json::array nodes;
+    for (const auto& [incarnation, info] : state.nodes()) {
+        nodes.push_back(json::object{{"incarnation", incarnation},
+                                     {"node_id", info.node_id},
+                                     {"zone", info.zone},
+                                     {"region", info.region},
+                                     {"counted", info.counted},
+                                     {"live", info.live()}});
+    }
+    return nodes;
+}
+
+json::array zones_of(const fleet_state& state) {
+    json::array zones;
+    for (const auto& zone : state.config().zones) {
+        zones.push_back(json::object{
+            {"name", zone.name}, {"region", zone.region}, {"out", state.zone_is_out(zone.name)}});
+    }
+    return zones;
+}
+
+json::array keys_of(const fleet_state& state) {
+    json::array keys;
+    for (const auto& [hash, key] : state.keys()) {
+        keys.push_back(json::object{{"key_id", key.key_id}, {"team", key.team}, {"revoked", key.revoked}});
+    }
+    return keys;
+}
+
+} // namespace
+
+void admin_api::handle(const http_request& request, const http_reply& reply) {
+    const auto path = std::string_view(request.target).substr(0, request.target.find('?'));
+    const bool get = request.method == "GET";
+    if (path == changes_path && request.method == "POST") {
+        reply.send(this->post_change(request));
+    } else if (get && path.starts_with(changes_path) && path.size() > changes_path.size() + 1) {
+        reply.send(this->change_answer(std::string(path.substr(changes_path.size() + 1))));
+    } else if (get && path == "/admin/status") {
+        reply.send(json_answer(200, this->status()));
+    } else if (get && path == "/admin/dump") {
+        reply.send(json_answer(200, this->dump()));
+    } else if (get && path == "/admin/metrics") {
+        reply.send(json_answer(200, this->metrics()));
+    } else if (path.starts_with("/admin/")) {
+        reply.send(make_error_response(get ? 404 : 405, get ? "unknown_path" : "wrong_method",
+                                       "the admin port has no such call", "see docs/design.md, section 12",
+                                       "not_run"));
+    } else {
+        reply.send(make_error_response(404, "unknown_path", "the admin port has no such path",
+                                       "see docs/design.md, section 12", "not_run"));
+    }
+}
+
+http_response admin_api::post_change(const http_request& request) {
+    error failure;
+    auto change = read_change(request.body, failure);
+    if (!change) {
+        return bad_request(failure.message, failure.remedy);
+    }
+    const auto change_id = change->change_id;
+    const bool taken = this->runtime.with_core([&](node_core& core, boot_time now) {
+        const auto phase = core.change_status(change_id).phase;
+        return phase == change_phase::accepted || phase == change_phase::rejected ||
+               core.submit_change(now, change_id, std::move(change->body));
+    });
+    if (!taken) {
+        return make_error_response(503, "queue_full", "too many changes wait for the log",
+                                   "repeat the command with the same change id", "not_run");
+    }
+    return this->change_answer(change_id);
+}
+
+http_response admin_api::change_answer(const std::string& change_id) const {
+    const auto status = this->runtime.read(
+        [&](const node_core& core, const dispatcher&, boot_time) { return core.change_status(change_id); });
+    int code = 202;
+    switch (status.phase) {
+    case change_phase::accepted:
+        code = 200;
+        break;
+    case change_phase::rejected:
+        code = 409;
+        break;
+    case change_phase::unknown:
+        code = 404;
+        break;
+    case change_phase::pending:
+        break;
+    }
+    json::object body{{"change_id", change_id},
+                      {"phase", to_string(status.phase)},
+                      {"offset", status.offset},
+                      {"reason", status.reason},
+                      {"unconfirmed_regions",
+                       json::array(status.unconfirmed_regions.begin(), status.unconfirmed_regions.end())}};
+    if (status.phase == change_phase::rejected) {
+        body["error"] = status.reason.find("conflict") != std::string::npos ? "conflict" : "rejected";
+        body["message"] = status.reason;
+        body["remedy"] = "look at the state in force and decide anew";
+    }
+    return json_answer(code, body);
+}
+
+json::value admin_api::status() const {
+    return this->runtime.read(
+        [&](const node_core& core, const dispatcher& dispatch, boot_time now) -> json::value {
+            const auto state = core.state();
+            json::array teams;
+            for (const auto& team : state->config().teams) {
+                teams.push_back(json::object{{"name", team.name},
+                                             {"share", team.share},
+                                             {"upper_limit", team.upper_limit},
+                                             {"granted", state->granted_units(team.name)},
+                                             {"usable_here", core.usable_units(team.name)},
+                                             {"running_here", dispatch.running_units(team.name)}});
+            }
+            const bool fresh = core.view_is_fresh(now);
+            return json::object{{"incarnation", core.incarnation()},
+                                {"healthy", fresh && core.incarnation() != 0 && !this->runtime.stopping()},
+                                {"fresh", fresh},
+                                {"stopping", this->runtime.stopping()},
+                                {"epoch", core.epoch()},
+                                {"is_planner", core.is_planner(now)},
+                                {"site", state->config().site},
+                                {"config_version", state->config_version()},
+                                {"zones", zones_of(*state)},
+                                {"pools", pools_of(*state)},
+                                {"teams", std::move(teams)},
+                                {"nodes", nodes_of(*state)},
+                                {"keys", keys_of(*state)}};
+        });
+}
+
+json::value admin_api::dump() const {
+    return this->runtime.read(
+        [&](const node_core& core, const dispatcher& dispatch, boot_time now) -> json::value {
+            return json::object{{"core", core.dump(now)}, {"dispatcher", dispatch.dump(now)}};
+        });
+}
+
+json::value admin_api::metrics() const {
+    auto body = this->runtime.counters.to_json();
+    if (this->transport_counters && body.is_object()) {
+        body.get_object()["transport"] = this->transport_counters();
+    }
+    return body;
+}
+
+} // namespace hornbeamrail
--- /dev/null
+++ b/src/node/node_runtime.hpp
@@ -0,0 +1,175 @@
+#pragma once
+
+#include "coordination/node_core.hpp"
+#include "hornbeamrail/node_settings.hpp"
+#include "node/dispatcher.hpp"
+#include "node/platform_client.hpp"
+#include "state/counters.hpp"
+#include "transport/http_client_pool.hpp"
+#include "transport/http_server.hpp"
+#include "transport/io_threads.hpp"
+#include "transport/peer_client.hpp"
+
+#include <atomic>
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <type_traits>
+#include <unordered_map>
+#include <vector>
+
+namespace hornbeamrail {
+
+/// Runs the two sans-I/O cores of a node: feeds them inputs under their locks and carries out their actions
+/// over sockets.
+///
+/// Locks: `core_mutex`, then `dispatcher_mutex`, then `pending_mutex`. No lock is held across I/O.
+class node_runtime : public std::enable_shared_from_this<node_runtime> {
+public:
+    /// @param workers runs the sockets and timers; must be stopped before the runtime is destroyed
+    /// @param identity TLS identity for calls to peers; may be null
+    node_runtime(io_threads& workers, core_options core_settings, dispatcher_options dispatcher_settings,
+                 const endpoint& platform_address, std::shared_ptr<tls_settings> identity);
+
+    /// Starts the timers that tick both cores.
+    void start();
+
+    /// Takes a request of a caller. Answers it through @p reply, now or later.
+    void submit(const incoming_request& request, std::string body, const http_reply& reply);
+
+    wire::PeerResponse answer_peer(const wire::PeerRequest& request);
+
+    /// Runs @p input(core, now) under the core's lock, and what the core asks for afterwards.
+    template <class Input>
+    auto with_core(Input&& input) {
+        return this->run_core([&](boot_time now) { return input(this->core, now); });
+    }
+
+    /// Runs @p input(dispatcher, now) under both locks, and what the dispatcher asks for afterwards.
+    template <class Input>
+    void with_dispatcher(Input&& input) {
+        std::vector<dispatch_action> actions;
+        {
+            const std::lock_guard core_lock(this->core_mutex);
+            const std::lock_guard lock(this->dispatcher_mutex);
+            const auto now = boot_clock::now();
+            input(this->dispatch, now);
+            actions = this->dispatch.tick(now);
+        }
+        this->carry_out(std::move(actions));
+    }
+
+    /// Runs @p query(core, dispatcher, now) under both locks.
+    template <class Query>
+    auto read(Query&& query) const {
+        const std::lock_guard core_lock(this->core_mutex);
+        const std::lock_guard lock(this->dispatcher_mutex);
+        return query(std::as_const(this->core), std::as_const(this->dispatch), boot_clock::now());
+    }
+
+    /// @return the newest fold, without a lock on the cores
+    [[nodiscard]] std::shared_ptr<const fleet_state> state() const { return this->published_state.load(); }
+
+    /// @return whether the node may start work; a moment old
+    [[nodiscard]] bool serves() const { return this->published_serving.load(); }
+
+    /// @return the epoch for new request ids; a moment old
+    [[nodiscard]] log_offset epoch() const { return this->published_epoch.load(); }
+
+    /// @return the incarnation, or 0 while the node is not registered; a moment old
+    [[nodiscard]] incarnation_id incarnation() const { return this->published_incarnation.load(); }
+
+    void begin_stop();
+    [[nodiscard]] bool stopping() const { return this->stop_begun.load(); }
+
+    /// Adds the headers that every answer to a caller carries.
+    void decorate(http_response& response, const std::string& request_id) const;
+
+    counter_registry counters;
+
+private:
+    /// A request that waits for its answer. The dispatcher knows the rest by its ticket.
+    struct pending_request {
+        std::shared_ptr<const std::string> body;
+        std::string request_id;
+        http_reply reply;
+        boot_time arrived{};
+        bool in_flight = false;
+        bool was_sent = false; ///< bytes of some dispatch were written
+        bool caller_gone = false;
+    };
+
+    template <class Input>
+    auto run_core(Input&& input) {
+        std::unique_lock lock(this->core_mutex);
+        const auto now = boot_clock::now();
+        if constexpr (std::is_void_v<decltype(input(now))>) {
+            input(now);
+            this->tick_core(now);
+            lock.unlock();
+            this->drain_outbox();
+        } else {
+            auto answer = input(now);
+            this->tick_core(now);
+            lock.unlock();
+            this->drain_outbox();
+            return answer;
+        }
+    }
+
+    void tick_core(boot_time now);
+    void report_demand();
+    void drain_outbox();
+
+    void carry_out(append_records action);
+    void carry_out(const read_log& action);
+    void carry_out(const fetch_vm_list& action);
+    void carry_out(const send_peer_request& action);
+    void carry_out(const run_vm_operation& action);
+    void carry_out(const query_vm_operation& action);
+
+    void carry_out(std::vector<dispatch_action> actions);
+    void carry_out(const ask_claim& action);
+    void carry_out(const resolve_claim& action);
+    void carry_out(dispatch_request action);
+    void carry_out(const renew_lease& action);
+    void carry_out(const refuse_ticket& action);
+
+    void ask_owner(incarnation_id owner, const wire::PeerRequest& request,
+                   std::function<void(std::optional<wire::PeerResponse>)> done);
+    void on_run_answer(const dispatch_request& action, boot_time sent_at, http_call_result result);
+    void on_caller_gone(ticket_id ticket);
+    std::optional<pending_request> take_pending(ticket_id ticket);
+    void answer(pending_request& request, http_response response);
+    void count_answer(const pending_request& request, int status);
+
+    io_threads& threads;
+    std::string node_id;
+    node_core core;
+    dispatcher dispatch;
+    platform_client platform;
+    http_client_pool executors;
+    peer_client peers;
+
+    mutable std::mutex core_mutex;       ///< guards `core`, `outbox` and `draining`
+    mutable std::mutex dispatcher_mutex; ///< guards `dispatch`
+    mutable std::mutex pending_mutex;    ///< guards `pending`
+    std::deque<core_action> outbox;      ///< actions of the core in the order in which it gave them
+    bool draining = false;
+    std::unordered_map<ticket_id, pending_request> pending;
+
+    std::atomic<std::shared_ptr<const fleet_state>> published_state;
+    std::atomic<log_offset> published_epoch{0};
+    std::atomic<incarnation_id> published_incarnation{0};
+    std::atomic<bool> published_serving{false};
+    std::atomic<bool> stop_begun{false};
+    latency_histogram& request_latency;
+    counter& answered_ok;
+    counter& refused;
+};
+
+} // namespace hornbeamrail
--- a/tools/hornbeamrail_main.cpp
+++ b/tools/hornbeamrail_main.cpp
@@ -1,5 +1,6 @@
 #include "cli/check.hpp"
 #include "cli/command.hpp"
+#include "cli/serve.hpp"
 
 using namespace hornbeamrail::cli;
 
@@ -10,6 +11,11 @@
          .summary = "checks a fleet text or the settings of a node",
          .flags = {"output"},
          .run = run_check},
+        {.name = "serve",
+         .arguments = "",
+         .summary = "runs an entry node until SIGTERM; SIGHUP re-reads certificates",
+         .flags = {"config"},
+         .run = run_serve},
     };
     return run_command_line(table, argc, argv);
 }
