--- a/src/cli/check.cpp
+++ b/src/cli/check.cpp
@@ -70,21 +70,6 @@
     return array;
 }
 
-void print_report(const std::string& file, const check_report& report) {
-    if (wants_json()) {
-        print_json(
-            {{"file", file}, {"kind", to_string(report.kind)}, {"findings", to_json(report.findings)}});
-        return;
-    }
-    for (const auto& finding : report.findings) {
-        print_line(fmt::format("{}: {}\n  remedy: {}", finding.path, finding.message, finding.remedy));
-    }
-    print_line(report.findings.empty()
-                   ? fmt::format("{}: valid {}", file, to_string(report.kind))
-                   : fmt::format("{}: {}, {} finding{}", file, to_string(report.kind), report.findings.size(),
-                                 report.findings.size() == 1 ? "" : "s"));
-}
-
 } // namespace
 
 std::string_view to_string(document_kind kind) noexcept {
@@ -128,6 +113,21 @@
     return report;
 }
 
+void print_report(const std::string& file, const check_report& report) {
+    if (wants_json()) {
+        print_json(
+            {{"file", file}, {"kind", to_string(report.kind)}, {"findings", to_json(report.findings)}});
+        return;
+    }
+    for (const auto& finding : report.findings) {
+        print_line(fmt::format("{}: {}\n  remedy: {}", finding.path, finding.message, finding.remedy));
+    }
+    print_line(report.findings.empty()
+                   ? fmt::format("{}: valid {}", file, to_string(report.kind))
+                   : fmt::format("{}: {}, {} finding{}", file, to_string(report.kind), report.findings.size(),
+                                 report.findings.size() == 1 ? "" : "s"));
+}
+
 int run_check(int argc, char** argv) {
     if (!expect_arguments(argc, argv, 1, "one FILE")) {
         return exit_invalid;
--- a/src/cli/check.hpp
+++ b/src/cli/check.hpp
@@ -2,6 +2,7 @@
 
 #include "protocol/json_reader.hpp"
 
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -23,6 +24,9 @@
 /// @return every finding with its JSON path and remedy; no findings when the document is usable
 check_report check_document(std::string_view text);
 
+/// Prints the findings about @p file with their remedies.
+void print_report(const std::string& file, const check_report& report);
+
 /// `check FILE`
 int run_check(int argc, char** argv);
 
--- a/src/node/admin_api.cpp
+++ b/src/node/admin_api.cpp
@@ -1,5 +1,6 @@
 #include "node/admin_api.hpp"
 
+#include "node/admin_views.hpp"
 #include "protocol/json_reader.hpp"
 
 #include <boost/json/array.hpp>
@@ -17,6 +18,7 @@
 namespace {
 
 constexpr std::string_view changes_path = "/admin/changes";
+constexpr std::string_view drill_path = "/admin/drill/";
 
 http_response json_answer(int status, const json::value& body) {
     http_response response{.status = status, .headers = {}, .body = json::serialize(body)};
@@ -67,67 +69,15 @@
         failure);
 }
 
-json::array pools_of(const fleet_state& state) {
-    json::array pools;
-    for (const auto& pool : state.config().pools) {
-        std::int64_t vms = 0;
-        std::int64_t in_service = 0;
-        std::int64_t out = 0;
-        std::int64_t moving = 0;
-        std::int64_t maintenance = 0;
-        for (const auto& [id, info] : state.vms()) {
-            if (info.vm.pool != pool.name) {
-                continue;
-            }
-            ++vms;
-            in_service += info.in_service() && !state.zone_is_out(info.vm.zone) ? 1 : 0;
-            out += info.out ? 1 : 0;
-            moving += info.operation == vm_operation::moving ? 1 : 0;
-            maintenance += info.operation == vm_operation::maintenance ? 1 : 0;
-        }
-        const auto* service = state.config().service_of_pool(pool.name);
-        pools.push_back(json::object{{"name", pool.name},
-                                     {"service", service != nullptr ? json::value(service->name) : nullptr},
-                                     {"spare", pool.spare},
-                                     {"vms", vms},
-                                     {"in_service", in_service},
-                                     {"out", out},
-                                     {"moving", moving},
-                                     {"maintenance", maintenance}});
-    }
-    return pools;
-}
-
-json::array nodes_of(const fleet_state& state) {
-    json::array nodes;
-    for (const auto& [incarnation, info] : state.nodes()) {
-        nodes.push_back(json::object{{"incarnation", incarnation},
-                                     {"node_id", info.node_id},
-                                     {"zone", info.zone},
-                                     {"region", info.region},
-                                     {"counted", info.counted},
-                                     {"live", info.live()}});
-    }
-    return nodes;
-}
-
 json::array zones_of(const fleet_state& state) {
     json::array zones;
     for (const auto& zone : state.config().zones) {
         zones.push_back(json::object{
-            {"name", zone.name}, {"region", zone.region}, {"out", state.zone_is_out(zone.name)}});
+            {"zone", zone.name}, {"region", zone.region}, {"out", state.zone_is_out(zone.name)}});
     }
     return zones;
 }
 
-json::array keys_of(const fleet_state& state) {
-    json::array keys;
-    for (const auto& [hash, key] : state.keys()) {
-        keys.push_back(json::object{{"key_id", key.key_id}, {"team", key.team}, {"revoked", key.revoked}});
-    }
-    return keys;
-}
-
 } // namespace
 
 void admin_api::handle(const http_request& request, const http_reply& reply) {
@@ -141,6 +91,10 @@
         reply.send(json_answer(200, this->status()));
     } else if (get && path == "/admin/dump") {
         reply.send(json_answer(200, this->dump()));
+    } else if (get && path == "/admin/config") {
+        reply.send(json_answer(200, config_document(*this->runtime.state())));
+    } else if (get && path.starts_with(drill_path)) {
+        reply.send(json_answer(200, this->drill(path.substr(drill_path.size()))));
     } else if (get && path == "/admin/metrics") {
         reply.send(json_answer(200, this->metrics()));
     } else if (path.starts_with("/admin/")) {
@@ -207,36 +161,45 @@
     return this->runtime.read(
         [&](const node_core& core, const dispatcher& dispatch, boot_time now) -> json::value {
             const auto state = core.state();
-            json::array teams;
-            for (const auto& team : state->config().teams) {
-                teams.push_back(json::object{{"name", team.name},
-                                             {"share", team.share},
-                                             {"upper_limit", team.upper_limit},
-                                             {"granted", state->granted_units(team.name)},
-                                             {"usable_here", core.usable_units(team.name)},
-                                             {"running_here", dispatch.running_units(team.name)}});
-            }
+            const auto demand = core.fleet_demand();
+            const auto platform = core.platform_vms();
+            const auto wall_clock =
+                std::chrono::time_point_cast<std::chrono::seconds>(std::chrono::system_clock::now());
             const bool fresh = core.view_is_fresh(now);
-            return json::object{{"incarnation", core.incarnation()},
-                                {"healthy", fresh && core.incarnation() != 0 && !this->runtime.stopping()},
-                                {"fresh", fresh},
-                                {"stopping", this->runtime.stopping()},
-                                {"epoch", core.epoch()},
-                                {"is_planner", core.is_planner(now)},
-                                {"site", state->config().site},
-                                {"config_version", state->config_version()},
-                                {"zones", zones_of(*state)},
-                                {"pools", pools_of(*state)},
-                                {"teams", std::move(teams)},
-                                {"nodes", nodes_of(*state)},
-                                {"keys", keys_of(*state)}};
+            json::object document{{"incarnation", core.incarnation()},
+                                  {"healthy", fresh && core.incarnation() != 0 && !this->runtime.stopping()},
+                                  {"fresh", fresh},
+                                  {"stopping", this->runtime.stopping()},
+                                  {"epoch", core.epoch()},
+                                  {"is_planner", core.is_planner(now)}};
+            for (auto& member : fleet_document({*state, *platform, demand}, wall_clock)) {
+                document[member.key()] = std::move(member.value());
+            }
+            for (auto& team : document["teams"].as_array()) {
+                const std::string name(team.at("team").as_string());
+                team.as_object()["usable_here"] = core.usable_units(name);
+                team.as_object()["running_here"] = dispatch.running_units(name);
+            }
+            document["zones"] = zones_of(*state);
+            document["keys"] = keys_document(*state);
+            return document;
         });
 }
 
+json::value admin_api::drill(std::string_view zone) const {
+    return this->runtime.read([&](const node_core& core, const dispatcher&, boot_time) -> json::value {
+        const auto demand = core.fleet_demand();
+        return drill_document({*core.state(), *core.platform_vms(), demand}, zone);
+    });
+}
+
 json::value admin_api::dump() const {
     return this->runtime.read(
         [&](const node_core& core, const dispatcher& dispatch, boot_time now) -> json::value {
-            return json::object{{"core", core.dump(now)}, {"dispatcher", dispatch.dump(now)}};
+            return json::object{{"core", core.dump(now)},
+                                {"dispatcher", dispatch.dump(now)},
+                                {"configuration", config_document(*core.state())},
+                                {"keys", keys_document(*core.state())}};
         });
 }
 
--- a/src/node/admin_api.hpp
+++ b/src/node/admin_api.hpp
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <memory>
+#include <string_view>
 
 namespace hornbeamrail {
 
@@ -21,6 +22,8 @@
 
     /// @return the fleet as this node sees it
     [[nodiscard]] boost::json::value status() const;
+    /// @return what taking a zone out would do; see `drill_document`
+    [[nodiscard]] boost::json::value drill(std::string_view zone) const;
     /// @return the full state of both cores; holds no keys
     [[nodiscard]] boost::json::value dump() const;
 
