--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -70,10 +70,10 @@
                                                           .tls = this->peer_server_identity},
                                                          [weak](const wire::PeerRequest& request) {
                                                              const auto self = weak.lock();
-                                                             const auto runtime =
+                                                             const auto served =
                                                                  self ? self->runtime.load() : nullptr;
-                                                             return runtime ? runtime->answer_peer(request)
-                                                                            : wire::PeerResponse();
+                                                             return served ? served->answer_peer(request)
+                                                                           : wire::PeerResponse();
                                                          }));
         this->make_runtime();
         this->admin_documents = std::make_unique<admin_api>(*this->runtime.load());
--- a/src/node/node_runtime.cpp
+++ b/src/node/node_runtime.cpp
@@ -16,6 +16,7 @@
 constexpr std::chrono::milliseconds core_tick{20};
 constexpr std::chrono::milliseconds dispatcher_tick{10};
 constexpr std::chrono::milliseconds demand_interval{100};
+constexpr std::chrono::milliseconds wall_clock_interval{10000};
 constexpr std::chrono::milliseconds lease_timeout{1000};
 constexpr std::chrono::milliseconds claim_timeout{1000};
 constexpr std::chrono::milliseconds resolve_retry{500};
@@ -73,6 +74,14 @@
     repeat(core_tick, [](node_runtime& self) { self.with_core([](node_core&, boot_time) {}); });
     repeat(dispatcher_tick, [](node_runtime& self) { self.with_dispatcher([](dispatcher&, boot_time) {}); });
     repeat(demand_interval, [](node_runtime& self) { self.report_demand(); });
+    const auto tell_wall_clock = [](node_runtime& self) {
+        self.with_core([](node_core& target, boot_time now) {
+            target.on_wall_clock(
+                now, std::chrono::time_point_cast<std::chrono::seconds>(std::chrono::system_clock::now()));
+        });
+    };
+    tell_wall_clock(*this);
+    repeat(wall_clock_interval, tell_wall_clock);
 }
 
 void node_runtime::tick_core(boot_time now) {
@@ -174,25 +183,17 @@
                      });
 }
 
-void node_runtime::carry_out(const run_vm_operation& action) {
-    this->platform.operate(action.vm, action.command == vm_command::drain ? "drain" : "reboot",
-                           action.operation_id, action.pool,
-                           [self = this->shared_from_this(), vm = action.vm,
-                            id = action.operation_id](vm_operation_state state) {
-                               self->with_core([&](node_core& target, boot_time now) {
-                                   target.on_vm_operation(now, vm, id, state);
-                               });
-                           });
-}
-
-void node_runtime::carry_out(const query_vm_operation& action) {
-    this->platform.query_operation(action.vm, action.operation_id,
-                                   [self = this->shared_from_this(), vm = action.vm,
-                                    id = action.operation_id](vm_operation_state state) {
-                                       self->with_core([&](node_core& target, boot_time now) {
-                                           target.on_vm_operation(now, vm, id, state);
-                                       });
-                                   });
+void node_runtime::carry_out(const vm_call& action) {
+    auto done = [self = this->shared_from_this(), action](vm_operation_state state) {
+        self->with_core(
+            [&](node_core& target, boot_time now) { target.on_vm_call_answer(now, action, state); });
+    };
+    if (action.what == vm_call::kind::query) {
+        this->platform.query_operation(action.vm, action.operation_id, std::move(done));
+        return;
+    }
+    this->platform.operate(action.vm, action.what == vm_call::kind::drain ? "drain" : "reboot",
+                           action.operation_id, action.pool, std::move(done));
 }
 
 wire::PeerResponse node_runtime::answer_peer(const wire::PeerRequest& request) {
--- a/src/node/node_runtime.hpp
+++ b/src/node/node_runtime.hpp
@@ -129,8 +129,7 @@
     void carry_out(const read_log& action);
     void carry_out(const fetch_vm_list& action);
     void carry_out(const send_peer_request& action);
-    void carry_out(const run_vm_operation& action);
-    void carry_out(const query_vm_operation& action);
+    void carry_out(const vm_call& action);
 
     void carry_out(std::vector<dispatch_action> actions);
     void carry_out(const ask_claim& action);
