Test three entry nodes end to end on loopback sockets

Cause: the guarantees have to hold through real sockets, not only in the cores. Change: a test program with three nodes over the platform stand-in: whole answers, key revocation on open connections, a graceful stop under load, a non-idempotent id submitted through all nodes at once, crossed answers, and a log outage.

--- /dev/null
+++ b/tests/entry_node_test.cpp
@@ -0,0 +1,268 @@
+#include "fakes/platform_server.hpp"
+#include "node/entry_node.hpp"
+#include "protocol/digest.hpp"
+#include "raw_socket.hpp"
+
+#include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <vector>
+
+using namespace hornbeamrail;
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::string_view key = "key-of-the-team";
+
+fleet_config small_fleet() {
+    return {
+        .site = "test",
+        .zones = {{.name = "a", .region = "r"}, {.name = "b", .region = "r"}, {.name = "c", .region = "r"}},
+        .pools = {{.name = "p", .vms = 3}, {.name = "spare", .vms = 1, .spare = true}},
+        .services = {{.name = "s", .pool = "p"}},
+        .teams = {{.name = "t", .share = 100, .upper_limit = 24, .services = {"s"}}}};
+}
+
+struct sent_request {
+    std::string body = "hello";
+    std::string extra_headers = {};
+    std::string presented_key = std::string(key);
+};
+
+/// Three entry nodes on loopback sockets over a stand-in of the platform.
+class site_fixture {
+public:
+    site_fixture() {
+        this->platform = require_value([&] {
+            return platform_server::make(this->platform_threads,
+                                         {.fleet = std::make_shared<const fleet_config>(small_fleet())});
+        });
+        this->platform->publish_fleet(small_fleet(), std::string(key));
+        for (const std::string zone : {"a", "b", "c"}) {
+            this->nodes.push_back(require_value([&] {
+                return entry_node::make({.settings = {.node_id = "node-" + zone,
+                                                      .zone = zone,
+                                                      .region = "r",
+                                                      .caller_address = {"127.0.0.1", 0},
+                                                      .peer_address = {"127.0.0.1", 0},
+                                                      .admin_address = {"127.0.0.1", 0},
+                                                      .platform = this->platform->address()},
+                                         .stop_idle_grace = generous});
+            }));
+        }
+        for (std::size_t index = 0; index < this->nodes.size(); ++index) {
+            BOOST_REQUIRE(eventually([&] { return this->submit(index).status == 200; }));
+        }
+    }
+    ~site_fixture() {
+        this->nodes.clear();
+        this->platform_threads.stop();
+    }
+    site_fixture(const site_fixture&) = delete;
+    site_fixture& operator=(const site_fixture&) = delete;
+
+    raw_socket connect(std::size_t node) { return raw_socket::connect(this->nodes[node]->caller_address()); }
+
+    static http_answer submit(raw_socket& caller, const sent_request& request = {}) {
+        caller.send("POST /v1/services/s/requests HTTP/1.1\r\nAuthorization: Bearer " +
+                    request.presented_key + "\r\n" + request.extra_headers +
+                    "Content-Length: " + std::to_string(request.body.size()) + "\r\n\r\n" + request.body);
+        return read_answer(caller);
+    }
+
+    http_answer submit(std::size_t node, const sent_request& request = {}) {
+        auto caller = this->connect(node);
+        return submit(caller, request);
+    }
+
+    http_answer admin(std::size_t node, const std::string& method, const std::string& target,
+                      const std::string& body = "") {
+        auto operator_side = raw_socket::connect(this->nodes[node]->admin_address());
+        operator_side.send(method + " " + target +
+                           " HTTP/1.1\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+        return read_answer(operator_side);
+    }
+
+    /// Submits a change through a node and waits until it is decided.
+    /// @return the status of the last answer: 200 accepted, 409 rejected
+    int change(std::size_t node, std::string_view kind, json::object body) {
+        const auto id = random_uuid();
+        const auto posted =
+            this->admin(node, "POST", "/admin/changes",
+                        json::serialize(json::object{
+                            {"change_id", id}, {"record", {{"kind", kind}, {"body", std::move(body)}}}}));
+        auto status = posted.status;
+        BOOST_TEST(eventually([&] {
+            if (status == 202) {
+                status = this->admin(node, "GET", "/admin/changes/" + id).status;
+            }
+            return status != 202;
+        }));
+        return status;
+    }
+
+    io_threads platform_threads{2};
+    std::unique_ptr<platform_server> platform;
+    std::vector<std::unique_ptr<entry_node>> nodes;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(entry_node_suite, site_fixture)
+
+// Guards against answers that are cut, mixed up or without the documented headers on the way through a node.
+BOOST_AUTO_TEST_CASE(request_with_a_key_is_answered_whole) {
+    const std::string body(300 * 1024, 'x');
+    for (std::size_t node = 0; node < 3; ++node) {
+        const auto answer = this->submit(node, {.body = body, .extra_headers = "Request-Id: my-id\r\n"});
+        BOOST_TEST(answer.status == 200);
+        BOOST_TEST((answer.body == fake_executor::answer_body(body)));
+        BOOST_TEST(answer.head.find("Request-Id: my-id\r\n") != std::string::npos);
+        BOOST_TEST(answer.head.find("Hornbeamrail-Epoch: ") != std::string::npos);
+    }
+    BOOST_TEST(this->submit(0, {.presented_key = "wrong"}).status == 401);
+    const auto bad = this->submit(0, {.extra_headers = "Request-Deadline-Ms: soon\r\n"});
+    BOOST_TEST(bad.status == 400);
+    BOOST_TEST(bad.head.find("Outcome: not_run\r\n") != std::string::npos);
+    BOOST_TEST(this->submit(0, {.extra_headers = "Request-Idempotent: false\r\n"}).status == 400);
+}
+
+// Guards against a key that goes on working after its revocation, on any node and on connections opened
+// before.
+BOOST_AUTO_TEST_CASE(revoked_key_stops_within_its_bound) {
+    std::vector<raw_socket> callers;
+    for (std::size_t node = 0; node < 3; ++node) {
+        callers.push_back(this->connect(node));
+        BOOST_REQUIRE(submit(callers.back()).status == 200);
+    }
+    BOOST_REQUIRE(this->change(0, "key_revoke", {{"key_id", "first-key"}}) == 200);
+    const auto accepted = std::chrono::steady_clock::now();
+    for (auto& caller : callers) {
+        BOOST_TEST(eventually([&] {
+            const auto sent = std::chrono::steady_clock::now();
+            const auto answer = submit(caller);
+            BOOST_TEST((answer.status != 200 || sent - accepted <= 5s));
+            return answer.status == 401;
+        }));
+    }
+    BOOST_TEST(this->change(1, "key_revoke", {{"key_id", "no-such-key"}}) == 409);
+}
+
+// Guards against a planned stop that cuts off requests in progress or refuses them without an outcome.
+BOOST_AUTO_TEST_CASE(stopped_node_cuts_no_request) {
+    constexpr int caller_count = 8;
+    std::atomic<int> answered{0};
+    std::atomic<int> broken{0};
+    std::vector<std::thread> callers;
+    for (int number = 0; number < caller_count; ++number) {
+        callers.emplace_back([&, number] {
+            auto caller = this->connect(0);
+            for (int count = 0;; ++count) {
+                const auto body = "run_ms=20;" + std::to_string(number) + "-" + std::to_string(count);
+                const auto answer = submit(caller, {.body = body});
+                const bool right = answer.status == 200 && answer.body == fake_executor::answer_body(body);
+                const bool refused =
+                    answer.status == 503 && answer.head.find("Outcome: not_run") != std::string::npos;
+                broken += answer.whole && (right || refused) ? 0 : 1;
+                answered += right ? 1 : 0;
+                if (!answer.whole || answer.closes()) {
+                    return;
+                }
+            }
+        });
+    }
+    BOOST_TEST(eventually([&] { return answered > 3 * caller_count; }));
+    this->nodes[0]->begin_stop();
+    for (auto& caller : callers) {
+        caller.join();
+    }
+    BOOST_TEST(broken == 0);
+    BOOST_TEST(this->nodes[0]->wait_stopped(generous));
+    BOOST_TEST(!this->nodes[0]->healthy());
+    // The node has left the fleet, so its grants and claim partitions are with the others.
+    BOOST_TEST(eventually([&] {
+        const auto status = json::parse(this->admin(1, "GET", "/admin/status").body);
+        return status.at("nodes").as_array().size() == 2;
+    }));
+    BOOST_TEST(this->submit(1).status == 200);
+}
+
+// Guards against a non-idempotent request that runs once at each node it was submitted to.
+BOOST_AUTO_TEST_CASE(non_idempotent_request_runs_once) {
+    auto caller = this->connect(0);
+    caller.send("GET /v1/epoch HTTP/1.1\r\n\r\n");
+    const auto epoch = json::parse(read_answer(caller).body).at("epoch").as_int64();
+    const auto before = this->platform->runs_started();
+    constexpr int ids = 12;
+    std::atomic<int> ran{0};
+    std::atomic<int> wrong{0};
+    std::vector<std::thread> callers;
+    for (std::size_t node = 0; node < 3; ++node) {
+        callers.emplace_back([&, node] {
+            for (int id = 0; id < ids; ++id) {
+                const auto answer =
+                    this->submit(node, {.extra_headers = "Request-Idempotent: false\r\nRequest-Id: e" +
+                                                         std::to_string(epoch) + "-once" +
+                                                         std::to_string(1000 + id) + "\r\n"});
+                ran += answer.status == 200 ? 1 : 0;
+                wrong += answer.status == 200 || answer.status == 409 ? 0 : 1;
+            }
+        });
+    }
+    for (auto& thread : callers) {
+        thread.join();
+    }
+    BOOST_TEST(ran == ids);
+    BOOST_TEST(wrong == 0);
+    BOOST_TEST(this->platform->runs_started() - before == ids);
+}
+
+// Guards against giving a caller the answer to another request when executors mix up their answers.
+BOOST_AUTO_TEST_CASE(crossed_answers_reach_no_caller) {
+    for (const auto& vm : this->platform->vms()) {
+        this->platform->with_executor(vm,
+                                      [](fake_executor& executor) { executor.faults().crossed_part = 0.5; });
+    }
+    std::atomic<int> foreign{0};
+    std::atomic<int> own{0};
+    std::vector<std::thread> callers;
+    for (int number = 0; number < 6; ++number) {
+        callers.emplace_back([&, number] {
+            auto caller = this->connect(static_cast<std::size_t>(number) % 3);
+            for (int count = 0; count < 30; ++count) {
+                const auto body = std::to_string(number) + "-" + std::to_string(count);
+                const auto answer = submit(caller, {.body = body});
+                const bool right = answer.body == fake_executor::answer_body(body);
+                own += answer.status == 200 && right ? 1 : 0;
+                foreign += answer.status == 200 && !right ? 1 : 0;
+            }
+        });
+    }
+    for (auto& thread : callers) {
+        thread.join();
+    }
+    BOOST_TEST(foreign == 0);
+    BOOST_TEST(own > 0);
+}
+
+// Guards against a log outage that stops registered nodes, and against a node that stays red after it.
+BOOST_AUTO_TEST_CASE(log_outage_leaves_nodes_serving) {
+    this->platform->with_log([](fake_log& log) { log.faults().down = true; });
+    const auto end = std::chrono::steady_clock::now() + 4s; // twice the bound of freshness
+    int served = 0;
+    while (std::chrono::steady_clock::now() < end) {
+        for (std::size_t node = 0; node < 3; ++node) {
+            const auto answer = this->submit(node);
+            BOOST_TEST(answer.status == 200, answer.body);
+            served += answer.status == 200 ? 1 : 0;
+        }
+    }
+    BOOST_TEST(served > 0);
+    this->platform->with_log([](fake_log& log) { log.faults().down = false; });
+    BOOST_TEST(this->change(2, "vm_out", {{"vm", "p-1"}}) == 200);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/raw_socket.hpp
+++ b/tests/raw_socket.hpp
@@ -12,6 +12,7 @@
 
 #include <chrono>
 #include <condition_variable>
+#include <cstdlib>
 #include <functional>
 #include <mutex>
 #include <string>
@@ -75,6 +76,21 @@
         return text;
     }
 
+    /// @return the next @p count bytes, or fewer at the end of the stream
+    std::string receive_bytes(std::size_t count) {
+        char part[4096];
+        while (this->received.size() < count) {
+            const auto got = ::recv(this->handle, part, sizeof part, 0);
+            if (got <= 0) {
+                return std::exchange(this->received, {});
+            }
+            this->received.append(part, static_cast<std::size_t>(got));
+        }
+        auto text = this->received.substr(0, count);
+        this->received.erase(0, count);
+        return text;
+    }
+
     /// @return what arrives until the other side closes
     std::string receive_all() { return this->receive_until(std::string_view("\0no such text\0", 14)); }
 
@@ -92,6 +108,30 @@
     std::string received;
 };
 
+/// One HTTP answer; `whole` is false when the connection ended before its last byte.
+struct http_answer {
+    int status = 0;
+    std::string head;
+    std::string body;
+    bool whole = false;
+
+    [[nodiscard]] bool closes() const { return this->head.find("Connection: close") != std::string::npos; }
+};
+
+/// Reads one answer with a `Content-Length`.
+inline http_answer read_answer(raw_socket& from) {
+    http_answer answer{.head = from.receive_until("\r\n\r\n")};
+    const auto length_at = answer.head.find("Content-Length: ");
+    if (!answer.head.ends_with("\r\n\r\n") || length_at == std::string::npos) {
+        return answer;
+    }
+    answer.status = std::atoi(answer.head.c_str() + std::string_view("HTTP/1.1 ").size());
+    const auto length = std::strtoul(answer.head.c_str() + length_at + 16, nullptr, 10);
+    answer.body = from.receive_bytes(length);
+    answer.whole = answer.body.size() == length;
+    return answer;
+}
+
 /// Accepts connections one after the other and runs a script on each, on its own thread.
 class raw_server {
 public:
