Add measure_defects and a meaningful availability check

Change: every third seed has planned work only, a load that fits into what a zone-out leaves, and the budget of one hour at 0.1%. The checker counts slots of zones and VMs that are out as missing, and a queued request that expires while the pool is full as shed load. tools/measure_defects.cpp injects 13 defects, at least one per guarantee, and first requires the same run to be clean without the defect.

--- a/src/fakes/fault_plan.hpp
+++ b/src/fakes/fault_plan.hpp
@@ -49,7 +49,8 @@
 /// Generates pairs of faults that overlap.
 /// @param seed decides everything
 /// @param length time within which the faults begin and end
-fault_plan make_fault_plan(std::uint64_t seed, std::chrono::milliseconds length);
+/// @param planned_only only what operators and callers do on purpose; nothing breaks
+fault_plan make_fault_plan(std::uint64_t seed, std::chrono::milliseconds length, bool planned_only = false);
 
 /// @return one line per fault
 std::string to_string(const fault_plan& plan);
--- a/src/fakes/history_checker.cpp
+++ b/src/fakes/history_checker.cpp
@@ -100,6 +100,99 @@
     }
 }
 
+/// How many units were in use or usable, after each change.
+struct occupancy {
+    std::vector<std::pair<boot_time, std::int64_t>> values;
+    [[nodiscard]] std::int64_t highest(boot_time from, boot_time until) const;
+};
+
+std::int64_t occupancy::highest(boot_time from, boot_time until) const {
+    auto next = std::ranges::upper_bound(this->values, from, {}, &std::pair<boot_time, std::int64_t>::first);
+    std::int64_t result = next == this->values.begin() ? 0 : std::prev(next)->second;
+    for (; next != this->values.end() && next->first <= until; ++next) {
+        result = std::max(result, next->second);
+    }
+    return result;
+}
+
+/// Follows which VMs may take work: not leaving, not taken out, and not in a zone that is out.
+class capacity_tracker {
+public:
+    explicit capacity_tracker(const history_index& events) {
+        for (const auto& [name, definition] : events.services) {
+            this->service_of_pool[events.at(definition).pool] = name;
+        }
+    }
+
+    void take(const history_event& event, std::map<std::string, occupancy>& slots) {
+        if (!this->apply(event)) {
+            return;
+        }
+        std::map<std::string, std::int64_t> sums;
+        for (const auto& [pool, service] : this->service_of_pool) {
+            sums[service] = 0;
+        }
+        for (const auto& [id, vm] : this->vms) {
+            const auto service = this->service_of_pool.find(vm.pool);
+            if (service != this->service_of_pool.end() && !vm.leaving && !vm.out &&
+                !this->zones_out.contains(vm.zone)) {
+                sums[service->second] += vm.units;
+            }
+        }
+        for (const auto& [service, sum] : sums) {
+            slots[service].values.emplace_back(event.at, sum);
+        }
+    }
+
+private:
+    struct vm_entry {
+        std::string pool;
+        std::string zone;
+        std::int64_t units = 0;
+        bool leaving = false;
+        bool out = false;
+    };
+
+    bool apply(const history_event& event) {
+        switch (event.kind) {
+        case event_kind::vm_in_pool:
+            this->vms[event.vm].pool = event.pool;
+            this->vms[event.vm].zone = event.zone;
+            this->vms[event.vm].units = event.units;
+            return true;
+        case event_kind::vm_ended:
+            this->vms[event.vm].units = 0;
+            return true;
+        case event_kind::vm_leaving:
+        case event_kind::vm_returned:
+            this->vms[event.vm].leaving = event.kind == event_kind::vm_leaving;
+            return true;
+        case event_kind::change_accepted:
+            return this->apply_change(event);
+        default:
+            return false;
+        }
+    }
+
+    bool apply_change(const history_event& event) {
+        if (event.text == "zone_out") {
+            return this->zones_out.insert(event.zone).second;
+        }
+        if (event.text == "zone_in") {
+            return this->zones_out.erase(event.zone) > 0;
+        }
+        if (event.text == "vm_out" || event.text == "vm_in") {
+            this->vms[event.vm].out = event.text == "vm_out";
+            return true;
+        }
+        return false;
+    }
+
+    std::map<std::string, std::string> service_of_pool;
+    std::map<std::string, vm_entry> vms;
+    std::set<std::string> zones_out;
+};
+
 /// A stretch of time during which an operator's change forbids new work.
 struct barred_interval {
     size_t cause = none; ///< the change_accepted or vm_leaving event
@@ -434,50 +527,19 @@
     size_t max_per_guarantee;
     std::vector<violation> found;
 
-    struct occupancy {
-        std::vector<std::pair<boot_time, std::int64_t>> running; ///< after each change
-        [[nodiscard]] std::int64_t highest(boot_time from, boot_time until) const;
-    };
     std::map<std::string, occupancy> of_service;
     std::map<std::string, occupancy> of_team;
     std::map<std::string, occupancy> slots_of_service;
 };
 
-std::int64_t checker::occupancy::highest(boot_time from, boot_time until) const {
-    auto next = std::ranges::upper_bound(this->running, from, {}, &std::pair<boot_time, std::int64_t>::first);
-    std::int64_t result = next == this->running.begin() ? 0 : std::prev(next)->second;
-    for (; next != this->running.end() && next->first <= until; ++next) {
-        result = std::max(result, next->second);
-    }
-    return result;
-}
-
 void checker::record_occupancy() {
     const auto grants = this->key_grants();
     std::map<std::string, std::int64_t> service_now;
     std::map<std::string, std::int64_t> team_now;
-    std::map<std::string, std::int64_t> slots_now;
-    std::map<std::string, std::pair<std::string, std::int64_t>> vm_pool;
-    std::map<std::string, std::string> service_of_pool;
-    for (const auto& [name, definition] : this->index.services) {
-        service_of_pool[this->index.at(definition).pool] = name;
-    }
-    const auto change_slots = [&](boot_time at, const std::string& pool, std::int64_t by) {
-        const std::string& service = service_of_pool[pool];
-        this->slots_of_service[service].running.emplace_back(at, slots_now[service] += by);
-    };
+    capacity_tracker capacity(this->index);
     for (size_t i = 0; i < this->history.size(); ++i) {
         const history_event& event = this->history[i];
-        if (event.kind == event_kind::vm_in_pool || event.kind == event_kind::vm_ended) {
-            if (const auto before = vm_pool.find(event.vm); before != vm_pool.end()) {
-                change_slots(event.at, before->second.first, -before->second.second);
-                vm_pool.erase(before);
-            }
-            if (event.kind == event_kind::vm_in_pool) {
-                vm_pool[event.vm] = {event.pool, event.units};
-                change_slots(event.at, event.pool, event.units);
-            }
-        }
+        capacity.take(event, this->slots_of_service);
         if (event.kind != event_kind::run_start && event.kind != event_kind::run_end) {
             continue;
         }
@@ -489,8 +551,8 @@
         const std::int64_t by = event.kind == event_kind::run_start ? begun.units : -begun.units;
         const std::string team =
             this->team_of(this->index.attempts.at({begun.request, begun.attempt}), grants);
-        this->of_service[begun.service].running.emplace_back(event.at, service_now[begun.service] += by);
-        this->of_team[team].running.emplace_back(event.at, team_now[team] += by);
+        this->of_service[begun.service].values.emplace_back(event.at, service_now[begun.service] += by);
+        this->of_team[team].values.emplace_back(event.at, team_now[team] += by);
     }
 }
 
@@ -500,16 +562,18 @@
     const auto attempt = this->index.attempts.find({refusal.request, refusal.attempt});
     const std::string& service = this->index.at(attempt->second.invoke).service;
     const boot_time from = refusal.at - std::chrono::seconds(1);
-    const auto highest = [&](const std::map<std::string, occupancy>& all, const std::string& name) {
+    const auto highest = [&](const std::map<std::string, occupancy>& all, const std::string& name,
+                             boot_time since) {
         const auto found_one = all.find(name);
-        return found_one == all.end() ? 0 : found_one->second.highest(from, refusal.at);
+        return found_one == all.end() ? 0 : found_one->second.highest(since, refusal.at);
     };
-    if (highest(this->of_service, service) * 5 >= highest(this->slots_of_service, service) * 4) {
+    const std::int64_t usable = highest(this->slots_of_service, service, refusal.at);
+    if (highest(this->of_service, service, from) * 5 >= usable * 4) {
         return true;
     }
     const auto defined = this->index.teams.find(team);
     return defined != this->index.teams.end() &&
-           highest(this->of_team, team) * 5 >= this->index.at(defined->second).units * 4;
+           highest(this->of_team, team, from) * 5 >= this->index.at(defined->second).units * 4;
 }
 
 bool checker::is_failure(const std::vector<const attempt_trace*>& attempts) const {
--- a/src/fakes/simulated_node.cpp
+++ b/src/fakes/simulated_node.cpp
@@ -205,7 +205,8 @@
 }
 
 bool simulated_node::healthy() const {
-    return this->running && !this->stopping && !this->paused() && this->seen_fresh;
+    const bool fresh = this->seen_fresh || (this->defects.always_fresh && this->who.defective);
+    return this->running && !this->stopping && !this->paused() && fresh;
 }
 
 void simulated_node::submit(const open_request& request, const incoming_request& head) {
--- a/src/fakes/site_simulation.cpp
+++ b/src/fakes/site_simulation.cpp
@@ -6,6 +6,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 namespace hornbeamrail {
@@ -94,7 +95,7 @@
                                    .team = service.open_team,
                                    .pool = service.pool,
                                    .part = service.availability.max_failed_part,
-                                   .window = service.availability.window,
+                                   .window = this->options.budget_window,
                                    .open = service.open});
     }
     for (const team_config& team : this->site.config.teams) {
@@ -490,7 +491,17 @@
     site_options options{.seed = seed};
     options.workload.length = seconds(40);
     options.workload.resubmit_part = 0.02;
-    options.faults = make_fault_plan(seed, seconds(34));
+    options.shape.limit_part = std::array{0.75, 0.3, 0.15}[seed / 3 % 3];
+    const bool planned_only = seed % 3 == 0;
+    options.faults = make_fault_plan(seed, seconds(34), planned_only);
+    if (planned_only) {
+        // The shortest window that a fleet text can state.
+        options.budget_window = std::chrono::hours(1);
+        // The load fits into what a zone-out leaves, so that overload is no excuse for a refusal.
+        options.shape.pool_vms = {6, 6, 6};
+        options.shape.spare_vms = 3;
+        options.workload.burst_load = 0.3;
+    }
     return options;
 }
 
--- a/src/fakes/site_simulation.hpp
+++ b/src/fakes/site_simulation.hpp
@@ -23,6 +23,8 @@
     std::uint64_t seed = 1;
     int nodes = 6;
     site_shape shape;
+    /// Window of the availability budgets as the checker sees it.
+    std::chrono::microseconds budget_window{std::chrono::hours(24 * 28)};
     workload_options workload; ///< its seed is replaced by one from `seed`
     fault_plan faults;
     injected_defects defects;
@@ -62,7 +64,9 @@
 /// Runs a site in simulated time: entry nodes over the fakes, callers, operators and faults.
 site_result run_site(const site_options& options);
 
-/// Options of one seed as the history measurements run it.
+/// Options of one seed as the history measurements run it. Two seeds in three mix faults; such a run stands
+/// for the faults of a whole window. Every third one has planned work only and has to keep its budget over
+/// the run itself.
 site_options history_options(std::uint64_t seed);
 
 } // namespace hornbeamrail
--- a/src/fakes/site_workload.hpp
+++ b/src/fakes/site_workload.hpp
@@ -14,7 +14,7 @@
     std::string site = "site";
     std::vector<std::int64_t> pool_vms{4, 4, 3}; ///< one service and pool each
     std::int64_t spare_vms = 2;
-    double max_failed_part = 0.02;
+    double max_failed_part = 0.001;
     std::chrono::hours budget_window{1};
     std::chrono::milliseconds longest_run{4000};
     double limit_part = 0.75; ///< upper limit of the largest team, as a part of all slots
--- /dev/null
+++ b/tools/measure_defects.cpp
@@ -0,0 +1,149 @@
+#include "fakes/site_simulation.hpp"
+
+#include <fmt/format.h>
+#include <gflags/gflags.h>
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+DEFINE_int64(seeds, 5, "most seeds that are tried for one defect");
+DEFINE_bool(traces, false, "prints the shortest trace of each defect");
+
+namespace {
+
+namespace hr = hornbeamrail;
+using std::chrono::milliseconds;
+
+struct defect_case {
+    std::string name;
+    hr::guarantee broken;
+    bool hr::injected_defects::*defect;
+    std::vector<hr::planned_fault> faults; ///< give the defect an occasion to show
+    std::function<void(hr::site_options&)> prepare = {};
+};
+
+/// Repeats a fault that hits something else each time.
+std::vector<hr::planned_fault> repeated(hr::fault_kind kind, milliseconds length,
+                                        std::uint64_t choice_bits = 0) {
+    std::vector<hr::planned_fault> faults;
+    for (std::uint64_t i = 0; i < 5; ++i) {
+        faults.push_back({.kind = kind,
+                          .at = milliseconds(1000 + 4000 * i),
+                          .length = length,
+                          .choice = choice_bits != 0 ? choice_bits : i});
+    }
+    return faults;
+}
+
+std::vector<defect_case> all_cases() {
+    using enum hr::fault_kind;
+    using enum hr::guarantee;
+    using defects = hr::injected_defects;
+    // Cuts the first node (choice divisible by the number of nodes) off from peers and platform, not from
+    // VMs.
+    constexpr std::uint64_t cut_first_node = 6 * 128;
+    auto cut_and_drill = repeated(zone_drill, milliseconds(20000));
+    cut_and_drill.push_back(
+        {.kind = link_cut, .at = milliseconds(500), .length = milliseconds(25000), .choice = cut_first_node});
+    return {
+        {"driver drops a third of the answers",
+         availability_budget,
+         &defects::loses_answers,
+         {},
+         [](hr::site_options& options) {
+             options.budget_window = std::chrono::hours(1);
+             options.workload.burst_load = 0.6;
+         }},
+        {"one node reads another pool for a VM", one_pool_per_vm, &defects::swaps_pools, {}},
+        {"one node does not see revocations", key_of_team, &defects::ignores_revocations,
+         repeated(key_change, milliseconds(1000))},
+        {"dispatchers start ten times their grants",
+         upper_limit,
+         &defects::ignores_limits,
+         {},
+         [](hr::site_options& options) {
+             options.shape.limit_part = 0.1;
+         }},
+        {"one node does not see zone-outs", hr::guarantee::zone_out, &defects::ignores_zone_out,
+         repeated(zone_drill, milliseconds(10000))},
+        {"a node cut off takes its view for fresh", hr::guarantee::zone_out, &defects::always_fresh,
+         cut_and_drill},
+        {"driver passes on any answer", own_answer, &defects::ignores_correlation,
+         repeated(lying_executors, milliseconds(3000))},
+        {"driver reports lost runs as not sent", true_refusal, &defects::misreports_lost_runs,
+         repeated(lying_executors, milliseconds(3000))},
+        {"claims are granted without the owner", at_most_once, &defects::grants_every_claim,
+         repeated(resubmissions, milliseconds(3000))},
+        {"leaving flags are dropped", leaving_server, &defects::hides_leaving,
+         repeated(vm_leave, milliseconds(8000))},
+        {"a planned stop does not wait", graceful_stop, &defects::stops_at_once,
+         repeated(node_stop, milliseconds(1000))},
+        {"the platform reboots busy VMs",
+         graceful_stop,
+         &defects::reboots_busy_vms,
+         {},
+         // Longer than the second between drain and reboot.
+         [](hr::site_options& options) {
+             options.workload.mean_run = milliseconds(1500);
+         }},
+        {"one node does not see later configurations", configuration_in_force, &defects::ignores_config,
+         repeated(operator_race, milliseconds(1000))},
+    };
+}
+
+hr::site_options options_of(const defect_case& chosen, std::int64_t seed) {
+    hr::site_options options{.seed = static_cast<std::uint64_t>(seed)};
+    options.workload.length = std::chrono::seconds(30);
+    options.faults = chosen.faults;
+    if (chosen.prepare) {
+        chosen.prepare(options);
+    }
+    return options;
+}
+
+bool shows(const std::vector<hr::violation>& found, hr::guarantee broken) {
+    return std::ranges::any_of(found, [&](const auto& violation) { return violation.broken == broken; });
+}
+
+bool run_case(const defect_case& chosen) {
+    bool false_alarm = false;
+    for (std::int64_t seed = 1; seed <= FLAGS_seeds; ++seed) {
+        hr::site_options options = options_of(chosen, seed);
+        // Without the defect the same run has to be clean, or catching it would mean nothing.
+        false_alarm = false_alarm || !hr::check_history(hr::run_site(options).history).empty();
+        options.defects.*chosen.defect = true;
+        const hr::site_result run = hr::run_site(options);
+        const auto violations = hr::check_history(run.history);
+        if (!shows(violations, chosen.broken)) {
+            continue;
+        }
+        fmt::print("{:<26} {:<44} caught, seed {}{}\n", to_string(chosen.broken), chosen.name, seed,
+                   false_alarm ? ", but also reported without the defect" : "");
+        if (FLAGS_traces) {
+            const auto first = std::ranges::find(violations, chosen.broken, &hr::violation::broken);
+            fmt::print("{}", describe(*first, run.history));
+        }
+        return !false_alarm;
+    }
+    fmt::print("{:<26} {:<44} MISSED in {} seeds\n", to_string(chosen.broken), chosen.name, FLAGS_seeds);
+    return false;
+}
+
+} // namespace
+
+int main(int argc, char** argv) {
+    gflags::SetUsageMessage("injects one defect at a time and shows whether the history checker catches it");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    const auto cases = all_cases();
+    std::int64_t caught = 0;
+    for (const defect_case& chosen : cases) {
+        caught += run_case(chosen) ? 1 : 0;
+    }
+    fmt::print("{} of {} defects caught\n", caught, cases.size());
+    fmt::print("{{\"measure\":\"defects\",\"defects\":{},\"caught\":{}}}\n", cases.size(), caught);
+    return caught == std::ssize(cases) ? 0 : 1;
+}
