Add the demo: a stand-in of the platform and three nodes under load

Cause: a reader should see in half a minute what callers notice of a zone change, a revoked key and a stop.

--- a/src/fakes/executor_server.cpp
+++ b/src/fakes/executor_server.cpp
@@ -126,6 +126,9 @@
             return;
         }
         this->started.fetch_add(1);
+        if (this->options.on_run) {
+            this->options.on_run(now, result.ends, wanted.body);
+        }
         // A run without an answer keeps its connection until the deadline, at which the executor gives up.
         const auto when = result.answered.value_or(now + wanted.remaining);
         const bool answered = result.answered.has_value();
--- a/src/fakes/executor_server.hpp
+++ b/src/fakes/executor_server.hpp
@@ -21,6 +21,8 @@
     std::chrono::microseconds run_time{2000};
     fake_executor_options executor;
     fake_worker_options worker;
+    /// Called when a request starts, with the time at which it leaves its slot; may be empty.
+    std::function<void(boot_time started, boot_time ends, const std::string& body)> on_run;
 };
 
 /// Stand-in of the executor and worker of one VM on a loopback port. Thread-safe.
--- a/src/fakes/platform_server.cpp
+++ b/src/fakes/platform_server.cpp
@@ -106,24 +106,26 @@
             const auto count =
                 this->options.executors_per_pool > 0 ? this->options.executors_per_pool : pool.vms;
             for (std::int64_t index = 0; index < count; ++index, ++placed) {
-                BOOST_LEAF_AUTO(
-                    executor, executor_server::make(this->threads,
-                                                    {.seed = ++seed,
-                                                     .run_time = this->options.run_time,
-                                                     .executor = this->options.executor,
-                                                     .worker = {.cores = pool.cores_per_vm,
-                                                                .memory_mb = pool.memory_mb_per_vm,
-                                                                .accelerators = pool.accelerators_per_vm}}));
                 const auto& zone = fleet.zones[placed % fleet.zones.size()].name;
                 vm_listing listing;
                 listing.vm = {.id = fmt::format("{}-{}", pool.name, index + 1),
-                              .address = executor->address(),
+                              .address = {},
                               .zone = zone,
                               .rack = fmt::format("{}-rack-{}", zone, placed / fleet.zones.size() / 4 + 1),
                               .pool = pool.name,
                               .cores = pool.cores_per_vm,
                               .memory_mb = pool.memory_mb_per_vm,
                               .accelerators = pool.accelerators_per_vm};
+                BOOST_LEAF_AUTO(executor,
+                                executor_server::make(this->threads,
+                                                      {.seed = ++seed,
+                                                       .run_time = this->options.run_time,
+                                                       .executor = this->options.executor,
+                                                       .worker = {.cores = pool.cores_per_vm,
+                                                                  .memory_mb = pool.memory_mb_per_vm,
+                                                                  .accelerators = pool.accelerators_per_vm},
+                                                       .on_run = this->run_hook(listing.vm)}));
+                listing.vm.address = executor->address();
                 this->executors.emplace(listing.vm.id, std::move(executor));
                 this->list.add(now, std::move(listing));
             }
@@ -144,6 +146,16 @@
         return {};
     }
 
+    [[nodiscard]] std::function<void(boot_time, boot_time, const std::string&)>
+    run_hook(const vm_description& vm) const {
+        if (!this->options.on_run) {
+            return {};
+        }
+        return [hook = this->options.on_run, vm](boot_time started, boot_time ends, const std::string& body) {
+            hook(vm, started, ends, body);
+        };
+    }
+
     void handle(const http_request& request, const http_reply& reply) {
         const std::string_view target = request.target;
         if (target == "/log/fleet/append") {
--- a/src/fakes/platform_server.hpp
+++ b/src/fakes/platform_server.hpp
@@ -28,6 +28,9 @@
     std::chrono::microseconds run_time{2000};
     fake_vm_list_options vm_list;
     fake_executor_options executor;
+    /// Called when a request starts on a VM, with the time at which it leaves its slot; may be empty.
+    std::function<void(const vm_description& vm, boot_time started, boot_time ends, const std::string& body)>
+        on_run;
 };
 
 /// Stand-in of the platform on loopback sockets: the log, the VM list, VM operations, and one executor per
--- a/tools/hornbeamrail_main.cpp
+++ b/tools/hornbeamrail_main.cpp
@@ -1,5 +1,6 @@
 #include "cli/check.hpp"
 #include "cli/command.hpp"
+#include "cli/demo.hpp"
 #include "cli/fleet_commands.hpp"
 #include "cli/key_commands.hpp"
 #include "cli/serve.hpp"
@@ -92,6 +93,11 @@
          .summary = "shows the counters of one node",
          .flags = view_flags,
          .run = run_metrics},
+        {.name = "demo",
+         .arguments = "",
+         .summary = "shows the system under load in one process, through a zone change and a node's stop",
+         .flags = {"seconds", "seed", "output"},
+         .run = run_demo},
     };
     return run_command_line(table, argc, argv);
 }
