--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -65,6 +65,7 @@
     // Claim, for non-idempotent requests
     bool claimed = false;
     int claim_asks = 0;
+    std::int64_t claim_attempt = 0; ///< tells the claims of one id by this node apart
     incarnation_id claimant = 0;
     incarnation_id owner = 0;
 
@@ -184,6 +185,7 @@
     std::shared_ptr<const fleet_config> config;
     executor_table executors;
     unit_ledger units;
+    unit_ledger task_units; ///< the part of `units` that tasks hold
     std::map<std::string, service_entry, std::less<>> services;
     std::unordered_map<ticket_id, ticket_entry> tickets;
     std::set<std::pair<boot_time, ticket_id>> deadlines; ///< of tickets that are not dispatched
@@ -193,6 +195,7 @@
     counters count;
     std::string correlation_prefix;
     ticket_id next_ticket = 1;
+    std::int64_t claims_asked = 0;
     boot_time next_plan{};
     bool stopping = false;
 };
@@ -447,10 +450,12 @@
     ticket.claimant = this->core.incarnation();
     ticket.owner = this->core.partition_owner(ticket.request.request_id);
     ++ticket.claim_asks;
+    ticket.claim_attempt = ++this->claims_asked;
     wire::Claim claim;
     claim.request_id = ticket.request.request_id;
     claim.claimant = ticket.claimant;
     claim.team_name = ticket.team;
+    claim.attempt = ticket.claim_attempt;
     this->actions.emplace_back(
         ask_claim{.ticket = ticket.id, .owner = ticket.owner, .claim = std::move(claim)});
 }
@@ -830,6 +835,7 @@
     message.request_id = ticket.request.request_id;
     message.claimant = ticket.claimant;
     message.resolution = resolution;
+    message.attempt = ticket.claim_attempt;
     this->actions.emplace_back(resolve_claim{.owner = ticket.owner, .resolution = std::move(message)});
 }
 
@@ -976,17 +982,31 @@
 }
 
 bool dispatcher::idle() const {
-    return this->self->tickets.empty() && this->self->units.empty();
+    return this->self->tickets.empty() && this->self->units.all() == this->self->task_units.all();
 }
 
 bool dispatcher::try_reserve_units(boot_time now, std::string_view team, std::int64_t units) {
     this->self->take_state(now);
-    return this->self->may_start_work(now) &&
-           this->self->units.try_take(team, units, this->self->core.usable_units(team));
+    if (!this->self->may_start_work(now) ||
+        !this->self->units.try_take(team, units, this->self->core.usable_units(team))) {
+        return false;
+    }
+    this->self->task_units.take(team, units);
+    return true;
+}
+
+void dispatcher::adopt_units(boot_time, std::string_view team, std::int64_t units) {
+    this->self->units.take(team, units);
+    this->self->task_units.take(team, units);
+}
+
+std::int64_t dispatcher::task_units_held(std::string_view team) const {
+    return this->self->task_units.in_use(team);
 }
 
 void dispatcher::release_units(boot_time, std::string_view team, std::int64_t units) {
     this->self->units.give_back(team, units);
+    this->self->task_units.give_back(team, units);
     this->self->on_free_units(team);
 }
 
