--- a/src/cli/command.cpp
+++ b/src/cli/command.cpp
@@ -195,7 +195,8 @@
     try {
         return chosen->run(count, pointers.data());
     } catch (const std::exception& caught) {
-        return print_error({errc::io_failed, caught.what(), "report this as a defect"});
+        print_error({errc::io_failed, caught.what(), "report this as a defect"});
+        return exit_unknown; // the command may have sent its change
     }
 }
 
--- a/src/cli/demo.cpp
+++ b/src/cli/demo.cpp
@@ -21,7 +21,7 @@
 
 namespace {
 
-constexpr int shortest_seconds = 10;
+constexpr int shortest_seconds = 4;
 constexpr int node_count = 3;
 constexpr std::chrono::seconds start_cap{30};
 constexpr std::chrono::milliseconds change_timeout{10000};
@@ -248,7 +248,7 @@
         return exit_invalid;
     }
     if (FLAGS_seconds < shortest_seconds) {
-        return print_error({errc::invalid_argument, "--seconds is too short to see the bounds",
+        return print_error({errc::invalid_argument, "--seconds is too short for its five phases",
                             fmt::format("use at least {}", shortest_seconds)});
     }
     // The nodes' own log would hide the report; errors still show.
--- a/src/fakes/fuzz_targets.hpp
+++ b/src/fakes/fuzz_targets.hpp
@@ -21,7 +21,8 @@
     const std::vector<std::string>& (*seeds)();
 };
 
-/// @return the readers of settings, fleet texts, log records, request ids and peer messages
+/// @return the readers of settings, fleet texts, log records, request ids, peer messages, snapshots and
+/// answers of the platform
 std::span<const fuzz_target> fuzz_targets();
 
 /// Changes @p bytes in one to eight places: flips, deletes, repeats, or inserts bytes or JSON tokens.
--- a/src/policy/retry_budget.hpp
+++ b/src/policy/retry_budget.hpp
@@ -11,7 +11,7 @@
 struct retry_budget_options {
     double part = 0.09; ///< retries per first dispatch
     double reserve = 3; ///< unspent retries kept for later
-    double initial = 1;  ///< retries available before any load
+    double initial = 1; ///< retries available before any load
     std::chrono::milliseconds base_delay{25};
     std::chrono::milliseconds longest_delay{1000};
 };
