--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -54,7 +54,8 @@
 
 struct entry_node::impl : std::enable_shared_from_this<entry_node::impl> {
     explicit impl(entry_node_options chosen)
-        : options(std::move(chosen)), threads(static_cast<int>(options.settings.worker_threads)) {}
+        : options(std::move(chosen)),
+          threads(static_cast<int>(options.settings.worker_threads), "node_worker") {}
 
     ~impl() { this->threads.stop(); }
     impl(const impl&) = delete;
@@ -78,7 +79,8 @@
         this->make_runtime();
         this->admin_documents = std::make_unique<admin_api>(*this->runtime.load());
         this->admin_documents->transport_counters = [this] {
-            return json::value{{"caller", to_json(this->callers->counters())},
+            return json::value{{"cpu_time_us", this->threads.cpu_time().count()},
+                               {"caller", to_json(this->callers->counters())},
                                {"admin", to_json(this->admin->counters())},
                                {"peer", to_json(this->peers->counters())}};
         };
@@ -316,6 +318,10 @@
     return {};
 }
 
+std::chrono::microseconds entry_node::cpu_time() const {
+    return this->self->threads.cpu_time();
+}
+
 json::value entry_node::status() const {
     return this->self->admin_documents->status();
 }
--- a/src/node/entry_node.hpp
+++ b/src/node/entry_node.hpp
@@ -51,6 +51,9 @@
     /// @return `errc::io_failed` when a file cannot be used; the identity in use then stays
     result<void> reload_certificates();
 
+    /// @return processor time that the workers of the node have used
+    [[nodiscard]] std::chrono::microseconds cpu_time() const;
+
     /// @return the documents of the admin port
     [[nodiscard]] boost::json::value status() const;
     [[nodiscard]] boost::json::value dump() const;
--- a/src/transport/call_pool.hpp
+++ b/src/transport/call_pool.hpp
@@ -70,13 +70,17 @@
         std::shared_ptr<connection> reused;
         std::string refusal;
         std::vector<std::shared_ptr<connection>> dropped;
+        const auto now = steady::now();
         {
             const std::lock_guard lock(this->mutex);
             auto& own = this->groups[call->target];
             while (!reused && !own.idle.empty()) {
                 auto candidate = std::move(own.idle.back());
                 own.idle.pop_back();
-                if (candidate->stream.is_quiet()) {
+                // The check is a system call. A close within the last moments is not worth it: the same close
+                // a little later could not be seen either.
+                const bool just_used = candidate->deadline - this->options.idle_timeout + trusted_idle > now;
+                if (just_used || candidate->stream.is_quiet()) {
                     reused = std::move(candidate);
                 } else {
                     --own.open;
@@ -114,6 +118,9 @@
     /// Deadlines are checked this often: a timer for each call costs more than the check of all.
     static constexpr std::chrono::milliseconds sweep_interval{10};
 
+    /// An idle connection is used without a check within this time after its last answer.
+    static constexpr std::chrono::milliseconds trusted_idle{5};
+
     struct connection {
         connection(tcp_socket socket, std::shared_ptr<boost::asio::ssl::context> tls,
                    std::size_t buffer_bytes)
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -109,17 +109,27 @@
         }
     }
 
-    /// Runs @p function if the caller has closed its side.
-    void check_caller(const std::function<void()>& function) {
+    /// Sets the exchange whose handler wants to know when the caller closes its connection.
+    void watch(std::shared_ptr<detail::http_exchange> exchange) {
+        const std::lock_guard lock(this->descriptor_mutex);
+        this->watched.swap(exchange);
+    }
+
+    /// Tells the handler of the watched exchange, once, if the caller has closed its side.
+    void check_caller() {
+        std::shared_ptr<detail::http_exchange> left;
         {
             const std::lock_guard lock(this->descriptor_mutex);
             char byte = 0;
-            if (!this->is_open ||
+            if (!this->is_open || !this->watched ||
                 ::recv(this->stream.socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) != 0) {
                 return;
             }
+            left.swap(this->watched);
+        }
+        if (!left->sent.load()) {
+            left->caller_gone();
         }
-        function();
     }
 
     void close() {
@@ -136,7 +146,8 @@
     std::atomic<steady::rep> deadline{0};
     std::atomic<bool> expired{false};
     std::mutex descriptor_mutex; ///< leaf lock: the descriptor stays open while another thread uses it
-    bool is_open = true;
+    bool is_open = true;         ///< guarded by `descriptor_mutex`
+    std::shared_ptr<detail::http_exchange> watched; ///< guarded by `descriptor_mutex`
 };
 
 struct atomic_counters {
@@ -338,8 +349,11 @@
         const bool keep_alive = parser.keep_alive();
         this->call_handler(std::move(parser.message), exchange);
         if (exchange->current.load() != detail::http_exchange::answered) {
-            this->watch_caller(peer, exchange);
+            if (exchange->caller_gone) {
+                peer->watch(exchange);
+            }
             co_await exchange->wait_answer();
+            peer->watch(nullptr);
         }
         const bool close = !keep_alive || this->stopping.load();
         if (exchange->response.status == abandoned_status) {
@@ -369,23 +383,6 @@
         }
     }
 
-    /// Watches for the caller closing its connection while its request is handled.
-    void watch_caller(const std::shared_ptr<connection>& peer,
-                      const std::shared_ptr<detail::http_exchange>& exchange) {
-        // Data that is already buffered means a pipelined request: the wait would end at once and tell
-        // nothing.
-        if (!exchange->caller_gone || peer->buffer.size() > 0) {
-            return;
-        }
-        // A wait that is still pending after the answer ends when the next request arrives.
-        peer->stream.socket.async_wait(asio::socket_base::wait_read,
-                                       [peer, exchange](const error_code& failure) {
-                                           if (!failure && !exchange->sent.load()) {
-                                               peer->check_caller(exchange->caller_gone);
-                                           }
-                                       });
-    }
-
     io_task<read_outcome> read(connection& peer, http_parser<true>& parser) {
         auto& buffer = peer.buffer;
         const bool pipelined = buffer.size() > 0;
@@ -493,6 +490,7 @@
     /// @return false when the server has stopped
     bool sweep() {
         std::vector<std::shared_ptr<connection>> late;
+        std::vector<std::shared_ptr<connection>> handling;
         {
             const std::lock_guard lock(this->mutex);
             const auto now = steady::now().time_since_epoch().count();
@@ -500,11 +498,18 @@
                 if (peer->deadline.load(std::memory_order_relaxed) < now) {
                     late.push_back(peer);
                 }
+                if (peer->phase.load(std::memory_order_relaxed) == connection_phase::handling) {
+                    handling.push_back(peer);
+                }
             }
             if (!this->accepting && this->connections.empty()) {
                 return false;
             }
         }
+        // Polled, because a pending wait on each socket costs a system call and a wake-up per request.
+        for (const auto& peer : handling) {
+            peer->check_caller();
+        }
         for (const auto& peer : late) {
             const auto phase = peer->phase.load(std::memory_order_relaxed);
             if (phase == connection_phase::handling) {
--- a/src/transport/io_threads.cpp
+++ b/src/transport/io_threads.cpp
@@ -5,7 +5,9 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
 
-#include <mutex>
+#include <pthread.h>
+#include <time.h>
+
 #include <thread>
 #include <vector>
 
@@ -14,9 +16,10 @@
 namespace asio = boost::asio;
 
 struct io_threads::impl {
-    explicit impl(int count) : context(count), work(context.get_executor()) {
+    impl(int count, const char* name) : context(count), work(context.get_executor()) {
         for (int index = 0; index < count; ++index) {
             this->threads.emplace_back([this] { this->context.run(); });
+            pthread_setname_np(this->threads.back().native_handle(), name);
         }
     }
 
@@ -36,7 +39,7 @@
     std::vector<std::thread> threads;
 };
 
-io_threads::io_threads(int count) : self(std::make_unique<impl>(count)) {}
+io_threads::io_threads(int count, const char* name) : self(std::make_unique<impl>(count, name)) {}
 
 io_threads::~io_threads() {
     this->stop();
@@ -67,6 +70,19 @@
     });
 }
 
+std::chrono::microseconds io_threads::cpu_time() const {
+    std::chrono::nanoseconds sum{0};
+    for (auto& thread : this->self->threads) {
+        clockid_t clock{};
+        timespec used{};
+        if (thread.joinable() && pthread_getcpuclockid(thread.native_handle(), &clock) == 0 &&
+            clock_gettime(clock, &used) == 0) {
+            sum += std::chrono::seconds(used.tv_sec) + std::chrono::nanoseconds(used.tv_nsec);
+        }
+    }
+    return std::chrono::duration_cast<std::chrono::microseconds>(sum);
+}
+
 asio::io_context& io_threads::context() noexcept {
     return this->self->context;
 }
--- a/src/transport/io_threads.hpp
+++ b/src/transport/io_threads.hpp
@@ -15,7 +15,8 @@
 class io_threads {
 public:
     /// @param count number of worker threads, at least 1
-    explicit io_threads(int count);
+    /// @param name of the threads as tools show them; at most 15 characters
+    explicit io_threads(int count, const char* name = "io_worker");
     ~io_threads();
     io_threads(const io_threads&) = delete;
     io_threads& operator=(const io_threads&) = delete;
@@ -33,6 +34,9 @@
     /// Runs @p function on a worker once, after @p delay.
     void run_after(std::chrono::microseconds delay, std::function<void()> function);
 
+    /// @return processor time that the workers have used; not after `stop()`
+    [[nodiscard]] std::chrono::microseconds cpu_time() const;
+
     [[nodiscard]] boost::asio::io_context& context() noexcept;
 
 private:
--- a/tests/raw_socket.hpp
+++ b/tests/raw_socket.hpp
@@ -15,6 +15,7 @@
 #include <cstdlib>
 #include <functional>
 #include <mutex>
+#include <stdexcept>
 #include <string>
 #include <string_view>
 #include <thread>
@@ -44,8 +45,12 @@
         address.sin_family = AF_INET;
         address.sin_port = htons(target.port);
         inet_pton(AF_INET, target.address.c_str(), &address.sin_addr);
-        BOOST_REQUIRE_EQUAL(::connect(made, reinterpret_cast<sockaddr*>(&address), sizeof address), 0);
-        return raw_socket(made);
+        raw_socket connected(made);
+        // No assertion of Boost.Test here: callers may run on other threads, where it is not safe.
+        if (::connect(made, reinterpret_cast<sockaddr*>(&address), sizeof address) != 0) {
+            throw std::runtime_error("cannot connect to " + to_string(target));
+        }
+        return connected;
     }
 
     void send(std::string_view bytes) {
@@ -208,7 +213,9 @@
 
     Value get() {
         std::unique_lock lock(this->mutex);
-        BOOST_REQUIRE(this->changed.wait_for(lock, generous, [this] { return this->filled; }));
+        if (!this->changed.wait_for(lock, generous, [this] { return this->filled; })) {
+            throw std::runtime_error("the awaited value was not set");
+        }
         return std::move(this->value);
     }
 
