Predict waits without a safety margin

Cause: the expected wait was multiplied by 1.25, and requests were refused that would have been served.

Change: admission uses the measured drain rate as it is.

--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -31,9 +31,6 @@
 constexpr int max_claim_asks = 3;
 /// Run time that is assumed for a service before the first answer.
 constexpr std::chrono::microseconds assumed_run{20000};
-/// Waits are predicted from rates that swing; a request is accepted only if this multiple of its expected
-/// wait fits.
-constexpr double wait_margin = 1.25;
 
 enum class ticket_phase { claiming, queued, waiting_retry, dispatched };
 
@@ -388,7 +385,7 @@
                     .dependency_short = shed_roll < load.shed_part,
                     .queue_full = queue_full,
                     .ahead = ahead,
-                    .drain = drain ? std::optional(*drain / wait_margin) : std::nullopt,
+                    .drain = drain,
                     .run = service.time_to_leave(request.deadline),
                     .deadline = request.deadline});
     if (!verdict) {
