--- a/src/coordination/replica.cpp
+++ b/src/coordination/replica.cpp
@@ -10,6 +10,9 @@
 
 constexpr std::size_t max_set_aside = 16;
 
+// Records that a starting node folds after a cached snapshot of a peer.
+constexpr log_offset max_records_behind = 512;
+
 // A response of records must fit into a frame of 4 MiB.
 constexpr std::size_t max_response_bytes = 1UL << 20U;
 
@@ -201,8 +204,10 @@
 }
 
 wire::Snapshot replica::snapshot() {
-    const auto tail_first = this->current.next_offset() - static_cast<log_offset>(this->tail.size());
-    if (this->cached_snapshot.data.empty() || this->cached_snapshot.next_offset < tail_first) {
+    // Many nodes may start at once. A cached snapshot will do while the tail holds what came after it.
+    const auto behind = this->next_offset() - this->cached_snapshot.next_offset;
+    if (this->cached_snapshot.data.empty() || this->cached_snapshot.next_offset <= 1 ||
+        behind > std::min(static_cast<log_offset>(this->tail.size()), max_records_behind)) {
         this->cached_snapshot.next_offset = this->next_offset();
         this->cached_snapshot.data = snapshot_codec::encode(*this->published);
     }
--- a/tests/core_test_site.hpp
+++ b/tests/core_test_site.hpp
@@ -59,6 +59,17 @@
         return best;
     }
 
+    /// @return whether the processes of nodes 1 to @p count are registered and counted in all their folds
+    bool all_counted(int count) {
+        for (int number = 1; number <= count; ++number) {
+            const auto* node = this->core(number).state()->find_node(this->core(number).incarnation());
+            if (node == nullptr || !node->counted) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     std::string submit(int number, record_body body) {
         auto id = random_uuid();
         BOOST_REQUIRE(
