Let a retry go once a second when none was earned

Cause: a request that executors refused as busy waits for the retry budget, which grows with first dispatches only. When a burst ended, nothing refilled the budget and up to three requests per service and node waited until they expired, while slots were free. Change: retry_budget allows one retry a second after the last one. Under load more than that is earned, so the limit of a tenth of the load is unchanged. Conclusion: requests refused as busy no longer starve after a burst.

--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -600,7 +600,7 @@
         auto& ticket = this->tickets.at(id);
         auto& service = *this->service_of(ticket);
         if (ticket.needs_budget) {
-            if (!service.retries.try_spend()) {
+            if (!service.retries.try_spend(now)) {
                 ticket.retry_at = now + std::chrono::milliseconds(20);
                 this->retries.emplace(ticket.retry_at, id);
                 continue;
@@ -833,8 +833,8 @@
     const bool repeatable = ticket.request.idempotent || !ticket.may_have_run;
     ticket.needs_budget = false;
     if (repeatable && !ticket.caller_gone && !this->stopping &&
-        this->service_of(ticket)->retries.left() >= 1 - 1e-9 && this->schedule_retry(now, ticket)) {
-        this->service_of(ticket)->retries.try_spend();
+        this->service_of(ticket)->retries.can_spend(now) && this->schedule_retry(now, ticket)) {
+        this->service_of(ticket)->retries.try_spend(now);
         return;
     }
     const auto* error = now >= ticket.deadline ? "deadline_exceeded" : "backend_failed";
--- a/src/policy/retry_budget.cpp
+++ b/src/policy/retry_budget.cpp
@@ -8,12 +8,17 @@
     this->available = std::min(this->available + this->options.part, this->options.reserve);
 }
 
-bool retry_budget::try_spend() {
+bool retry_budget::can_spend(boot_time now) const {
     // The small term makes ten additions of 0.1 count as one.
-    if (this->available < 1 - 1e-9) {
+    return this->available >= 1 - 1e-9 || now - this->last_spent >= this->options.longest_wait;
+}
+
+bool retry_budget::try_spend(boot_time now) {
+    if (!this->can_spend(now)) {
         return false;
     }
-    this->available -= 1;
+    this->available = std::max(0.0, this->available - 1);
+    this->last_spent = now;
     return true;
 }
 
--- a/src/policy/retry_budget.hpp
+++ b/src/policy/retry_budget.hpp
@@ -12,6 +12,10 @@
     double part = 0.09; ///< retries per first dispatch
     double reserve = 3; ///< unspent retries kept for later
     double initial = 1; ///< retries available before any load
+    /// One retry is allowed this long after the last one even if none was earned. A service under load earns
+    /// more than that; without it, requests that executors refused as busy wait for the end of a burst until
+    /// they expire.
+    std::chrono::milliseconds longest_wait{1000};
     std::chrono::milliseconds base_delay{25};
     std::chrono::milliseconds longest_delay{1000};
 };
@@ -27,7 +31,10 @@
     void on_first_dispatch();
 
     /// @return whether a retry is allowed; it is then spent
-    bool try_spend();
+    bool try_spend(boot_time now);
+
+    /// @return whether `try_spend` would allow a retry
+    [[nodiscard]] bool can_spend(boot_time now) const;
 
     [[nodiscard]] double left() const noexcept { return this->available; }
 
@@ -42,6 +49,7 @@
 private:
     retry_budget_options options;
     double available;
+    boot_time last_spent{};
 };
 
 } // namespace hornbeamrail
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -280,13 +280,22 @@
 
 BOOST_AUTO_TEST_SUITE(budget_suite)
 
+// Guards against requests that wait for an unearned retry until they expire, after the load has ended.
+BOOST_AUTO_TEST_CASE(a_retry_is_allowed_after_a_while_without_load) {
+    retry_budget budget;
+    BOOST_TEST(budget.try_spend(start));
+    BOOST_TEST(!budget.try_spend(start + 999ms));
+    BOOST_TEST(budget.try_spend(start + 1000ms));
+    BOOST_TEST(!budget.try_spend(start + 1500ms));
+}
+
 // Guards against retries past the deadline and above a tenth of the load.
 BOOST_AUTO_TEST_CASE(retries_are_bounded) {
     retry_budget budget({.initial = 0});
     int allowed = 0;
     for (int i = 0; i < 1000; ++i) {
         budget.on_first_dispatch();
-        allowed += budget.try_spend() ? 1 : 0;
+        allowed += budget.try_spend(start + i * 2ms) ? 1 : 0;
     }
     BOOST_TEST(allowed <= 100);
     BOOST_TEST(allowed >= 80);
