--- a/src/fakes/site_workload.cpp
+++ b/src/fakes/site_workload.cpp
@@ -21,18 +21,19 @@
 }
 
 const team_config& pick_team(const fleet_config& config, std::string_view service,
-                             seeded_generator& generator) {
+                             const workload_options& options, seeded_generator& generator) {
+    const auto weight = [&](const team_config& team) {
+        const double factor = team.name == options.greedy_team ? options.greedy_factor : 1;
+        return config.team_may_use(team, service) ? team.share * factor : 0;
+    };
     double sum = 0;
     for (const team_config& team : config.teams) {
-        sum += config.team_may_use(team, service) ? team.share : 0;
+        sum += weight(team);
     }
     double point = generator.unit() * sum;
     for (const team_config& team : config.teams) {
-        if (!config.team_may_use(team, service)) {
-            continue;
-        }
-        point -= team.share;
-        if (point <= 0) {
+        point -= weight(team);
+        if (point <= 0 && weight(team) > 0) {
             return team;
         }
     }
@@ -73,7 +74,7 @@
         if (at * 1e6 >= static_cast<double>(options.length.count())) {
             return;
         }
-        const team_config& team = pick_team(config, service.name, generator);
+        const team_config& team = pick_team(config, service.name, options, generator);
         arrivals.push_back({.at = std::chrono::microseconds(static_cast<std::int64_t>(at * 1e6)),
                             .service = service.name,
                             .team = team.name,
--- a/src/fakes/site_workload.hpp
+++ b/src/fakes/site_workload.hpp
@@ -48,6 +48,8 @@
     double non_idempotent_part = 0.4;
     double urgent_part = 0.1;
     double resubmit_part = 0;
+    std::string greedy_team; ///< asks for `greedy_factor` times what goes with its share
+    double greedy_factor = 3;
 };
 
 /// @return arrivals in order of time; the same for a seed on every machine
--- /dev/null
+++ b/tools/measure_users.cpp
@@ -0,0 +1,439 @@
+#include "fakes/fake_executor.hpp"
+#include "fakes/site_simulation.hpp"
+#include "fakes/static_site.hpp"
+
+#include <fmt/format.h>
+#include <gflags/gflags.h>
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <cmath>
+#include <fstream>
+#include <map>
+#include <numeric>
+#include <string>
+#include <vector>
+
+DEFINE_int64(seed, 1, "seed of the workload and of the run");
+DEFINE_string(svg, "build/users.svg", "plot of the work done while a zone leaves and returns");
+
+namespace {
+
+namespace hr = hornbeamrail;
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr seconds length{60};
+constexpr seconds rotation{6};
+constexpr seconds zone_out_at{12};
+constexpr seconds zone_out_length{24};
+
+double in_seconds(microseconds value) {
+    return static_cast<double>(value.count()) / 1e6;
+}
+
+struct deployment {
+    std::string name;
+    microseconds client_delay;
+    microseconds mean_run;
+    milliseconds deadline;
+};
+
+hr::site_options options_of(const deployment& user) {
+    hr::site_options options{.seed = static_cast<std::uint64_t>(FLAGS_seed)};
+    options.shape.site = user.name;
+    options.shape.pool_vms = {12, 11, 10, 9, 8};
+    options.shape.spare_vms = 6;
+    options.shape.longest_run = user.deadline;
+    options.client_delay = user.client_delay;
+    options.timings.longest_run = user.deadline;
+    options.workload.length = length;
+    options.workload.rotation = rotation;
+    options.workload.mean_run = user.mean_run;
+    options.workload.deadline = user.deadline;
+    options.workload.greedy_team = "team2";
+    for (int i = 0; i < 11; ++i) {
+        options.faults.push_back({.kind = hr::fault_kind::operator_race,
+                                  .at = milliseconds(2000 + 5000 * i),
+                                  .choice = static_cast<std::uint64_t>(1000 + 37 * i)});
+    }
+    return options;
+}
+
+/// One finished run of work, of the system or of a baseline.
+struct work {
+    std::string service;
+    std::string team;
+    double from = 0; ///< seconds since the start of the load
+    double until = 0;
+    bool done = false;
+};
+
+std::vector<work> work_of(const std::vector<hr::site_arrival>& arrivals,
+                          const std::vector<hr::static_outcome>& outcomes) {
+    std::vector<work> all;
+    for (std::size_t i = 0; i < arrivals.size(); ++i) {
+        all.push_back({arrivals[i].service, arrivals[i].team, in_seconds(outcomes[i].started),
+                       in_seconds(outcomes[i].ended), outcomes[i].done});
+    }
+    return all;
+}
+
+std::vector<work> work_of(const hr::site_result& run, const hr::site_options& options) {
+    std::map<std::int64_t, work> by_run;
+    const hr::boot_time start = hr::site_world::start + options.warm_up;
+    for (const hr::history_event& event : run.history) {
+        if (event.kind == hr::event_kind::run_start) {
+            // Request ids end in the number of the arrival.
+            const auto number =
+                static_cast<std::size_t>(std::stoul(event.request.substr(event.request.rfind('r') + 1)));
+            by_run[event.run] = {event.service, run.arrivals[number].team, in_seconds(event.at - start)};
+        } else if (event.kind == hr::event_kind::run_end) {
+            by_run[event.run].until = in_seconds(event.at - start);
+            by_run[event.run].done = event.text == "completed";
+        }
+    }
+    std::vector<work> all;
+    for (auto& [id, item] : by_run) {
+        all.push_back(std::move(item));
+    }
+    return all;
+}
+
+/// Slot-seconds of completed work within a stretch of time.
+double work_within(const std::vector<work>& all, double from, double until) {
+    double sum = 0;
+    for (const work& item : all) {
+        if (item.done) {
+            sum += std::max(0.0, std::min(item.until, until) - std::max(item.from, from));
+        }
+    }
+    return sum;
+}
+
+/// Parts that weighted max-min fairness gives: nobody gets more than it asks for, and what is left goes to
+/// the others by their shares.
+std::map<std::string, double> fair_parts(const hr::fleet_config& config, std::map<std::string, double> demand,
+                                         double capacity) {
+    std::map<std::string, double> parts;
+    while (!demand.empty() && capacity > 1e-9) {
+        double weights = 0;
+        for (const auto& [team, wanted] : demand) {
+            weights += config.find_team(team)->share;
+        }
+        std::vector<std::string> satisfied;
+        for (const auto& [team, wanted] : demand) {
+            if (wanted <= capacity * config.find_team(team)->share / weights) {
+                satisfied.push_back(team);
+            }
+        }
+        if (satisfied.empty()) {
+            for (const auto& [team, wanted] : demand) {
+                parts[team] = capacity * config.find_team(team)->share / weights;
+            }
+            return parts;
+        }
+        for (const std::string& team : satisfied) {
+            parts[team] = demand[team];
+            capacity -= demand[team];
+            demand.erase(team);
+        }
+    }
+    return parts;
+}
+
+/// Mean over all bursts of the part of the pool's work that went to other teams than fairness gives, from two
+/// seconds into the burst on.
+double distance_from_share(const hr::fleet_config& config, const std::vector<hr::site_arrival>& arrivals,
+                           const std::vector<work>& all) {
+    double sum = 0;
+    int bursts = 0;
+    for (int turn = 0; turn < length / rotation; ++turn) {
+        const std::string& service =
+            config.services[static_cast<std::size_t>(turn) % config.services.size()].name;
+        const double from = turn * in_seconds(rotation) + 2;
+        const double until = (turn + 1) * in_seconds(rotation);
+        std::map<std::string, double> got;
+        std::map<std::string, double> asked;
+        double total = 0;
+        for (const work& item : all) {
+            const double part = std::max(0.0, std::min(item.until, until) - std::max(item.from, from));
+            if (item.service == service) {
+                got[item.team] += part;
+                total += part;
+            }
+        }
+        for (const hr::site_arrival& arrival : arrivals) {
+            const double at = in_seconds(arrival.at);
+            if (arrival.service == service && at >= from - 2 && at < until) {
+                asked[arrival.team] += in_seconds(arrival.run_time) * (until - from) / in_seconds(rotation);
+            }
+        }
+        const auto fair = fair_parts(config, asked, total);
+        double distance = 0;
+        for (const auto& [team, part] : fair) {
+            distance += std::abs(got[team] - part) / 2;
+        }
+        sum += total > 0 ? distance / total : 0;
+        ++bursts;
+    }
+    return sum / bursts;
+}
+
+struct wait_summary {
+    double completed = 0; ///< part of the offered requests
+    double p99 = 0;       ///< seconds from arrival to start, of completed requests
+};
+
+wait_summary summarize(std::vector<double> waits, std::size_t offered) {
+    if (waits.empty()) {
+        return {};
+    }
+    std::ranges::sort(waits);
+    return {static_cast<double>(waits.size()) / static_cast<double>(offered), waits[waits.size() * 99 / 100]};
+}
+
+wait_summary waits_of(const hr::site_result& run, const deployment& user) {
+    std::vector<double> waits;
+    for (std::size_t i = 0; i < run.outcomes.size(); ++i) {
+        if (run.outcomes[i].done) {
+            const microseconds wait = run.outcomes[i].latency - run.arrivals[i].run_time - user.client_delay;
+            waits.push_back(std::max(0.0, in_seconds(wait)));
+        }
+    }
+    return summarize(std::move(waits), run.arrivals.size());
+}
+
+wait_summary waits_of(const std::vector<hr::site_arrival>& arrivals,
+                      const std::vector<hr::static_outcome>& outcomes) {
+    std::vector<double> waits;
+    for (std::size_t i = 0; i < outcomes.size(); ++i) {
+        if (outcomes[i].done) {
+            waits.push_back(in_seconds(outcomes[i].started - arrivals[i].at));
+        }
+    }
+    return summarize(std::move(waits), arrivals.size());
+}
+
+double idle_vm_seconds(const hr::site_result& run) {
+    double sum = 0;
+    for (const auto& [pool, idle] : run.figures.idle_slot_seconds) {
+        sum += idle / 8;
+    }
+    return sum;
+}
+
+struct sized_baseline {
+    double scale = 0;
+    double idle_vm_seconds = 0;
+    wait_summary waits;
+};
+
+/// The smallest static pools that complete as much and wait no longer than the system.
+sized_baseline size_baseline(const hr::fleet_config& config, const std::vector<hr::site_arrival>& arrivals,
+                             const wait_summary& wanted) {
+    std::int64_t slots = 0;
+    for (const hr::service_config& service : config.services) {
+        slots += config.find_pool(service.pool)->vms * service.slots_per_executor;
+    }
+    sized_baseline found;
+    for (double scale = 0.5; scale < 4; scale += 0.05) {
+        const auto outcomes = run_static_site(config, arrivals, {.scale = scale});
+        const double busy = work_within(work_of(arrivals, outcomes), 0, in_seconds(length));
+        found = {scale, (static_cast<double>(slots) * scale * in_seconds(length) - busy) / 8,
+                 waits_of(arrivals, outcomes)};
+        if (found.waits.completed >= wanted.completed && found.waits.p99 <= wanted.p99) {
+            break;
+        }
+    }
+    return found;
+}
+
+/// Time until the last of the nodes has read a change, when each polls every 5 s.
+std::vector<double> polled_roll_out(std::size_t changes, int nodes) {
+    hr::seeded_generator generator(static_cast<std::uint64_t>(FLAGS_seed));
+    std::vector<double> times;
+    for (std::size_t i = 0; i < changes; ++i) {
+        double longest = 0;
+        for (int node = 0; node < nodes; ++node) {
+            longest = std::max(longest, 5 * generator.unit());
+        }
+        times.push_back(longest);
+    }
+    return times;
+}
+
+/// VM moves of a planner that follows each burst at once and back again.
+std::int64_t naive_moves(const hr::fleet_config& config, double burst_load) {
+    std::int64_t moves = 0;
+    for (int turn = 0; turn < length / rotation; ++turn) {
+        const auto& service = config.services[static_cast<std::size_t>(turn) % config.services.size()];
+        const auto vms = static_cast<double>(config.find_pool(service.pool)->vms);
+        moves += 2 * static_cast<std::int64_t>(std::ceil(vms * (burst_load - 1)));
+    }
+    return moves;
+}
+
+struct row {
+    std::string measure;
+    double ours = 0;
+    double baseline = 0;
+    std::string target;
+    bool met = true;
+};
+
+void print(const std::string& user, const row& line) {
+    fmt::print("{:<11} {:<44} {:>10.3f} {:>10.3f} {:>8.3f}  {:<28} {}\n", user, line.measure, line.ours,
+               line.baseline, line.baseline == 0 ? 0 : line.ours / line.baseline, line.target,
+               line.target == "-" ? ""
+               : line.met         ? "met"
+                                  : "NOT MET");
+    fmt::print("{{\"measure\":\"users\",\"seed\":{},\"user\":\"{}\",\"name\":\"{}\",\"ours\":{:.4f},"
+               "\"baseline\":{:.4f},\"met\":{}}}\n",
+               FLAGS_seed, user, line.measure, line.ours, line.baseline, line.met);
+}
+
+double mean(const std::vector<double>& values) {
+    return values.empty()
+               ? 0
+               : std::accumulate(values.begin(), values.end(), 0.0) / static_cast<double>(values.size());
+}
+
+struct zone_curves {
+    std::vector<double> ours;
+    std::vector<double> ideal;
+    std::vector<double> baseline;
+};
+
+std::vector<double> per_second(const std::vector<work>& all) {
+    std::vector<double> curve;
+    for (int second = 0; second < length.count(); ++second) {
+        curve.push_back(work_within(all, second, second + 1));
+    }
+    return curve;
+}
+
+zone_curves measure_zone(const deployment& user, std::vector<row>& rows) {
+    hr::site_options options = options_of(user);
+    options.faults = {{.kind = hr::fault_kind::zone_drill, .at = zone_out_at, .length = zone_out_length}};
+    const hr::site_result run = hr::run_site(options);
+    const hr::boot_time start = hr::site_world::start + options.warm_up;
+    const hr::fleet_config config = hr::make_site_config(options.shape);
+    const auto ours = work_of(run, options);
+    const auto ideal =
+        work_of(run.arrivals, run_ideal_site(run.arrivals, slots_in_service(run.history, start)));
+    const auto fixed = work_of(run.arrivals, run_static_site(config, run.arrivals, {},
+                                                             {zone_out_at, zone_out_at + zone_out_length}));
+    const double from = in_seconds(zone_out_at);
+    const double until = from + in_seconds(zone_out_length) + 10;
+    const double done = work_within(ours, from, until);
+    const double allowed = work_within(ideal, from, until);
+    rows.push_back({"work through zone out and in, part of allowed", done / allowed,
+                    work_within(fixed, from, until) / allowed, ">= 0.98", done / allowed >= 0.98});
+    return {per_second(ours), per_second(ideal), per_second(fixed)};
+}
+
+void measure_steady(const deployment& user, std::vector<row>& rows) {
+    const hr::site_options options = options_of(user);
+    const hr::site_result run = hr::run_site(options);
+    const hr::fleet_config config = hr::make_site_config(options.shape);
+    const auto fixed = run_static_site(config, run.arrivals, {});
+    const wait_summary ours = waits_of(run, user);
+    const wait_summary same_size = waits_of(run.arrivals, fixed);
+    const sized_baseline sized = size_baseline(config, run.arrivals, ours);
+    rows.push_back({"requests completed, part of offered", ours.completed, same_size.completed, "-"});
+    rows.push_back({"p99 wait of completed requests (s)", ours.p99, same_size.p99, "-"});
+    const double idle = idle_vm_seconds(run);
+    rows.push_back({fmt::format("buffer cost (idle VM s), static x{:.2f}", sized.scale), idle,
+                    sized.idle_vm_seconds, "< 0.5 of static, p99 <=", idle < 0.5 * sized.idle_vm_seconds});
+    const double distance = distance_from_share(config, run.arrivals, work_of(run, options));
+    rows.push_back({"distance from share when full", distance,
+                    distance_from_share(config, run.arrivals, work_of(run.arrivals, fixed)), "< 0.05",
+                    distance < 0.05});
+    std::vector<double> roll_out;
+    for (const microseconds time : run.figures.roll_out) {
+        roll_out.push_back(in_seconds(time));
+    }
+    const auto polled = polled_roll_out(roll_out.size(), options.nodes);
+    const double longest = roll_out.empty() ? 0 : *std::ranges::max_element(roll_out);
+    rows.push_back({"roll-out time, mean (s)", mean(roll_out), mean(polled), "-"});
+    rows.push_back(
+        {"roll-out time, longest (s)", longest, *std::ranges::max_element(polled), "<= 5", longest <= 5});
+    rows.push_back({"VM moves and maintenance reboots", static_cast<double>(run.figures.vm_moves),
+                    static_cast<double>(naive_moves(config, options.workload.burst_load)), "-"});
+    for (const hr::violation& violation : hr::check_history(run.history)) {
+        fmt::print("{}", describe(violation, run.history));
+    }
+}
+
+void write_svg(const std::vector<std::pair<std::string, zone_curves>>& plots) {
+    constexpr int width = 720;
+    constexpr int height = 260;
+    std::string svg =
+        fmt::format("<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"{}\" height=\"{}\" "
+                    "font-family=\"sans-serif\" font-size=\"12\">\n<rect width=\"100%\" height=\"100%\" "
+                    "fill=\"white\"/>\n",
+                    width, height * static_cast<int>(plots.size()));
+    int top = 0;
+    for (const auto& [name, curves] : plots) {
+        const double highest = std::max(1.0, *std::ranges::max_element(curves.ideal));
+        const auto x = [&](double second) {
+            return 50 + second * (width - 70) / static_cast<double>(length.count());
+        };
+        const auto y = [&](double value) {
+            return top + height - 30 - value / highest * (height - 70);
+        };
+        svg += fmt::format(
+            "<text x=\"50\" y=\"{}\">{}: slot-seconds of completed work per second, zone out in grey"
+            "</text>\n",
+            top + 18, name);
+        svg += fmt::format("<rect x=\"{:.1f}\" y=\"{}\" width=\"{:.1f}\" height=\"{}\" fill=\"#eeeeee\"/>\n",
+                           x(in_seconds(zone_out_at)), top + 30, x(in_seconds(zone_out_length)) - x(0),
+                           height - 60);
+        const std::array<std::tuple<const std::vector<double>*, const char*, const char*>, 3> lines{
+            std::tuple{&curves.ideal, "#999999", "allowed by capacity"},
+            std::tuple{&curves.baseline, "#cc7722", "static baseline"},
+            std::tuple{&curves.ours, "#1f5fa8", "hornbeamrail"}};
+        int legend = 0;
+        for (const auto& [curve, colour, label] : lines) {
+            std::string points;
+            for (std::size_t second = 0; second < curve->size(); ++second) {
+                points +=
+                    fmt::format("{:.1f},{:.1f} ", x(static_cast<double>(second) + 0.5), y((*curve)[second]));
+            }
+            svg += fmt::format("<polyline fill=\"none\" stroke=\"{}\" stroke-width=\"1.5\" points=\"{}\"/>\n",
+                               colour, points);
+            svg += fmt::format("<text x=\"{}\" y=\"{}\" fill=\"{}\">{}</text>\n", 50 + 160 * legend++,
+                               top + height - 8, colour, label);
+        }
+        svg += fmt::format("<text x=\"4\" y=\"{:.0f}\">{:.0f}</text><text x=\"4\" y=\"{:.0f}\">0</text>\n",
+                           y(highest), highest, y(0));
+        top += height;
+    }
+    std::ofstream(FLAGS_svg) << svg << "</svg>\n";
+}
+
+} // namespace
+
+int main(int argc, char** argv) {
+    gflags::SetUsageMessage("measures both deployments' workloads beside static baselines");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    const std::array users{deployment{"lakeshore", milliseconds(3), milliseconds(400), milliseconds(8000)},
+                           deployment{"commission", milliseconds(1), milliseconds(200), milliseconds(4000)}};
+    fmt::print("{:<11} {:<44} {:>10} {:>10} {:>8}  {:<28}\n", "user", "measure", "ours", "baseline", "ratio",
+               "target");
+    std::vector<std::pair<std::string, zone_curves>> plots;
+    for (const deployment& user : users) {
+        std::vector<row> rows;
+        measure_steady(user, rows);
+        plots.emplace_back(user.name, measure_zone(user, rows));
+        for (const row& line : rows) {
+            print(user.name, line);
+        }
+    }
+    write_svg(plots);
+    fmt::print("plot: {}\n", FLAGS_svg);
+    return 0;
+}
