Add alarms and refusal counters to the admin port

Cause: operators had to read conditions out of tables, and metrics told refusals apart by nothing. Conclusion: docs/OPERATING.md can name one action per alarm.

--- a/src/cli/view_commands.cpp
+++ b/src/cli/view_commands.cpp
@@ -26,6 +26,7 @@
         }
     }
     const std::vector<section> sections{
+        {"alarms", {"alarm", "subject", "message", "remedy"}},
         {"zones", {"zone", "region", "out"}},
         {"nodes", {"node_id", "incarnation", "zone", "region", "counted", "live"}},
         {"services", {"service", "pool", "slots", "running", "queued", "oldest_wait_ms"}},
--- a/src/coordination/node_core.cpp
+++ b/src/coordination/node_core.cpp
@@ -625,6 +625,10 @@
     return this->self->vms;
 }
 
+bool node_core::log_answers(boot_time now) const {
+    return this->self->log_answers(now);
+}
+
 bool node_core::is_planner(boot_time now) const {
     return this->self->is_planner(now);
 }
--- a/src/coordination/node_core.hpp
+++ b/src/coordination/node_core.hpp
@@ -117,6 +117,9 @@
     /// @return the newest VM list received; empty before the first
     [[nodiscard]] std::shared_ptr<const vm_list> platform_vms() const;
 
+    /// @return whether the platform's log answered this node's last read
+    [[nodiscard]] bool log_answers(boot_time now) const;
+
     /// @return whether this node holds the planner's lease under a fresh view
     [[nodiscard]] bool is_planner(boot_time now) const;
 
--- a/src/node/admin_api.cpp
+++ b/src/node/admin_api.cpp
@@ -10,6 +10,8 @@
 #include <fmt/format.h>
 
 #include <array>
+#include <chrono>
+#include <map>
 
 namespace hornbeamrail {
 
@@ -157,40 +159,64 @@
     return json_answer(code, body);
 }
 
+/// Values taken from both cores under their locks; the documents are made from them without a lock.
+struct admin_api::view_parts {
+    std::shared_ptr<const fleet_state> state;
+    std::shared_ptr<const vm_list> platform;
+    fleet_demand demand;
+    node_health health;
+    incarnation_id incarnation = 0;
+    log_offset epoch = 0;
+    bool planner = false;
+    std::map<std::string, std::pair<std::int64_t, std::int64_t>> team_units; ///< usable and running here
+
+    [[nodiscard]] fleet_view view() const { return {*this->state, *this->platform, this->demand}; }
+};
+
+admin_api::view_parts admin_api::read_parts() const {
+    return this->runtime.read([&](const node_core& core, const dispatcher& dispatch, boot_time now) {
+        view_parts parts{.state = core.state(),
+                         .platform = core.platform_vms(),
+                         .demand = core.fleet_demand(),
+                         .health = {.registered = core.incarnation() != 0,
+                                    .fresh = core.view_is_fresh(now),
+                                    .log_answers = core.log_answers(now)},
+                         .incarnation = core.incarnation(),
+                         .epoch = core.epoch(),
+                         .planner = core.is_planner(now),
+                         .team_units = {}};
+        for (const auto& team : parts.state->config().teams) {
+            parts.team_units[team.name] = {core.usable_units(team.name), dispatch.running_units(team.name)};
+        }
+        return parts;
+    });
+}
+
 json::value admin_api::status() const {
-    return this->runtime.read(
-        [&](const node_core& core, const dispatcher& dispatch, boot_time now) -> json::value {
-            const auto state = core.state();
-            const auto demand = core.fleet_demand();
-            const auto platform = core.platform_vms();
-            const auto wall_clock =
-                std::chrono::time_point_cast<std::chrono::seconds>(std::chrono::system_clock::now());
-            const bool fresh = core.view_is_fresh(now);
-            json::object document{{"incarnation", core.incarnation()},
-                                  {"healthy", fresh && core.incarnation() != 0 && !this->runtime.stopping()},
-                                  {"fresh", fresh},
-                                  {"stopping", this->runtime.stopping()},
-                                  {"epoch", core.epoch()},
-                                  {"is_planner", core.is_planner(now)}};
-            for (auto& member : fleet_document({*state, *platform, demand}, wall_clock)) {
-                document[member.key()] = std::move(member.value());
-            }
-            for (auto& team : document["teams"].as_array()) {
-                const std::string name(team.at("team").as_string());
-                team.as_object()["usable_here"] = core.usable_units(name);
-                team.as_object()["running_here"] = dispatch.running_units(name);
-            }
-            document["zones"] = zones_of(*state);
-            document["keys"] = keys_document(*state);
-            return document;
-        });
+    const auto parts = this->read_parts();
+    const auto wall_clock =
+        std::chrono::time_point_cast<std::chrono::seconds>(std::chrono::system_clock::now());
+    const bool healthy = parts.health.fresh && parts.health.registered && !this->runtime.stopping();
+    json::object document{{"incarnation", parts.incarnation},     {"healthy", healthy},
+                          {"fresh", parts.health.fresh},          {"log_answers", parts.health.log_answers},
+                          {"stopping", this->runtime.stopping()}, {"epoch", parts.epoch},
+                          {"is_planner", parts.planner}};
+    for (auto& member : fleet_document(parts.view(), wall_clock)) {
+        document[member.key()] = std::move(member.value());
+    }
+    for (auto& team : document["teams"].as_array()) {
+        const auto& [usable, running] = parts.team_units.at(std::string(team.at("team").as_string()));
+        team.as_object()["usable_here"] = usable;
+        team.as_object()["running_here"] = running;
+    }
+    document["alarms"] = alarms_document(parts.view(), parts.health, wall_clock);
+    document["zones"] = zones_of(*parts.state);
+    document["keys"] = keys_document(*parts.state);
+    return document;
 }
 
 json::value admin_api::drill(std::string_view zone) const {
-    return this->runtime.read([&](const node_core& core, const dispatcher&, boot_time) -> json::value {
-        const auto demand = core.fleet_demand();
-        return drill_document({*core.state(), *core.platform_vms(), demand}, zone);
-    });
+    return drill_document(this->read_parts().view(), zone);
 }
 
 json::value admin_api::dump() const {
@@ -204,6 +230,19 @@
 }
 
 json::value admin_api::metrics() const {
+    const auto parts = this->read_parts();
+    const auto set = [this](std::string_view name, std::int64_t value) {
+        this->runtime.counters.counter_of(name).set(value);
+    };
+    set("view_fresh", parts.health.fresh ? 1 : 0);
+    set("log_answers", parts.health.log_answers ? 1 : 0);
+    set("registered", parts.health.registered ? 1 : 0);
+    set("is_planner", parts.planner ? 1 : 0);
+    set("log_next_offset", parts.state->next_offset());
+    set("config_version", parts.state->config_version());
+    set("records_set_aside", parts.state->undecodable_records());
+    set("vms_in_fold", static_cast<std::int64_t>(parts.state->vms().size()));
+    set("tasks_in_fold", static_cast<std::int64_t>(parts.state->tasks().size()));
     auto body = this->runtime.counters.to_json();
     if (this->transport_counters && body.is_object()) {
         body.get_object()["transport"] = this->transport_counters();
--- a/src/node/admin_api.hpp
+++ b/src/node/admin_api.hpp
@@ -33,6 +33,9 @@
     [[nodiscard]] boost::json::value metrics() const;
 
 private:
+    struct view_parts;
+
+    [[nodiscard]] view_parts read_parts() const;
     http_response post_change(const http_request& request);
     [[nodiscard]] http_response change_answer(const std::string& change_id) const;
 
--- a/src/node/admin_views.cpp
+++ b/src/node/admin_views.cpp
@@ -5,9 +5,11 @@
 #include "policy/zone_drill.hpp"
 
 #include <boost/json/array.hpp>
+#include <fmt/format.h>
 
 #include <algorithm>
 #include <map>
+#include <utility>
 
 namespace hornbeamrail {
 
@@ -125,6 +127,91 @@
     return nodes;
 }
 
+class alarm_list {
+public:
+    void add(std::string_view alarm, std::string_view subject, std::string message, std::string_view remedy) {
+        this->alarms.push_back(
+            {{"alarm", alarm}, {"subject", subject}, {"message", std::move(message)}, {"remedy", remedy}});
+    }
+
+    boost::json::array alarms;
+};
+
+void add_node_alarms(alarm_list& list, const fleet_view& view, const node_health& health) {
+    if (!health.registered) {
+        list.add("not_registered", "this node", "the node is not part of the fleet and serves nothing",
+                 "wait some seconds; if it stays, check the log service and the node's settings");
+    } else if (!health.fresh) {
+        list.add("not_fresh", "this node", "the node has no fresh view and starts no work",
+                 "check its links to the log service and to the other entry nodes");
+    }
+    if (!health.log_answers) {
+        list.add("log_out", "log service", "the log does not answer this node: no change is accepted",
+                 "have the platform's log restored; requests go on meanwhile");
+    }
+    std::map<std::string, std::pair<std::size_t, std::size_t>> regions; // live and all counted nodes
+    for (const auto& [incarnation, node] : view.state.nodes()) {
+        if (node.counted) {
+            auto& [live, all] = regions[node.region];
+            ++all;
+            live += node.live() ? 1 : 0;
+        }
+    }
+    for (const auto& [region, counts] : regions) {
+        if (2 * (counts.first - 1) <= counts.second && counts.second > 1) {
+            list.add("majority_at_risk", region,
+                     fmt::format("{} of {} counted nodes live; the loss of one more stops changes",
+                                 counts.first, counts.second),
+                     "start or replace entry nodes of this region");
+        }
+    }
+    if (view.state.undecodable_records() > 0) {
+        list.add("records_set_aside", "log",
+                 fmt::format("{} records could not be read", view.state.undecodable_records()),
+                 "see set_aside in dump; upgrade the nodes if a newer binary wrote them");
+    }
+}
+
+void add_fleet_alarms(alarm_list& list, const boost::json::object& fleet, const fleet_config& config) {
+    for (const auto& zone : fleet.at("zones_out").as_array()) {
+        list.add("zone_out", zone.at("zone").as_string(), "operators have taken the zone out",
+                 "bring it back with zone in when it is sound");
+    }
+    for (const auto& pool : fleet.at("pools").as_array()) {
+        const std::string_view name = pool.at("pool").as_string();
+        const auto serving = pool.at("serving").to_number<std::int64_t>();
+        const auto least = config.find_pool(name)->min_vms;
+        if (serving < least) {
+            list.add("pool_short", name, fmt::format("{} VMs serve, min_vms is {}", serving, least),
+                     "see pool list for VMs that are out, moving or in maintenance");
+        }
+        if (pool.at("maintenance_days_late").to_number<double>() > 0) {
+            list.add("maintenance_late", name,
+                     fmt::format("the last VM will be {:.1f} days late",
+                                 pool.at("maintenance_days_late").to_number<double>()),
+                     "raise max_parallel_part or add VMs to the pool");
+        }
+    }
+    for (const auto& service : fleet.at("services").as_array()) {
+        const auto slots = service.at("slots").to_number<std::int64_t>();
+        const auto queued = service.at("queued").to_number<std::int64_t>();
+        if (queued > slots) {
+            list.add("service_full", service.at("service").as_string(),
+                     fmt::format("{} units wait for {} slots", queued, slots),
+                     "add VMs to its pool, or wait if the demand is a burst");
+        }
+    }
+    for (const auto& team : fleet.at("teams").as_array()) {
+        const auto limit = team.at("upper_limit").to_number<std::int64_t>();
+        const auto running = team.at("running").to_number<std::int64_t>();
+        if (running >= limit && team.at("queued").to_number<std::int64_t>() > 0) {
+            list.add("team_at_limit", team.at("team").as_string(),
+                     fmt::format("{} units run, the upper limit is {}", running, limit),
+                     "raise upper_limit with apply if the fleet has room");
+        }
+    }
+}
+
 boost::json::object tasks_of(const fleet_state& state) {
     boost::json::object counts;
     for (const auto& [id, task] : state.tasks()) {
@@ -170,6 +257,14 @@
             {"tasks", tasks_of(view.state)}};
 }
 
+boost::json::array alarms_document(const fleet_view& view, const node_health& health,
+                                   std::chrono::sys_seconds now) {
+    alarm_list list;
+    add_node_alarms(list, view, health);
+    add_fleet_alarms(list, fleet_document(view, now), view.state.config());
+    return std::move(list.alarms);
+}
+
 boost::json::object config_document(const fleet_state& state) {
     return {{"version", state.config_version()}, {"config", to_json(state.config())}};
 }
--- a/src/node/admin_views.hpp
+++ b/src/node/admin_views.hpp
@@ -36,6 +36,18 @@
 /// @return [{"key_id","team","revoked"}]
 boost::json::array keys_document(const fleet_state& state);
 
+/// What one node knows about itself, for the alarms.
+struct node_health {
+    bool registered = false;
+    bool fresh = false;
+    bool log_answers = false;
+};
+
+/// Conditions that an operator should look at now, the most urgent first.
+/// @return [{"alarm","subject","message","remedy"}]; docs/OPERATING.md explains each
+boost::json::array alarms_document(const fleet_view& view, const node_health& health,
+                                   std::chrono::sys_seconds now);
+
 /// What taking @p zone out would do with the demand of now.
 /// @return {"zone","defined","already_out","vms","at_risk","services":[...],"teams":[...]}
 boost::json::object drill_document(const fleet_view& view, std::string_view zone);
--- a/src/node/node_runtime.cpp
+++ b/src/node/node_runtime.cpp
@@ -60,8 +60,7 @@
       task_workers(this->executors), peers(workers, {.tls = std::move(identity)}),
       published_state(std::make_shared<const fleet_state>()),
       request_latency(this->counters.latency_of("request_latency")),
-      answered_ok(this->counters.counter_of("requests_answered_total")),
-      refused(this->counters.counter_of("requests_refused_total")) {}
+      answered_ok(this->counters.counter_of("requests_answered_total")) {}
 
 void node_runtime::start() {
     const auto weak = this->weak_from_this();
@@ -253,7 +252,7 @@
         actions = this->dispatch.tick(now);
     }
     if (refused_at_once) {
-        this->refused.add();
+        this->count_refusal(*refused_at_once);
         auto response = to_response(*refused_at_once);
         this->decorate(response, request.request_id);
         reply.send(std::move(response));
@@ -402,10 +401,17 @@
     });
 }
 
+void node_runtime::count_refusal(const refusal& answer) {
+    this->counters
+        .counter_of("requests_refused_total",
+                    {{"error", answer.error}, {"outcome", std::string(to_string(answer.outcome))}})
+        .add();
+}
+
 void node_runtime::carry_out(const refuse_ticket& action) {
     auto request = this->take_pending(action.ticket);
     if (request) {
-        this->refused.add();
+        this->count_refusal(action.answer);
         this->answer(*request, to_response(action.answer));
     }
 }
--- a/src/node/node_runtime.hpp
+++ b/src/node/node_runtime.hpp
@@ -178,9 +178,9 @@
                    std::function<void(std::optional<wire::PeerResponse>)> done);
     void on_run_answer(const dispatch_request& action, boot_time sent_at, http_call_result result);
     void on_caller_gone(ticket_id ticket);
+    void count_refusal(const refusal& answer);
     std::optional<pending_request> take_pending(ticket_id ticket);
     void answer(pending_request& request, http_response response);
-    void count_answer(const pending_request& request, int status);
 
     io_threads& threads;
     std::string node_id;
@@ -208,7 +208,6 @@
     std::atomic<bool> leaving{false};
     latency_histogram& request_latency;
     counter& answered_ok;
-    counter& refused;
 };
 
 } // namespace hornbeamrail
