--- /dev/null
+++ b/src/cli/commands.cpp
@@ -0,0 +1,107 @@
+#include "cli/commands.hpp"
+
+#include "cli/check.hpp"
+#include "cli/demo.hpp"
+#include "cli/fleet_commands.hpp"
+#include "cli/key_commands.hpp"
+#include "cli/serve.hpp"
+#include "cli/view_commands.hpp"
+#include "cli/vm_commands.hpp"
+#include "cli/zone_commands.hpp"
+
+#include <initializer_list>
+
+namespace hornbeamrail::cli {
+
+std::vector<command> all_commands() {
+    const std::vector<std::string_view> view_flags{"node", "timeout_ms", "output"};
+    const std::vector<std::string_view> change_flags{"node", "timeout_ms", "output", "change_id"};
+    const auto with = [](std::vector<std::string_view> flags, std::initializer_list<std::string_view> more) {
+        flags.insert(flags.end(), more);
+        return flags;
+    };
+    return {
+        {.name = "serve",
+         .arguments = "--config NODE.json",
+         .summary = "runs an entry node until SIGTERM (graceful stop); SIGHUP re-reads certificates",
+         .flags = {"config", "output"},
+         .run = run_serve},
+        {.name = "check",
+         .arguments = "FILE",
+         .summary = "checks a fleet text or the settings of a node",
+         .flags = {"output"},
+         .run = run_check},
+        {.name = "diff",
+         .arguments = "FILE",
+         .summary = "shows what apply would change",
+         .flags = view_flags,
+         .run = run_diff},
+        {.name = "apply",
+         .arguments = "FILE",
+         .summary = "publishes a fleet text against the version in force",
+         .flags = with(change_flags, {"expected_version"}),
+         .run = run_apply},
+        {.name = "key grant",
+         .arguments = "TEAM",
+         .summary = "makes a key for a team and shows it once",
+         .flags = with(change_flags, {"key_id", "key_hash"}),
+         .run = run_key_grant},
+        {.name = "key revoke",
+         .arguments = "KEY_ID",
+         .summary = "makes a key stop working on every node",
+         .flags = change_flags,
+         .run = run_key_revoke},
+        {.name = "key list",
+         .arguments = "",
+         .summary = "lists the keys with their teams",
+         .flags = view_flags,
+         .run = run_key_list},
+        {.name = "zone out",
+         .arguments = "ZONE",
+         .summary = "prints what is left without the zone, then takes it out of service",
+         .flags = with(change_flags, {"dry_run"}),
+         .run = run_zone_out},
+        {.name = "zone in",
+         .arguments = "ZONE",
+         .summary = "brings a zone back into service",
+         .flags = change_flags,
+         .run = run_zone_in},
+        {.name = "vm out",
+         .arguments = "VM",
+         .summary = "takes a VM out of service",
+         .flags = change_flags,
+         .run = run_vm_out},
+        {.name = "vm in",
+         .arguments = "VM",
+         .summary = "brings a VM back into service",
+         .flags = change_flags,
+         .run = run_vm_in},
+        {.name = "pool list",
+         .arguments = "",
+         .summary = "lists the pools with their VMs",
+         .flags = view_flags,
+         .run = run_pool_list},
+        {.name = "status",
+         .arguments = "",
+         .summary = "shows the fleet as one node sees it",
+         .flags = view_flags,
+         .run = run_status},
+        {.name = "dump",
+         .arguments = "",
+         .summary = "shows the full state of one node as JSON",
+         .flags = view_flags,
+         .run = run_dump},
+        {.name = "metrics",
+         .arguments = "",
+         .summary = "shows the counters of one node",
+         .flags = view_flags,
+         .run = run_metrics},
+        {.name = "demo",
+         .arguments = "",
+         .summary = "shows the system under load in one process, through a zone change and a node's stop",
+         .flags = {"seconds", "seed", "output"},
+         .run = run_demo},
+    };
+}
+
+} // namespace hornbeamrail::cli
--- /dev/null
+++ b/src/cli/commands.hpp
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "cli/command.hpp"
+
+#include <vector>
+
+namespace hornbeamrail::cli {
+
+/// @return every command of the binary, in the order of the usage text
+std::vector<command> all_commands();
+
+} // namespace hornbeamrail::cli
