--- a/src/coordination/snapshot_writer.cpp
+++ b/src/coordination/snapshot_writer.cpp
@@ -49,7 +49,7 @@
     // Should the parts get lost, the next delay starts only after they had time to be folded.
     this->write_at = now + longest_delay;
     ++this->write_count;
-    const auto state = log.state();
+    const auto& state = log.state();
     return split_snapshot(snapshot_id, state->next_offset(), snapshot_codec::encode(*state),
                           this->limits.snapshot_part_bytes);
 }
