Carry calls in one coroutine per connection and write without the event loop

Cause: each call started a coroutine and each write passed the scheduler. Change: a pooled connection keeps its coroutine between calls; small messages are sent directly; answers resume the connection on the worker that gives them. Idle coroutines hold no reference to their pool and are unwound by io_threads::stop. Conclusion: two passes of the event loop per request remain.

--- a/src/transport/call_pool.hpp
+++ b/src/transport/call_pool.hpp
@@ -10,17 +10,22 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/dispatch.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 
 #include <atomic>
 #include <chrono>
 #include <concepts>
 #include <deque>
-#include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
+#include <string_view>
+#include <unordered_map>
 #include <unordered_set>
+#include <utility>
 #include <vector>
 
 namespace hornbeamrail::detail {
@@ -57,6 +62,11 @@
 
     /// Begins the sweep that ends late calls and idle connections. Call once after construction.
     void start() {
+        this->threads.at_stop([weak = this->weak_from_this()] {
+            if (const auto pool = weak.lock()) {
+                pool->drop_idle();
+            }
+        });
         this->threads.repeat(sweep_interval, [weak = this->weak_from_this()] {
             const auto pool = weak.lock();
             if (pool) {
@@ -66,46 +76,62 @@
         });
     }
 
+    ~call_pool() { this->drop_idle(); }
+
     void submit(std::shared_ptr<Call> call) {
-        std::shared_ptr<connection> reused;
         std::string refusal;
-        std::vector<std::shared_ptr<connection>> dropped;
-        const auto now = steady::now();
+        std::optional<io_resume> resume;
+        std::vector<std::shared_ptr<connection>> stale;
+        group* own = nullptr;
         {
             const std::lock_guard lock(this->mutex);
-            auto& own = this->groups[call->target];
-            while (!reused && !own.idle.empty()) {
-                auto candidate = std::move(own.idle.back());
-                own.idle.pop_back();
-                // The check is a system call. A close within the last moments is not worth it: the same close
-                // a little later could not be seen either.
-                const bool just_used = candidate->deadline - this->options.idle_timeout + trusted_idle > now;
-                if (just_used || candidate->stream.is_quiet()) {
-                    reused = std::move(candidate);
-                } else {
-                    --own.open;
-                    dropped.push_back(std::move(candidate));
+            own = &this->groups[call->target];
+            if (auto peer = this->take_idle(*own, stale)) {
+                peer->deadline = call->deadline;
+                peer->busy = true;
+                peer->next = std::move(call);
+                // Empty while the coroutine still completes its last call; it then finds the next one itself.
+                if (peer->waiter) {
+                    resume.emplace(std::move(*peer->waiter));
+                    peer->waiter.reset();
                 }
-            }
-            if (reused) {
-                reused->deadline = call->deadline;
-                own.busy.insert(reused.get());
-            } else if (own.open < this->options.max_connections) {
-                ++own.open;
-            } else if (own.waiting.size() < this->options.max_waiting) {
-                own.waiting.push_back(std::move(call));
+            } else if (own->open < this->options.max_connections) {
+                ++own->open;
+            } else if (own->waiting.size() < this->options.max_waiting) {
+                own->waiting.push_back(std::move(call));
                 return;
             } else {
                 refusal = "too many calls wait for a connection";
             }
         }
-        if (!refusal.empty()) {
+        unwind(stale);
+        if (resume) {
+            // On a worker this writes the call at once, inside this function.
+            boost::asio::dispatch(this->context, std::move(*resume));
+        } else if (!refusal.empty()) {
             call->fail_unsent(std::move(refusal));
             call->complete();
-            return;
+        } else if (call) {
+            boost::asio::co_spawn(this->context.get_executor(),
+                                  run(this->weak_from_this(), *own, std::move(call)), boost::asio::detached);
         }
-        boost::asio::co_spawn(this->context.get_executor(), this->run(std::move(reused), std::move(call)),
-                              boost::asio::detached);
+    }
+
+    /// Closes the idle connections.
+    void drop_idle() {
+        std::vector<std::shared_ptr<connection>> dropped;
+        {
+            const std::lock_guard lock(this->mutex);
+            for (auto& [target, own] : this->groups) {
+                own.open -= own.idle.size();
+                for (auto& peer : own.idle) {
+                    own.all.erase(peer.get());
+                    dropped.push_back(std::move(peer));
+                }
+                own.idle.clear();
+            }
+        }
+        unwind(dropped);
     }
 
     [[nodiscard]] std::size_t open_connections(const endpoint& target) const {
@@ -118,9 +144,6 @@
     /// Deadlines are checked this often: a timer for each call costs more than the check of all.
     static constexpr std::chrono::milliseconds sweep_interval{10};
 
-    /// An idle connection is used without a check within this time after its last answer.
-    static constexpr std::chrono::milliseconds trusted_idle{5};
-
     struct connection {
         connection(tcp_socket socket, std::shared_ptr<boost::asio::ssl::context> tls,
                    std::size_t buffer_bytes)
@@ -128,24 +151,40 @@
 
         socket_stream stream;
         boost::beast::flat_buffer buffer;
+        // Guarded by the pool's mutex:
         steady::time_point deadline; ///< of the call, or of the idle connection
+        bool busy = true;
+        std::shared_ptr<Call> next;      ///< call that an idle connection was given
+        std::optional<io_resume> waiter; ///< coroutine of an idle connection; owns a reference to this object
     };
 
     struct group {
         std::size_t open = 0; ///< connections that exist or are being made
         std::vector<std::shared_ptr<connection>> idle;
-        std::unordered_set<connection*> busy;
+        std::unordered_set<connection*> all; ///< connections with a socket
         std::deque<std::shared_ptr<Call>> waiting;
     };
 
-    io_task<void> run(std::shared_ptr<connection> peer, std::shared_ptr<Call> call) {
-        const auto self = this->shared_from_this();
-        const endpoint target = call->target;
+    struct endpoint_hash {
+        std::size_t operator()(const endpoint& value) const noexcept {
+            return std::hash<std::string_view>()(value.address) ^
+                   (std::size_t{value.port} * 0x9e3779b97f4a7c15U);
+        }
+    };
+
+    /// The coroutine of one connection: carries calls until the connection fails or is dropped. It holds the
+    /// pool only while a call is in progress, so that idle connections do not keep the pool alive.
+    static io_task<void> run(std::weak_ptr<call_pool> owner, group& own, std::shared_ptr<Call> call) {
+        std::shared_ptr<connection> peer;
         while (call) {
+            auto pool = owner.lock();
+            if (!pool) {
+                co_return;
+            }
             bool usable = false;
             try {
                 if (!peer) {
-                    peer = co_await this->connect(*call);
+                    peer = co_await pool->connect(own, *call);
                 }
                 if (peer) {
                     usable = co_await call->exchange(peer->stream, peer->buffer);
@@ -154,23 +193,69 @@
                 call->fail_unsent(failure.what()); // without effect once bytes were written
             }
             const auto finished = std::move(call);
-            call = this->release(target, peer, usable);
+            call = pool->release(own, peer, usable);
+            const bool idle = !call && peer;
             finished->complete();
+            if (!idle) {
+                continue;
+            }
+            call = pool->take_next(*peer);
+            if (call) {
+                continue;
+            }
+            pool.reset();
+            co_await suspend_with([&owner, target = peer.get()](io_resume resume) {
+                if (const auto still = owner.lock()) {
+                    still->wait_for_next(*target, std::move(resume));
+                }
+            });
+            pool = owner.lock();
+            call = pool ? pool->take_next(*peer) : nullptr;
         }
     }
 
+    /// @return the call that an idle connection was given, if any
+    std::shared_ptr<Call> take_next(connection& peer) {
+        const std::lock_guard lock(this->mutex);
+        return std::move(peer.next);
+    }
+
+    void wait_for_next(connection& peer, io_resume resume) {
+        {
+            const std::lock_guard lock(this->mutex);
+            if (!peer.next) {
+                peer.waiter.emplace(std::move(resume));
+                return;
+            }
+        }
+        boost::asio::post(this->context, std::move(resume));
+    }
+
+    /// @param stale receives idle connections that the other side has closed
+    /// @return an idle connection, or null
+    std::shared_ptr<connection> take_idle(group& own, std::vector<std::shared_ptr<connection>>& stale) {
+        while (!own.idle.empty()) {
+            auto candidate = std::move(own.idle.back());
+            own.idle.pop_back();
+            if (candidate->stream.is_quiet()) {
+                return candidate;
+            }
+            --own.open;
+            own.all.erase(candidate.get());
+            stale.push_back(std::move(candidate));
+        }
+        return nullptr;
+    }
+
     /// Takes back the connection after a call.
-    /// @param peer the connection; reset unless it carries the next call
-    /// @return the next call that waits, or null when this coroutine is no longer needed
-    std::shared_ptr<Call> release(const endpoint& target, std::shared_ptr<connection>& peer, bool usable) {
+    /// @param peer the connection; reset when it cannot be used again
+    /// @return the next call that waits; null when the connection is idle now or the coroutine not needed
+    std::shared_ptr<Call> release(group& own, std::shared_ptr<connection>& peer, bool usable) {
         std::shared_ptr<connection> dropped; // closed after the lock is released
         std::shared_ptr<Call> next;
         const std::lock_guard lock(this->mutex);
-        auto& own = this->groups[target];
-        if (peer) {
-            own.busy.erase(peer.get());
-        }
-        if (!usable) {
+        if (!usable && peer) {
+            own.all.erase(peer.get());
             dropped = std::move(peer);
             peer = nullptr;
         }
@@ -179,21 +264,20 @@
             own.waiting.pop_front();
             if (peer) {
                 peer->deadline = next->deadline;
-                own.busy.insert(peer.get());
             }
             return next;
         }
         if (peer) {
             peer->deadline = steady::now() + this->options.idle_timeout;
-            own.idle.push_back(std::move(peer));
-            peer = nullptr;
+            peer->busy = false;
+            own.idle.push_back(peer);
         } else {
             --own.open;
         }
         return nullptr;
     }
 
-    io_task<std::shared_ptr<connection>> connect(Call& call) {
+    io_task<std::shared_ptr<connection>> connect(group& own, Call& call) {
         boost::system::error_code failure;
         const auto address = boost::asio::ip::make_address(call.target.address, failure);
         if (failure) {
@@ -213,7 +297,7 @@
         made->deadline = call.deadline;
         {
             const std::lock_guard lock(this->mutex);
-            this->groups[call.target].busy.insert(made.get());
+            own.all.insert(made.get());
         }
         co_await made->stream.socket.async_connect(remote, task_with(failure));
         if (!failure) {
@@ -224,15 +308,17 @@
         }
         if (failure) {
             call.fail_unsent("cannot connect to " + to_string(call.target) + ": " + failure.message());
-            this->forget(call.target, made.get());
+            const std::lock_guard lock(this->mutex);
+            own.all.erase(made.get());
             co_return nullptr;
         }
         co_return made;
     }
 
-    void forget(const endpoint& target, connection* peer) {
-        const std::lock_guard lock(this->mutex);
-        this->groups[target].busy.erase(peer);
+    static void unwind(const std::vector<std::shared_ptr<connection>>& dropped) {
+        for (const auto& peer : dropped) {
+            peer->waiter.reset();
+        }
     }
 
     void sweep() {
@@ -242,12 +328,13 @@
             const std::lock_guard lock(this->mutex);
             const auto now = steady::now();
             for (auto& [target, own] : this->groups) {
-                for (auto* peer : own.busy) {
-                    if (peer->deadline <= now) {
+                for (auto* peer : own.all) {
+                    if (peer->busy && peer->deadline <= now) {
                         peer->stream.interrupt(SHUT_RDWR); // its coroutine sees the end of the stream
                     }
                 }
                 while (!own.idle.empty() && own.idle.front()->deadline <= now) {
+                    own.all.erase(own.idle.front().get());
                     dropped.push_back(std::move(own.idle.front()));
                     own.idle.erase(own.idle.begin());
                     --own.open;
@@ -262,6 +349,7 @@
                 }
             }
         }
+        unwind(dropped);
         for (const auto& call : late) {
             call->fail_unsent("the deadline passed while the call waited for a connection");
             call->complete();
@@ -272,7 +360,8 @@
     boost::asio::io_context& context;
     call_pool_options options;
     mutable std::mutex mutex; ///< guards `groups`; leaf lock
-    std::map<endpoint, group> groups;
+    /// Groups are never removed, so references to them stay valid as long as the pool.
+    std::unordered_map<endpoint, group, endpoint_hash> groups;
 };
 
 } // namespace hornbeamrail::detail
--- a/src/transport/http_client_pool.cpp
+++ b/src/transport/http_client_pool.cpp
@@ -65,7 +65,10 @@
         std::size_t written = 0;
         if (this->request.body.size() <= 4096) {
             head.append(this->request.body);
-            written = co_await stream.write(asio::buffer(head), failure);
+            written = stream.write_now(head);
+            if (written < head.size()) {
+                written += co_await stream.write(asio::buffer(head) + written, failure);
+            }
         } else {
             const std::array<asio::const_buffer, 2> parts{asio::buffer(head),
                                                           asio::buffer(this->request.body)};
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -6,14 +6,16 @@
 #include "transport/socket_stream.hpp"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/defer.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/dispatch.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/error.hpp>
 
 #include <atomic>
 #include <condition_variable>
 #include <mutex>
+#include <optional>
 #include <unordered_map>
 
 namespace hornbeamrail {
@@ -40,31 +42,26 @@
         }
         this->response = std::move(value);
         if (this->current.exchange(answered) == waiting) {
-            // Deferred: the caller of send() may hold locks, and its thread goes on with this work next.
-            asio::defer(this->context, std::move(this->resume));
+            // On a worker this writes the answer at once, inside the call.
+            asio::dispatch(this->context, std::move(*this->resume));
         }
     }
 
     io_task<void> wait_answer() {
-        return asio::async_initiate<const asio::use_awaitable_t<io_executor>&, void()>(
-            [this](auto handler) {
-                auto shared = std::make_shared<decltype(handler)>(std::move(handler));
-                this->resume = [shared] {
-                    std::move (*shared)();
-                };
-                phase expected = open;
-                if (!this->current.compare_exchange_strong(expected, waiting)) {
-                    asio::defer(this->context, std::move(this->resume));
-                }
-            },
-            use_task);
+        return suspend_with([this](io_resume handler) {
+            this->resume.emplace(std::move(handler));
+            phase expected = open;
+            if (!this->current.compare_exchange_strong(expected, waiting)) {
+                asio::post(this->context, std::move(*this->resume));
+            }
+        });
     }
 
     asio::io_context& context;
     std::atomic<phase> current = open;
     std::atomic<bool> sent{false};
     http_response response;
-    std::function<void()> resume;
+    std::optional<io_resume> resume;
     std::function<void()> caller_gone;
 };
 
@@ -449,7 +446,10 @@
         error_code failure;
         if (response.body.size() <= 4096) {
             head.append(response.body);
-            co_await peer.stream.write(asio::buffer(head), failure);
+            const auto written = peer.stream.write_now(head);
+            if (written < head.size()) {
+                co_await peer.stream.write(asio::buffer(head) + written, failure);
+            }
         } else {
             const std::array<asio::const_buffer, 2> parts{asio::buffer(head), asio::buffer(response.body)};
             co_await peer.stream.write(parts, failure);
--- a/src/transport/http_server.hpp
+++ b/src/transport/http_server.hpp
@@ -23,7 +23,8 @@
 public:
     explicit http_reply(std::shared_ptr<detail::http_exchange> shared) : exchange(std::move(shared)) {}
 
-    /// Gives the answer. Thread-safe; never runs the connection's code inside the call.
+    /// Gives the answer. Thread-safe. On a worker the connection goes on inside the call, up to the handler
+    /// of its next request, so no lock may be held that a handler takes.
     void send(http_response response) const;
 
     /// Closes the connection without an answer, so that the caller learns nothing about the outcome.
--- a/src/transport/io_threads.cpp
+++ b/src/transport/io_threads.cpp
@@ -8,6 +8,7 @@
 #include <pthread.h>
 #include <time.h>
 
+#include <mutex>
 #include <thread>
 #include <vector>
 
@@ -34,6 +35,8 @@
         });
     }
 
+    std::mutex mutex; ///< guards `cleanups`; leaf lock
+    std::vector<std::function<void()>> cleanups;
     asio::io_context context;
     asio::executor_work_guard<io_executor> work;
     std::vector<std::thread> threads;
@@ -53,6 +56,19 @@
             thread.join();
         }
     }
+    std::vector<std::function<void()>> due;
+    {
+        const std::lock_guard lock(this->self->mutex);
+        due.swap(this->self->cleanups);
+    }
+    for (const auto& function : due) {
+        function();
+    }
+}
+
+void io_threads::at_stop(std::function<void()> function) {
+    const std::lock_guard lock(this->self->mutex);
+    this->self->cleanups.push_back(std::move(function));
 }
 
 void io_threads::post(std::function<void()> function) {
--- a/src/transport/io_threads.hpp
+++ b/src/transport/io_threads.hpp
@@ -25,6 +25,9 @@
     /// called from a worker.
     void stop();
 
+    /// Runs @p function at the end of `stop()`, when no handler runs any more.
+    void at_stop(std::function<void()> function);
+
     /// Runs @p function on a worker.
     void post(std::function<void()> function);
 
--- a/src/transport/io_types.hpp
+++ b/src/transport/io_types.hpp
@@ -10,6 +10,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <chrono>
+#include <utility>
 
 namespace hornbeamrail {
 
@@ -20,10 +21,19 @@
 using io_timer =
     boost::asio::basic_waitable_timer<std::chrono::steady_clock,
                                       boost::asio::wait_traits<std::chrono::steady_clock>, io_executor>;
+/// Resumes a suspended coroutine. Dropping it unwinds the coroutine.
+using io_resume = boost::asio::async_result<boost::asio::use_awaitable_t<io_executor>, void()>::handler_type;
 template <class T = void>
 using io_task = boost::asio::awaitable<T, io_executor>;
 inline constexpr boost::asio::use_awaitable_t<io_executor> use_task{};
 
+/// Suspends the coroutine and gives what resumes it to @p keep(io_resume).
+template <class Keep>
+io_task<void> suspend_with(Keep keep) {
+    return boost::asio::async_initiate<const boost::asio::use_awaitable_t<io_executor>, void()>(
+        [keep = std::move(keep)](io_resume resume) mutable { keep(std::move(resume)); }, use_task);
+}
+
 /// Completion token: suspends the coroutine and stores the error in @p failure instead of throwing.
 inline auto task_with(boost::system::error_code& failure) {
     return boost::asio::redirect_error(use_task, failure);
--- a/src/transport/socket_stream.hpp
+++ b/src/transport/socket_stream.hpp
@@ -12,6 +12,7 @@
 
 #include <memory>
 #include <optional>
+#include <string_view>
 
 namespace hornbeamrail {
 
@@ -44,6 +45,17 @@
         return this->socket.async_read_some(buffer, task_with(failure));
     }
 
+    /// Writes what the socket takes at once, without a pass through the event loop.
+    /// @return the number of bytes written; 0 also on errors, which the next write reports
+    std::size_t write_now(std::string_view bytes) noexcept {
+        if (this->tls) {
+            return 0;
+        }
+        const auto sent =
+            ::send(this->socket.native_handle(), bytes.data(), bytes.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+        return sent > 0 ? static_cast<std::size_t>(sent) : 0;
+    }
+
     /// Writes all of @p buffers.
     /// @return the number of bytes that went to the operating system or, with TLS, to the TLS layer
     template <class Buffers>
