Skip the ramp of a returning zone when no other zone serves

Cause: after operators had taken every zone out, the first zone to return got its load on a ramp over 10 s, although no other zone could carry the rest: idle executors refused work. Change: executor_table applies the ramp only while the service has an executor in a zone that is in service and not on a ramp itself. Conclusion: the ramp shifts load between zones and no longer takes capacity away.

--- a/src/node/executor_table.cpp
+++ b/src/node/executor_table.cpp
@@ -203,13 +203,27 @@
     this->renewals.emplace(at, item.vm);
 }
 
+bool executor_table::has_settled_zone(boot_time now, const service_entry& service) const {
+    return std::any_of(service.vm_at.begin(), service.vm_at.end(), [&](const std::string& vm) {
+        const auto& item = this->executors.at(vm);
+        const auto returned = this->zone_returned.find(item.zone);
+        const bool ramps =
+            returned != this->zone_returned.end() && now < returned->second + this->settings.zone_ramp;
+        return item.in_service && !item.zone_out && !item.leaving && !ramps;
+    });
+}
+
 std::int64_t executor_table::slots_now(boot_time now, const executor& item,
                                        const service_entry& service) const {
     if (!item.may_start(now)) {
         return 0;
     }
     double weight = service.health.weight(now, item.vm);
-    if (const auto returned = this->zone_returned.find(item.zone); returned != this->zone_returned.end()) {
+    // The ramp shifts load from other zones; with none to shift from, it would only refuse work to idle
+    // executors.
+    if (const auto returned = this->zone_returned.find(item.zone);
+        returned != this->zone_returned.end() && now < returned->second + this->settings.zone_ramp &&
+        this->has_settled_zone(now, service)) {
         weight = std::min(weight, ramp_weight(now, returned->second, this->settings.zone_ramp));
     }
     if (weight <= 0) {
--- a/src/node/executor_table.hpp
+++ b/src/node/executor_table.hpp
@@ -129,6 +129,7 @@
     void refresh(boot_time now, executor& item);
     executor* find(std::string_view vm);
     [[nodiscard]] const executor* find(std::string_view vm) const;
+    [[nodiscard]] bool has_settled_zone(boot_time now, const service_entry& service) const;
     [[nodiscard]] std::int64_t slots_now(boot_time now, const executor& item,
                                          const service_entry& service) const;
 
--- a/tests/dispatcher_test.cpp
+++ b/tests/dispatcher_test.cpp
@@ -150,6 +150,23 @@
     BOOST_TEST(this->node->idle());
 }
 
+// Guards against a ramp that refuses work to idle executors when every zone was out and no other zone has
+// load to shift.
+BOOST_AUTO_TEST_CASE(the_only_zone_takes_all_load_at_once) {
+    this->step();
+    for (const std::string zone : {"a", "b", "c"}) {
+        this->core.add(zone_out_record{zone});
+    }
+    this->step(100ms);
+    this->core.add(zone_in_record{"b"});
+    this->step(600ms);
+    for (int i = 0; i < 8; ++i) {
+        this->submit(request());
+    }
+    this->step();
+    BOOST_TEST(this->dispatches.size() == 8u);
+}
+
 // Guards against a late release of one claim that ends a newer claim of the same id by the same node: the
 // owner would forget the newer one and grant the id again.
 BOOST_AUTO_TEST_CASE(claims_of_one_id_are_told_apart) {
