Judge refusals by the slots that were in service

Needless refusals still count. Tested: availability_budget_excuses_refusals_without_capacity passes while the zone is out and catches the same refusals after its return.

--- a/tests/history_checker_test.cpp
+++ b/tests/history_checker_test.cpp
@@ -183,6 +183,25 @@
     BOOST_TEST(clean(full));
 }
 
+// Guards against a budget that operators spend by taking every zone out, and against excusing refusals after
+// that.
+BOOST_AUTO_TEST_CASE(availability_budget_excuses_refusals_without_capacity) {
+    const auto refusals = [](std::chrono::milliseconds when) {
+        history_writer history;
+        history.complete("r", at(0ms));
+        history.change("out", "zone_out", at(500s), at(501s), 5, {.zone = "z1"});
+        history.change("in", "zone_in", at(590s), at(591s), 6, {.zone = "z1"});
+        for (int i = 0; i < 100; ++i) {
+            history.invoke("f" + std::to_string(i), at(when));
+            history.answer("f" + std::to_string(i), at(when), 503, "not_run");
+        }
+        history.complete("last", at(600s));
+        return history;
+    };
+    BOOST_TEST(clean(refusals(580s)));
+    BOOST_TEST(only(refusals(595s), guarantee::availability_budget));
+}
+
 // Guards against nodes that disagree on the pool of a VM, and against work outside the pool.
 BOOST_AUTO_TEST_CASE(one_pool_per_vm) {
     history_writer good;
