--- a/src/node/admin_views.cpp
+++ b/src/node/admin_views.cpp
@@ -129,9 +129,10 @@
 
 class alarm_list {
 public:
-    void add(std::string_view alarm, std::string_view subject, std::string message, std::string_view remedy) {
+    void add(std::string_view alarm, std::string_view subject, std::string_view message,
+             std::string_view remedy) {
         this->alarms.push_back(
-            {{"alarm", alarm}, {"subject", subject}, {"message", std::move(message)}, {"remedy", remedy}});
+            {{"alarm", alarm}, {"subject", subject}, {"message", message}, {"remedy", remedy}});
     }
 
     boost::json::array alarms;
--- a/src/state/counters.hpp
+++ b/src/state/counters.hpp
@@ -11,6 +11,7 @@
 #include <mutex>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -86,7 +87,9 @@
     struct series_key {
         std::string name;
         label_list labels;
-        friend auto operator<=>(const series_key&, const series_key&) = default;
+        friend bool operator<(const series_key& left, const series_key& right) {
+            return std::tie(left.name, left.labels) < std::tie(right.name, right.labels);
+        }
     };
     template <class Series>
     using series_map = std::map<series_key, std::unique_ptr<Series>>;
--- a/src/transport/http_message.hpp
+++ b/src/transport/http_message.hpp
@@ -23,7 +23,7 @@
 
     /// Appends a field without a look at those already present.
     void add(std::string_view name, std::string_view value) {
-        this->items.emplace_back(std::string(name), std::string(value));
+        this->items.push_back({std::string(name), std::string(value)});
     }
 
     /// Replaces every field with this name by one.
