Publish the fold through a mutex instead of an atomic shared_ptr

Cause: the thread sanitizer reports a race in the demo: std::atomic<std::shared_ptr> of libstdc++ 12 releases its lock in load() without ordering, so a reader's copy races with the next store of the fold. Change: state/published.hpp guards the pointer by a mutex for the time of its copy; node_runtime and entry_node use it. Tested: entry_node_test, operator_commands_test green; the thread sanitizer's run of the demo follows.

--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -6,6 +6,7 @@
 #include "node/task_api.hpp"
 #include "protocol/digest.hpp"
 #include "protocol/json_log.hpp"
+#include "state/published.hpp"
 #include "transport/peer_server.hpp"
 
 #include <boost/json/object.hpp>
@@ -55,7 +56,8 @@
 
 struct entry_node::impl : std::enable_shared_from_this<entry_node::impl> {
     explicit impl(entry_node_options chosen)
-        : options(std::move(chosen)), threads(static_cast<int>(options.settings.worker_threads)) {}
+        : options(std::move(chosen)),
+          threads(static_cast<int>(options.settings.worker_threads), "node_worker") {}
 
     ~impl() { this->threads.stop(); }
     impl(const impl&) = delete;
@@ -79,7 +81,8 @@
         this->make_runtime();
         this->admin_documents = std::make_unique<admin_api>(*this->runtime.load());
         this->admin_documents->transport_counters = [this] {
-            return json::value{{"caller", to_json(this->callers->counters())},
+            return json::value{{"cpu_time_us", this->threads.cpu_time().count()},
+                               {"caller", to_json(this->callers->counters())},
                                {"admin", to_json(this->admin->counters())},
                                {"peer", to_json(this->peers->counters())}};
         };
@@ -133,7 +136,7 @@
         const auto seed = this->options.seed != 0
                               ? this->options.seed
                               : (std::uint64_t{std::random_device()()} << 32U) | std::random_device()();
-        this->runtime =
+        this->runtime.store(
             std::make_shared<node_runtime>(this->threads,
                                            core_options{.node_id = settings.node_id,
                                                         .peer_address = this->peers->address(),
@@ -144,7 +147,7 @@
                                                         .address_taken = true,
                                                         .timings = this->options.timings},
                                            dispatcher_options{.zone = settings.zone, .seed = seed + 1},
-                                           settings.platform, this->peer_client_identity);
+                                           settings.platform, this->peer_client_identity));
     }
 
     void handle_caller(http_request request, const http_reply& reply) {
@@ -272,7 +275,7 @@
     std::shared_ptr<tls_settings> peer_server_identity;
     std::shared_ptr<tls_settings> peer_client_identity;
     std::unique_ptr<peer_server> peers;
-    std::atomic<std::shared_ptr<node_runtime>> runtime; ///< null until the peer address is bound
+    published<node_runtime> runtime; ///< null until the peer address is bound
     std::unique_ptr<admin_api> admin_documents;
     std::unique_ptr<http_server> admin;
     std::unique_ptr<http_server> callers;
@@ -332,6 +335,10 @@
     return {};
 }
 
+std::chrono::microseconds entry_node::cpu_time() const {
+    return this->self->threads.cpu_time();
+}
+
 json::value entry_node::status() const {
     return this->self->admin_documents->status();
 }
