--- a/src/node/admin_api.cpp
+++ b/src/node/admin_api.cpp
@@ -220,9 +220,11 @@
 }
 
 json::value admin_api::dump() const {
+    auto tasks = this->runtime.dump_tasks();
     return this->runtime.read(
         [&](const node_core& core, const dispatcher& dispatch, boot_time now) -> json::value {
-            return json::object{{"core", core.dump(now)},
+            return json::object{{"tasks", std::move(tasks)},
+                                {"core", core.dump(now)},
                                 {"dispatcher", dispatch.dump(now)},
                                 {"configuration", config_document(*core.state())},
                                 {"keys", keys_document(*core.state())}};
