--- a/src/node/request_api.cpp
+++ b/src/node/request_api.cpp
@@ -5,6 +5,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 
 namespace hornbeamrail {
@@ -135,9 +136,9 @@
 }
 
 http_response to_caller_response(http_response from_executor) {
-    for (const auto* name : {"Correlation-Id", "Keep-Alive", "Outcome", "Request-Id", "Hornbeamrail-Epoch"}) {
-        from_executor.headers.erase(name);
-    }
+    static constexpr std::array<std::string_view, 5> hop_headers{"Correlation-Id", "Keep-Alive", "Outcome",
+                                                                 "Request-Id", "Hornbeamrail-Epoch"};
+    from_executor.headers.erase_all(hop_headers);
     return from_executor;
 }
 
--- a/src/protocol/digest.cpp
+++ b/src/protocol/digest.cpp
@@ -7,6 +7,7 @@
 #include <boost/uuid/uuid_io.hpp>
 
 #include <array>
+#include <memory>
 #include <vector>
 
 namespace hornbeamrail {
@@ -33,7 +34,13 @@
 std::string sha256_hex(std::string_view bytes) {
     std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
     unsigned int size = 0;
-    if (EVP_Digest(bytes.data(), bytes.size(), digest.data(), &size, EVP_sha256(), nullptr) != 1) {
+    // Looking the algorithm up and making a context cost more than the digest of a key: both are kept.
+    static EVP_MD* const algorithm = EVP_MD_fetch(nullptr, "SHA256", nullptr);
+    thread_local const std::unique_ptr<EVP_MD_CTX, decltype(&EVP_MD_CTX_free)> context(EVP_MD_CTX_new(),
+                                                                                       &EVP_MD_CTX_free);
+    if (EVP_DigestInit_ex2(context.get(), algorithm, nullptr) != 1 ||
+        EVP_DigestUpdate(context.get(), bytes.data(), bytes.size()) != 1 ||
+        EVP_DigestFinal_ex(context.get(), digest.data(), &size) != 1) {
         return {};
     }
     return to_hex(digest.data(), size);
--- a/src/transport/call_pool.hpp
+++ b/src/transport/call_pool.hpp
@@ -268,7 +268,7 @@
             return next;
         }
         if (peer) {
-            peer->deadline = steady::now() + this->options.idle_timeout;
+            peer->deadline = coarse_now() + this->options.idle_timeout;
             peer->busy = false;
             own.idle.push_back(peer);
         } else {
@@ -326,7 +326,7 @@
         std::vector<std::shared_ptr<connection>> dropped;
         {
             const std::lock_guard lock(this->mutex);
-            const auto now = steady::now();
+            const auto now = coarse_now();
             for (auto& [target, own] : this->groups) {
                 for (auto* peer : own.all) {
                     if (peer->busy && peer->deadline <= now) {
--- a/src/transport/http_client_pool.cpp
+++ b/src/transport/http_client_pool.cpp
@@ -57,7 +57,7 @@
     io_task<bool> exchange(socket_stream& stream, boost::beast::flat_buffer& buffer) {
         std::string head;
         head.reserve(512 + (this->request.body.size() <= 4096 ? this->request.body.size() : 0));
-        if (!append_request_head(head, this->request, to_string(this->target))) {
+        if (!append_request_head(head, this->request, this->target)) {
             this->fail_unsent("a header of the request holds a control character");
             co_return true;
         }
@@ -153,7 +153,7 @@
 void http_client_pool::call(http_call request, callback done) {
     auto pending = std::make_shared<pending_call>();
     pending->target = std::move(request.target);
-    pending->deadline = std::chrono::steady_clock::now() + request.timeout;
+    pending->deadline = coarse_now() + request.timeout;
     pending->request = std::move(request.request);
     pending->correlation_id = std::move(request.correlation_id);
     if (!pending->correlation_id.empty()) {
--- a/src/transport/http_message.cpp
+++ b/src/transport/http_message.cpp
@@ -89,6 +89,13 @@
     std::erase_if(this->items, [&](const http_header& header) { return equal_names(header.name, name); });
 }
 
+void http_headers::erase_all(std::span<const std::string_view> names) {
+    std::erase_if(this->items, [&](const http_header& header) {
+        return std::any_of(names.begin(), names.end(),
+                           [&](std::string_view name) { return equal_names(header.name, name); });
+    });
+}
+
 http_response make_error_response(int status, std::string_view error, std::string_view message,
                                   std::string_view remedy, std::string_view outcome) {
     http_response response{.status = status};
@@ -140,12 +147,15 @@
     }
 }
 
-bool append_request_head(std::string& head, const http_request& request, std::string_view host) {
+bool append_request_head(std::string& head, const http_request& request, const endpoint& host) {
     if (has_control_character(request.target) || request.target.find(' ') != std::string::npos) {
         return false;
     }
     head.append(request.method).append(" ").append(request.target).append(" HTTP/1.1\r\nHost: ");
-    head.append(host).append("\r\n");
+    const bool is_v6 = host.address.find(':') != std::string::npos;
+    head.append(is_v6 ? "[" : "").append(host.address).append(is_v6 ? "]:" : ":");
+    append_number(head, host.port);
+    head.append("\r\n");
     return append_headers(head, request.headers, request.body.size());
 }
 
--- a/src/transport/http_message.hpp
+++ b/src/transport/http_message.hpp
@@ -1,5 +1,8 @@
 #pragma once
 
+#include "hornbeamrail/node_settings.hpp"
+
+#include <span>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -31,6 +34,9 @@
 
     void erase(std::string_view name);
 
+    /// Removes every field whose name is in @p names.
+    void erase_all(std::span<const std::string_view> names);
+
     [[nodiscard]] auto begin() const noexcept { return this->items.begin(); }
     [[nodiscard]] auto end() const noexcept { return this->items.end(); }
     [[nodiscard]] std::size_t size() const noexcept { return this->items.size(); }
@@ -70,7 +76,7 @@
 
 /// Appends the head of a request: request line, `Host`, the headers, `Content-Length` and the empty line.
 /// @return false when a header or the target holds a control character; @p head is then unusable
-bool append_request_head(std::string& head, const http_request& request, std::string_view host);
+bool append_request_head(std::string& head, const http_request& request, const endpoint& host);
 
 /// Appends the head of a response.
 /// @param close whether to announce that the connection will be closed
--- a/src/transport/http_parser.hpp
+++ b/src/transport/http_parser.hpp
@@ -45,7 +45,14 @@
         }
     }
 
-    void on_field_impl(boost::beast::http::field, string_view name, string_view value, error_code&) override {
+    void on_field_impl(boost::beast::http::field id, string_view name, string_view value,
+                       error_code&) override {
+        // The parser itself uses the fields of the connection and the framing; no handler needs them.
+        using known = boost::beast::http::field;
+        if (id == known::host || id == known::content_length || id == known::connection ||
+            id == known::transfer_encoding) {
+            return;
+        }
         // Fields of a chunk trailer are dropped: they could pass for fields of the head.
         if (!this->head_done) {
             this->message.headers.add(name, value);
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -96,7 +96,7 @@
 
     void enter(connection_phase next, steady::duration limit) {
         this->phase.store(next, std::memory_order_relaxed);
-        this->deadline.store((steady::now() + limit).time_since_epoch().count(), std::memory_order_relaxed);
+        this->deadline.store((coarse_now() + limit).time_since_epoch().count(), std::memory_order_relaxed);
     }
 
     void interrupt(int how) {
--- a/src/transport/io_types.hpp
+++ b/src/transport/io_types.hpp
@@ -9,6 +9,8 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <time.h>
+
 #include <chrono>
 #include <utility>
 
@@ -21,6 +23,16 @@
 using io_timer =
     boost::asio::basic_waitable_timer<std::chrono::steady_clock,
                                       boost::asio::wait_traits<std::chrono::steady_clock>, io_executor>;
+/// @return the steady clock at the resolution of the kernel's tick (about 4 ms), which is cheaper to read;
+/// for
+///         deadlines that a sweep checks
+inline std::chrono::steady_clock::time_point coarse_now() noexcept {
+    timespec value{};
+    clock_gettime(CLOCK_MONOTONIC_COARSE, &value);
+    return std::chrono::steady_clock::time_point(std::chrono::seconds(value.tv_sec) +
+                                                 std::chrono::nanoseconds(value.tv_nsec));
+}
+
 /// Resumes a suspended coroutine. Dropping it unwinds the coroutine.
 using io_resume = boost::asio::async_result<boost::asio::use_awaitable_t<io_executor>, void()>::handler_type;
 template <class T = void>
