--- a/src/node/node_runtime.cpp
+++ b/src/node/node_runtime.cpp
@@ -324,6 +324,7 @@
         if (entry != this->pending.end() && !entry->second.caller_gone) {
             found = true;
             entry->second.in_flight = true;
+            ++this->in_flight;
             call.request.body = *entry->second.body;
         }
     }
@@ -345,33 +346,43 @@
 }
 
 void node_runtime::on_run_answer(const dispatch_request& action, boot_time sent_at, http_call_result result) {
-    const bool past_deadline = boot_clock::now() - sent_at >= action.remaining;
+    const bool past_deadline =
+        result.status == call_status::unknown && boot_clock::now() - sent_at >= action.remaining;
     const auto end = end_of(result, past_deadline);
     bool passes = false;
+    boot_time answered_at{};
     std::optional<pending_request> done;
     std::vector<dispatch_action> actions;
     {
         const std::lock_guard core_lock(this->core_mutex);
         const std::lock_guard lock(this->dispatcher_mutex);
         const auto now = boot_clock::now();
+        answered_at = now;
         passes = this->dispatch.on_dispatch_done(now, action.ticket, {end});
-        const std::lock_guard pending_lock(this->pending_mutex);
-        const auto entry = this->pending.find(action.ticket);
-        if (entry != this->pending.end()) {
-            auto& request = entry->second;
-            request.in_flight = false;
-            request.was_sent |= end != dispatch_end::not_sent && end != dispatch_end::busy &&
-                                end != dispatch_end::lease_lapsed;
-            if (passes || request.caller_gone) {
-                done = std::move(request);
-                this->pending.erase(entry);
+        bool all_in_flight = false;
+        {
+            const std::lock_guard pending_lock(this->pending_mutex);
+            const auto entry = this->pending.find(action.ticket);
+            if (entry != this->pending.end()) {
+                auto& request = entry->second;
+                this->in_flight -= std::exchange(request.in_flight, false) ? 1 : 0;
+                request.was_sent |= end != dispatch_end::not_sent && end != dispatch_end::busy &&
+                                    end != dispatch_end::lease_lapsed;
+                if (passes || request.caller_gone) {
+                    done = std::move(request);
+                    this->pending.erase(entry);
+                }
             }
+            all_in_flight = this->in_flight == this->pending.size();
+        }
+        // Nothing waits for the slot that became free: the timer's next tick does the rest.
+        if (!passes || !all_in_flight) {
+            actions = this->dispatch.tick(now);
         }
-        actions = this->dispatch.tick(now);
     }
     if (done && passes) {
         this->answered_ok.add();
-        this->answer(*done, to_caller_response(std::move(result.response)));
+        this->answer(answered_at, *done, to_caller_response(std::move(result.response)));
     }
     this->carry_out(std::move(actions));
 }
@@ -412,7 +423,7 @@
     auto request = this->take_pending(action.ticket);
     if (request) {
         this->count_refusal(action.answer);
-        this->answer(*request, to_response(action.answer));
+        this->answer(boot_clock::now(), *request, to_response(action.answer));
     }
 }
 
@@ -436,9 +447,10 @@
     }
     if (dropped) {
         // The caller may have closed only its sending side.
-        this->answer(*dropped, make_error_response(503, "caller_gone", "the caller closed its connection",
-                                                   "keep the connection open until the answer",
-                                                   dropped->was_sent ? "unknown" : "not_run"));
+        this->answer(boot_clock::now(), *dropped,
+                     make_error_response(503, "caller_gone", "the caller closed its connection",
+                                         "keep the connection open until the answer",
+                                         dropped->was_sent ? "unknown" : "not_run"));
     }
     this->carry_out(std::move(actions));
 }
@@ -449,14 +461,14 @@
     if (entry == this->pending.end()) {
         return std::nullopt;
     }
+    this->in_flight -= entry->second.in_flight ? 1 : 0;
     std::optional<pending_request> taken(std::move(entry->second));
     this->pending.erase(entry);
     return taken;
 }
 
-void node_runtime::answer(pending_request& request, http_response response) {
-    this->request_latency.record(
-        std::chrono::duration_cast<std::chrono::microseconds>(boot_clock::now() - request.arrived));
+void node_runtime::answer(boot_time now, pending_request& request, http_response response) {
+    this->request_latency.record(now - request.arrived);
     this->decorate(response, request.request_id);
     request.reply.send(std::move(response));
 }
