--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -835,8 +835,8 @@
 void dispatcher::impl::retry_paid_or_refuse(boot_time now, ticket_entry& ticket, std::string message) {
     const bool repeatable = ticket.request.idempotent || !ticket.may_have_run;
     if (repeatable && !ticket.caller_gone && !this->stopping &&
-        this->service_of(ticket)->retries.left() >= 1 - 1e-9 && this->schedule_retry(now, ticket)) {
-        this->service_of(ticket)->retries.try_spend();
+        this->service_of(ticket)->retries.can_spend(now) && this->schedule_retry(now, ticket)) {
+        this->service_of(ticket)->retries.try_spend(now);
         return;
     }
     const auto* error = now >= ticket.deadline ? "deadline_exceeded" : "backend_failed";
--- a/src/node/node_runtime.hpp
+++ b/src/node/node_runtime.hpp
@@ -7,6 +7,7 @@
 #include "node/task_manager.hpp"
 #include "node/worker_client.hpp"
 #include "state/counters.hpp"
+#include "state/published.hpp"
 #include "transport/http_client_pool.hpp"
 #include "transport/http_server.hpp"
 #include "transport/io_threads.hpp"
@@ -178,9 +179,9 @@
                    std::function<void(std::optional<wire::PeerResponse>)> done);
     void on_run_answer(const dispatch_request& action, boot_time sent_at, http_call_result result);
     void on_caller_gone(ticket_id ticket);
+    void count_refusal(const refusal& answer);
     std::optional<pending_request> take_pending(ticket_id ticket);
     void answer(pending_request& request, http_response response);
-    void count_answer(const pending_request& request, int status);
 
     io_threads& threads;
     std::string node_id;
@@ -200,7 +201,7 @@
     std::shared_ptr<const fleet_state> tasks_synced; ///< guarded by `core_mutex`: state that `tasks` has seen
     std::unordered_map<ticket_id, pending_request> pending;
 
-    std::atomic<std::shared_ptr<const fleet_state>> published_state;
+    published<const fleet_state> published_state;
     std::atomic<log_offset> published_epoch{0};
     std::atomic<incarnation_id> published_incarnation{0};
     std::atomic<bool> published_serving{false};
@@ -208,7 +209,6 @@
     std::atomic<bool> leaving{false};
     latency_histogram& request_latency;
     counter& answered_ok;
-    counter& refused;
 };
 
 } // namespace hornbeamrail
--- a/src/policy/retry_budget.hpp
+++ b/src/policy/retry_budget.hpp
@@ -12,6 +12,9 @@
     double part = 0.09; ///< retries per first dispatch
     double reserve = 3; ///< unspent retries kept for later
     double initial = 1; ///< retries available before any load
+    /// One retry is allowed this long after the last one even if none was earned, so that a single failure at
+    /// low load can be repeated. A service under load earns more than that.
+    std::chrono::milliseconds longest_wait{1000};
     std::chrono::milliseconds base_delay{25};
     std::chrono::milliseconds longest_delay{1000};
 };
@@ -27,7 +30,10 @@
     void on_first_dispatch();
 
     /// @return whether a retry is allowed; it is then spent
-    bool try_spend();
+    bool try_spend(boot_time now);
+
+    /// @return whether `try_spend` would allow a retry
+    [[nodiscard]] bool can_spend(boot_time now) const;
 
     /// Counts a repetition that is made in any case, after a refusal by an executor with no free slot. It
     /// leaves less for others; at most `reserve` is owed.
@@ -46,6 +52,7 @@
 private:
     retry_budget_options options;
     double available;
+    boot_time last_spent{};
 };
 
 } // namespace hornbeamrail
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -6,14 +6,16 @@
 #include "transport/socket_stream.hpp"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/defer.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/dispatch.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/error.hpp>
 
 #include <atomic>
 #include <condition_variable>
 #include <mutex>
+#include <optional>
 #include <unordered_map>
 
 namespace hornbeamrail {
@@ -40,31 +42,26 @@
         }
         this->response = std::move(value);
         if (this->current.exchange(answered) == waiting) {
-            // Deferred: the caller of send() may hold locks, and its thread goes on with this work next.
-            asio::defer(this->context, std::move(this->resume));
+            // On a worker this writes the answer at once, inside the call.
+            asio::dispatch(this->context, std::move(*this->resume));
         }
     }
 
     io_task<void> wait_answer() {
-        return asio::async_initiate<const asio::use_awaitable_t<io_executor>&, void()>(
-            [this](auto handler) {
-                auto shared = std::make_shared<decltype(handler)>(std::move(handler));
-                this->resume = [shared] {
-                    std::move (*shared)();
-                };
-                phase expected = open;
-                if (!this->current.compare_exchange_strong(expected, waiting)) {
-                    asio::defer(this->context, std::move(this->resume));
-                }
-            },
-            use_task);
+        return suspend_with([this](io_resume handler) {
+            this->resume.emplace(std::move(handler));
+            phase expected = open;
+            if (!this->current.compare_exchange_strong(expected, waiting)) {
+                asio::post(this->context, std::move(*this->resume));
+            }
+        });
     }
 
     asio::io_context& context;
     std::atomic<phase> current = open;
     std::atomic<bool> sent{false};
     http_response response;
-    std::function<void()> resume;
+    std::optional<io_resume> resume;
     std::function<void()> caller_gone;
 };
 
@@ -109,17 +106,27 @@
         }
     }
 
-    /// Runs @p function if the caller has closed its side.
-    void check_caller(const std::function<void()>& function) {
+    /// Sets the exchange whose handler wants to know when the caller closes its connection.
+    void watch(std::shared_ptr<detail::http_exchange> exchange) {
+        const std::lock_guard lock(this->descriptor_mutex);
+        this->watched.swap(exchange);
+    }
+
+    /// Tells the handler of the watched exchange, once, if the caller has closed its side.
+    void check_caller() {
+        std::shared_ptr<detail::http_exchange> left;
         {
             const std::lock_guard lock(this->descriptor_mutex);
             char byte = 0;
-            if (!this->is_open ||
+            if (!this->is_open || !this->watched ||
                 ::recv(this->stream.socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) != 0) {
                 return;
             }
+            left.swap(this->watched);
+        }
+        if (!left->sent.load()) {
+            left->caller_gone();
         }
-        function();
     }
 
     void close() {
@@ -136,7 +143,8 @@
     std::atomic<steady::rep> deadline{0};
     std::atomic<bool> expired{false};
     std::mutex descriptor_mutex; ///< leaf lock: the descriptor stays open while another thread uses it
-    bool is_open = true;
+    bool is_open = true;         ///< guarded by `descriptor_mutex`
+    std::shared_ptr<detail::http_exchange> watched; ///< guarded by `descriptor_mutex`
 };
 
 struct atomic_counters {
@@ -338,8 +346,11 @@
         const bool keep_alive = parser.keep_alive();
         this->call_handler(std::move(parser.message), exchange);
         if (exchange->current.load() != detail::http_exchange::answered) {
-            this->watch_caller(peer, exchange);
+            if (exchange->caller_gone) {
+                peer->watch(exchange);
+            }
             co_await exchange->wait_answer();
+            peer->watch(nullptr);
         }
         const bool close = !keep_alive || this->stopping.load();
         if (exchange->response.status == abandoned_status) {
@@ -369,23 +380,6 @@
         }
     }
 
-    /// Watches for the caller closing its connection while its request is handled.
-    void watch_caller(const std::shared_ptr<connection>& peer,
-                      const std::shared_ptr<detail::http_exchange>& exchange) {
-        // Data that is already buffered means a pipelined request: the wait would end at once and tell
-        // nothing.
-        if (!exchange->caller_gone || peer->buffer.size() > 0) {
-            return;
-        }
-        // A wait that is still pending after the answer ends when the next request arrives.
-        peer->stream.socket.async_wait(asio::socket_base::wait_read,
-                                       [peer, exchange](const error_code& failure) {
-                                           if (!failure && !exchange->sent.load()) {
-                                               peer->check_caller(exchange->caller_gone);
-                                           }
-                                       });
-    }
-
     io_task<read_outcome> read(connection& peer, http_parser<true>& parser) {
         auto& buffer = peer.buffer;
         const bool pipelined = buffer.size() > 0;
@@ -452,7 +446,10 @@
         error_code failure;
         if (response.body.size() <= 4096) {
             head.append(response.body);
-            co_await peer.stream.write(asio::buffer(head), failure);
+            const auto written = peer.stream.write_now(head);
+            if (written < head.size()) {
+                co_await peer.stream.write(asio::buffer(head) + written, failure);
+            }
         } else {
             const std::array<asio::const_buffer, 2> parts{asio::buffer(head), asio::buffer(response.body)};
             co_await peer.stream.write(parts, failure);
@@ -493,6 +490,7 @@
     /// @return false when the server has stopped
     bool sweep() {
         std::vector<std::shared_ptr<connection>> late;
+        std::vector<std::shared_ptr<connection>> handling;
         {
             const std::lock_guard lock(this->mutex);
             const auto now = steady::now().time_since_epoch().count();
@@ -500,11 +498,18 @@
                 if (peer->deadline.load(std::memory_order_relaxed) < now) {
                     late.push_back(peer);
                 }
+                if (peer->phase.load(std::memory_order_relaxed) == connection_phase::handling) {
+                    handling.push_back(peer);
+                }
             }
             if (!this->accepting && this->connections.empty()) {
                 return false;
             }
         }
+        // Polled, because a pending wait on each socket costs a system call and a wake-up per request.
+        for (const auto& peer : handling) {
+            peer->check_caller();
+        }
         for (const auto& peer : late) {
             const auto phase = peer->phase.load(std::memory_order_relaxed);
             if (phase == connection_phase::handling) {
--- a/src/transport/io_threads.cpp
+++ b/src/transport/io_threads.cpp
@@ -5,6 +5,9 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
 
+#include <pthread.h>
+#include <time.h>
+
 #include <mutex>
 #include <thread>
 #include <vector>
@@ -14,9 +17,10 @@
 namespace asio = boost::asio;
 
 struct io_threads::impl {
-    explicit impl(int count) : context(count), work(context.get_executor()) {
+    impl(int count, const char* name) : context(count), work(context.get_executor()) {
         for (int index = 0; index < count; ++index) {
             this->threads.emplace_back([this] { this->context.run(); });
+            pthread_setname_np(this->threads.back().native_handle(), name);
         }
     }
 
@@ -31,12 +35,14 @@
         });
     }
 
+    std::mutex mutex; ///< guards `cleanups`; leaf lock
+    std::vector<std::function<void()>> cleanups;
     asio::io_context context;
     asio::executor_work_guard<io_executor> work;
     std::vector<std::thread> threads;
 };
 
-io_threads::io_threads(int count) : self(std::make_unique<impl>(count)) {}
+io_threads::io_threads(int count, const char* name) : self(std::make_unique<impl>(count, name)) {}
 
 io_threads::~io_threads() {
     this->stop();
@@ -50,6 +56,19 @@
             thread.join();
         }
     }
+    std::vector<std::function<void()>> due;
+    {
+        const std::lock_guard lock(this->self->mutex);
+        due.swap(this->self->cleanups);
+    }
+    for (const auto& function : due) {
+        function();
+    }
+}
+
+void io_threads::at_stop(std::function<void()> function) {
+    const std::lock_guard lock(this->self->mutex);
+    this->self->cleanups.push_back(std::move(function));
 }
 
 void io_threads::post(std::function<void()> function) {
@@ -67,6 +86,19 @@
     });
 }
 
+std::chrono::microseconds io_threads::cpu_time() const {
+    std::chrono::nanoseconds sum{0};
+    for (auto& thread : this->self->threads) {
+        clockid_t clock{};
+        timespec used{};
+        if (thread.joinable() && pthread_getcpuclockid(thread.native_handle(), &clock) == 0 &&
+            clock_gettime(clock, &used) == 0) {
+            sum += std::chrono::seconds(used.tv_sec) + std::chrono::nanoseconds(used.tv_nsec);
+        }
+    }
+    return std::chrono::duration_cast<std::chrono::microseconds>(sum);
+}
+
 asio::io_context& io_threads::context() noexcept {
     return this->self->context;
 }
