Check the limit after every start in the cancellation property

Cause: the property allowed ends and starts above a lowered limit to cancel out within one step.

Change: usable units change during the run; after a step with a new start no more units may be in use than usable.

Conclusion: nothing new starts when the usable units shrink.

--- a/tests/dispatcher_test.cpp
+++ b/tests/dispatcher_test.cpp
@@ -327,6 +327,7 @@
         std::vector<ticket_id> open;
         const auto steps = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 8));
         for (const auto step : steps) {
+            const auto started = run.dispatches.size();
             if (step < 3) {
                 const auto made = run.node->submit(run.now, step == 0 ? once() : request());
                 if (const auto* ticket = std::get_if<ticket_id>(&made)) {
@@ -344,9 +345,14 @@
                 run.done(run.dispatches.back().ticket, dispatch_end::answered);
                 run.done(run.dispatches.front().ticket, dispatch_end::busy);
             }
+            if (step == 7) {
+                run.core.usable["one"] = *rc::gen::inRange(0, 6);
+            }
             run.step(30ms);
-            RC_ASSERT(run.node->running_units("one") <= run.core.usable["one"]);
+            RC_ASSERT(run.dispatches.size() == started ||
+                      run.node->running_units("one") <= run.core.usable["one"]);
         }
+        run.core.usable["one"] = 5;
         for (const auto& item : run.asked) {
             run.answer_claim(item.ticket, wire::ClaimStatus::granted);
         }
