Keep a team's lead in slot seconds when its part grows

Cause: the queue charges each start as run time over the team's part. A team whose first requests started under a part that was still small was charged seconds ahead, and got no slot for up to 4 s after its part had grown: at one node team3 and team4 had parts of 2 and 3 slots and nothing running, while others ran above their parts. Change: when a part grows, the lead over virtual time is scaled by old part over new part. Tested: a_grown_part_counts_from_the_start fails without the change; measure_policy keeps its targets. Conclusion: small teams keep their share through the start of a burst.

--- a/src/policy/request_queue.cpp
+++ b/src/policy/request_queue.cpp
@@ -116,6 +116,11 @@
         return;
     }
     this->unlist(team);
+    if (part > team.part && team.received > this->virtual_time) {
+        // What the team is ahead by was charged at the smaller part. Kept as it is, a team whose first
+        // requests started under a small part would wait for seconds after its part had grown.
+        team.received = this->virtual_time + (team.received - this->virtual_time) * team.part / part;
+    }
     team.part = part;
     this->list(team);
 }
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -156,6 +156,24 @@
     BOOST_TEST(serve(queue, 2000, id)["big"] == 1000, boost::test_tools::tolerance(0.05));
 }
 
+// Guards against a team that waits for seconds because its first requests started under a part that was still
+// small.
+BOOST_AUTO_TEST_CASE(a_grown_part_counts_from_the_start) {
+    request_queue queue({.limit = 10000});
+    std::uint64_t id = 0;
+    queue.set_part("steady", 4);
+    queue.set_part("grown", 0.05);
+    for (int i = 0; i < 10; ++i) {
+        queue.push({.id = ++id, .team = "steady", .deadline = start});
+        queue.push({.id = ++id, .team = "grown", .deadline = start});
+    }
+    queue.on_start("grown", 200ms);
+    queue.on_end("grown", 200ms, 200ms);
+    queue.set_part("grown", 4);
+    // 10 ms each: the debt is 200 ms of one slot, which is 20 starts.
+    BOOST_TEST(serve(queue, 200, id).at("grown") >= 80);
+}
+
 // Guards against urgent work that takes more than the share of its team.
 BOOST_AUTO_TEST_CASE(urgent_goes_first_within_the_share_only) {
     request_queue queue({.limit = 100});
