Bound the time that a busy refusal waits for the retry budget

Cause: when a pool is full, 5% to 13% of the dispatches find an executor busy, because nodes know each other's starts only from leases. The retry budget pays for 9%, so refused requests piled up aside and waited behind newer ones. Change: a request that an executor refused to run waits at most 250 ms for the budget. Tested: a_busy_refusal_waits_a_bounded_time_for_the_budget fails without the change.

--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -33,6 +33,11 @@
 /// Run time that is assumed for a service before the first answer.
 constexpr std::chrono::microseconds assumed_run{20000};
 
+/// A request that an executor refused to run waits no longer than this for the retry budget. When a pool is
+/// full about a tenth of the dispatches find an executor busy, which is more than the budget pays for;
+/// without a bound those requests starve behind new ones that started later.
+constexpr std::chrono::milliseconds longest_budget_wait{250};
+
 enum class ticket_phase { claiming, queued, waiting_retry, dispatched };
 
 std::string_view to_string(ticket_phase phase) {
@@ -74,6 +79,7 @@
     std::chrono::milliseconds remaining{};
 
     // Retry
+    boot_time refused_at{};    ///< when an executor last refused to run it
     bool needs_budget = false; ///< the retry is not yet paid from the budget
     boot_time retry_at{};
 
@@ -600,7 +606,7 @@
         auto& ticket = this->tickets.at(id);
         auto& service = *this->service_of(ticket);
         if (ticket.needs_budget) {
-            if (!service.retries.try_spend(now)) {
+            if (!service.retries.try_spend(now) && now < ticket.refused_at + longest_budget_wait) {
                 ticket.retry_at = now + std::chrono::milliseconds(20);
                 this->retries.emplace(ticket.retry_at, id);
                 continue;
@@ -822,6 +828,7 @@
     // The executor refused to run it, which says nothing against the request. It waits for the budget rather
     // than being refused.
     ticket.needs_budget = true;
+    ticket.refused_at = now;
     if (!this->schedule_retry(now, ticket)) {
         this->refuse(
             now, ticket,
--- a/tests/dispatcher_test.cpp
+++ b/tests/dispatcher_test.cpp
@@ -150,6 +150,21 @@
     BOOST_TEST(this->node->idle());
 }
 
+// Guards against requests that executors refused as busy and that starve while the retry budget is spent.
+BOOST_AUTO_TEST_CASE(a_busy_refusal_waits_a_bounded_time_for_the_budget) {
+    this->step();
+    const auto first = this->submit(request());
+    const auto second = this->submit(request());
+    this->step();
+    BOOST_REQUIRE(this->dispatches.size() == 2u);
+    this->done(first, dispatch_end::busy);
+    this->done(second, dispatch_end::busy);
+    this->step(60ms);
+    BOOST_TEST(this->dispatches.size() == 3u, "the budget pays for one retry");
+    this->step(300ms);
+    BOOST_TEST(this->dispatches.size() == 4u);
+}
+
 // Guards against a ramp that refuses work to idle executors when every zone was out and no other zone has
 // load to shift.
 BOOST_AUTO_TEST_CASE(the_only_zone_takes_all_load_at_once) {
