--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -6,6 +6,7 @@
 #include "node/task_api.hpp"
 #include "protocol/digest.hpp"
 #include "protocol/json_log.hpp"
+#include "state/published.hpp"
 #include "transport/peer_server.hpp"
 
 #include <boost/json/object.hpp>
@@ -135,7 +136,7 @@
         const auto seed = this->options.seed != 0
                               ? this->options.seed
                               : (std::uint64_t{std::random_device()()} << 32U) | std::random_device()();
-        this->runtime =
+        this->runtime.store(
             std::make_shared<node_runtime>(this->threads,
                                            core_options{.node_id = settings.node_id,
                                                         .peer_address = this->peers->address(),
@@ -146,7 +147,7 @@
                                                         .address_taken = true,
                                                         .timings = this->options.timings},
                                            dispatcher_options{.zone = settings.zone, .seed = seed + 1},
-                                           settings.platform, this->peer_client_identity);
+                                           settings.platform, this->peer_client_identity));
     }
 
     void handle_caller(http_request request, const http_reply& reply) {
@@ -274,7 +275,7 @@
     std::shared_ptr<tls_settings> peer_server_identity;
     std::shared_ptr<tls_settings> peer_client_identity;
     std::unique_ptr<peer_server> peers;
-    std::atomic<std::shared_ptr<node_runtime>> runtime; ///< null until the peer address is bound
+    published<node_runtime> runtime; ///< null until the peer address is bound
     std::unique_ptr<admin_api> admin_documents;
     std::unique_ptr<http_server> admin;
     std::unique_ptr<http_server> callers;
--- a/src/node/node_runtime.hpp
+++ b/src/node/node_runtime.hpp
@@ -7,6 +7,7 @@
 #include "node/task_manager.hpp"
 #include "node/worker_client.hpp"
 #include "state/counters.hpp"
+#include "state/published.hpp"
 #include "transport/http_client_pool.hpp"
 #include "transport/http_server.hpp"
 #include "transport/io_threads.hpp"
@@ -200,7 +201,7 @@
     std::shared_ptr<const fleet_state> tasks_synced; ///< guarded by `core_mutex`: state that `tasks` has seen
     std::unordered_map<ticket_id, pending_request> pending;
 
-    std::atomic<std::shared_ptr<const fleet_state>> published_state;
+    published<const fleet_state> published_state;
     std::atomic<log_offset> published_epoch{0};
     std::atomic<incarnation_id> published_incarnation{0};
     std::atomic<bool> published_serving{false};
