--- a/src/node/node_runtime.hpp
+++ b/src/node/node_runtime.hpp
@@ -181,7 +181,7 @@
     void on_caller_gone(ticket_id ticket);
     void count_refusal(const refusal& answer);
     std::optional<pending_request> take_pending(ticket_id ticket);
-    void answer(pending_request& request, http_response response);
+    void answer(boot_time now, pending_request& request, http_response response);
 
     io_threads& threads;
     std::string node_id;
@@ -195,11 +195,12 @@
 
     mutable std::mutex core_mutex;       ///< guards `core`, `outbox`, `draining`, `tasks_synced`
     mutable std::mutex dispatcher_mutex; ///< guards `dispatch` and `tasks`
-    mutable std::mutex pending_mutex;    ///< guards `pending`
+    mutable std::mutex pending_mutex;    ///< guards `pending` and `in_flight`
     std::deque<core_action> outbox;      ///< actions of the core in the order in which it gave them
     bool draining = false;
     std::shared_ptr<const fleet_state> tasks_synced; ///< guarded by `core_mutex`: state that `tasks` has seen
     std::unordered_map<ticket_id, pending_request> pending;
+    std::size_t in_flight = 0; ///< entries of `pending` that are at an executor
 
     published<const fleet_state> published_state;
     std::atomic<log_offset> published_epoch{0};
