--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -4,6 +4,7 @@
 #include "node/executor_table.hpp"
 #include "node/refusals.hpp"
 #include "node/unit_ledger.hpp"
+#include "policy/access_index.hpp"
 #include "policy/admission.hpp"
 #include "policy/availability_budget.hpp"
 #include "policy/drain_rate.hpp"
@@ -31,9 +32,6 @@
 constexpr int max_claim_asks = 3;
 /// Run time that is assumed for a service before the first answer.
 constexpr std::chrono::microseconds assumed_run{20000};
-/// Waits are predicted from rates that swing; a request is accepted only if this multiple of its expected
-/// wait fits.
-constexpr double wait_margin = 1.25;
 
 enum class ticket_phase { claiming, queued, waiting_retry, dispatched };
 
@@ -65,11 +63,12 @@
     // Claim, for non-idempotent requests
     bool claimed = false;
     int claim_asks = 0;
+    std::int64_t claim_attempt = 0; ///< tells the claims of one id by this node apart
     incarnation_id claimant = 0;
     incarnation_id owner = 0;
 
     // Dispatch
-    std::string vm;
+    executor_table::choice executor;
     boot_time started{};
     std::chrono::microseconds expected_run{};
     std::chrono::milliseconds remaining{};
@@ -93,7 +92,7 @@
     request_queue queue;
     retry_budget retries;
     availability_budget availability;
-    run_time_mean run_time;
+    run_time_estimate run_time;
     std::map<std::string, team_load, std::less<>> teams;
     slot_plan plan;
     std::int64_t running = 0; ///< dispatched by this node
@@ -104,6 +103,14 @@
     [[nodiscard]] std::chrono::microseconds expected_run() const {
         return this->run_time.mean().value_or(assumed_run);
     }
+
+    /// @return the time that a request with this deadline needs after its start. Most runs take less; work
+    /// that is cut
+    ///         off at its deadline wastes its slot and, if its end is not certain, holds its unit longer.
+    ///         Half of the deadline is the most, or callers with short deadlines would never be served.
+    [[nodiscard]] std::chrono::microseconds time_to_leave(std::chrono::microseconds deadline) const {
+        return std::min(this->run_time.high().value_or(std::chrono::microseconds(0)), deadline / 2);
+    }
 };
 
 struct counters {
@@ -182,8 +189,10 @@
     std::mt19937_64 random;
     std::shared_ptr<const fleet_state> state;
     std::shared_ptr<const fleet_config> config;
+    access_index access; ///< of `config`
     executor_table executors;
     unit_ledger units;
+    unit_ledger task_units; ///< the part of `units` that tasks hold
     std::map<std::string, service_entry, std::less<>> services;
     std::unordered_map<ticket_id, ticket_entry> tickets;
     std::set<std::pair<boot_time, ticket_id>> deadlines; ///< of tickets that are not dispatched
@@ -193,6 +202,7 @@
     counters count;
     std::string correlation_prefix;
     ticket_id next_ticket = 1;
+    std::int64_t claims_asked = 0;
     boot_time next_plan{};
     bool stopping = false;
 };
@@ -218,6 +228,7 @@
 
 void dispatcher::impl::take_config() {
     this->config = this->state->shared_config();
+    this->access = access_index(this->config);
     for (auto& [name, service] : this->services) {
         service.config = nullptr; // stays for its running requests; arrivals are refused as unknown_service
     }
@@ -377,8 +388,8 @@
                     .dependency_short = shed_roll < load.shed_part,
                     .queue_full = queue_full,
                     .ahead = ahead,
-                    .drain = drain ? std::optional(*drain / wait_margin) : std::nullopt,
-                    .run = service.run_time.mean().value_or(std::chrono::microseconds(0)),
+                    .drain = drain,
+                    .run = service.time_to_leave(request.deadline),
                     .deadline = request.deadline});
     if (!verdict) {
         return std::nullopt;
@@ -400,7 +411,7 @@
     if (auto answer = this->check_request(now, request)) {
         return reject(*answer, "");
     }
-    const auto found = identify_team(*this->state, request.service, request.key_hash);
+    const auto found = this->access.identify(*this->state, request.service, request.key_hash);
     if (const auto* reason = std::get_if<admission_reason>(&found)) {
         return reject(
             make_refusal(to_string(*reason), run_outcome::not_run,
@@ -447,10 +458,12 @@
     ticket.claimant = this->core.incarnation();
     ticket.owner = this->core.partition_owner(ticket.request.request_id);
     ++ticket.claim_asks;
+    ticket.claim_attempt = ++this->claims_asked;
     wire::Claim claim;
     claim.request_id = ticket.request.request_id;
     claim.claimant = ticket.claimant;
     claim.team_name = ticket.team;
+    claim.attempt = ticket.claim_attempt;
     this->actions.emplace_back(
         ask_claim{.ticket = ticket.id, .owner = ticket.owner, .claim = std::move(claim)});
 }
@@ -587,7 +600,7 @@
         auto& ticket = this->tickets.at(id);
         auto& service = *this->service_of(ticket);
         if (ticket.needs_budget) {
-            if (!service.retries.try_spend()) {
+            if (!service.retries.try_spend(now)) {
                 ticket.retry_at = now + std::chrono::milliseconds(20);
                 this->retries.emplace(ticket.retry_at, id);
                 continue;
@@ -605,7 +618,8 @@
 
 std::optional<refusal> dispatcher::impl::check_before_start(ticket_entry& ticket) {
     const auto outcome = ticket.outcome();
-    const auto identified = identify_team(*this->state, ticket.request.service, ticket.request.key_hash);
+    const auto identified =
+        this->access.identify(*this->state, ticket.request.service, ticket.request.key_hash);
     if (const auto* reason = std::get_if<admission_reason>(&identified)) {
         return make_refusal(to_string(*reason), outcome,
                             "the right to use the service ended while the request waited");
@@ -637,11 +651,11 @@
             this->refuse(now, ticket, std::move(*answer));
             continue;
         }
-        if (ticket.deadline - now < service.run_time.mean().value_or(std::chrono::microseconds(0)) / 2) {
-            // Started now it would most likely be cut off, and take the slot from one that can finish.
-            this->refuse(now, ticket,
-                         make_refusal("deadline_exceeded", ticket.outcome(),
-                                      "less time is left than half of the mean run time"));
+        if (ticket.deadline - now < service.time_to_leave(ticket.request.deadline)) {
+            // Started now it would probably be cut off, and take the slot from one that can finish.
+            this->refuse(
+                now, ticket,
+                make_refusal("deadline_exceeded", ticket.outcome(), "too little time is left for a run"));
             continue;
         }
         if (!this->units.try_take(ticket.team, 1, this->core.usable_units(ticket.team))) {
@@ -660,7 +674,7 @@
     if (remaining.count() <= 0) {
         return false; // the deadline is handled by the next tick
     }
-    const auto executor = this->executors.take(now, ticket.request.service, ticket.vm, this->random);
+    const auto executor = this->executors.take(now, ticket.request.service, ticket.executor.vm, this->random);
     if (!executor) {
         return false;
     }
@@ -675,7 +689,7 @@
     ++this->count.dispatched;
     ++service.running;
     ticket.phase = ticket_phase::dispatched;
-    ticket.vm = executor->vm;
+    ticket.executor = *executor;
     ticket.started = now;
     ticket.remaining = remaining;
     ticket.expected_run = service.expected_run();
@@ -707,31 +721,34 @@
     auto& service = *this->service_of(ticket);
     --service.running;
     const auto run = now - ticket.started;
-    const bool ran = end == dispatch_end::answered || end == dispatch_end::failed_answer;
+    const bool not_run =
+        end == dispatch_end::busy || end == dispatch_end::lease_lapsed || end == dispatch_end::not_sent;
     service.queue.on_end(ticket.team, ticket.expected_run, run);
     if (end == dispatch_end::answered) {
         service.run_time.add(run);
+    } else if (end == dispatch_end::timed_out || end == dispatch_end::stopped) {
+        service.run_time.add_cut_off(run);
     }
     if (end == dispatch_end::no_answer || end == dispatch_end::timed_out) {
         // The executor may be running it still. It accepts nothing after the lease, and stops work at its
         // deadline, by a clock that differs by up to 1%.
         const auto longest = std::chrono::microseconds(ticket.remaining) * 102 / 100;
-        this->units.give_back_later(ticket.team, this->executors.last_acceptance(now, ticket.vm) + longest);
+        this->units.give_back_later(ticket.team, this->executors.accepted_until(ticket.executor) + longest);
     } else {
         this->units.give_back(ticket.team, 1);
         this->on_free_units(ticket.team);
     }
-    this->executors.give_back(now, ticket.vm);
+    this->executors.give_back(now, ticket.executor.vm);
     if (end == dispatch_end::busy) {
-        this->executors.mark_full(now, ticket.vm);
+        this->executors.mark_full(now, ticket.executor.vm);
     } else if (end == dispatch_end::lease_lapsed) {
-        this->executors.mark_lease_lapsed(now, ticket.vm);
-    } else if (end != dispatch_end::timed_out || run >= 4 * service.run_time.mean().value_or(assumed_run)) {
+        this->executors.mark_lease_lapsed(now, ticket.executor.vm);
+    } else if ((end != dispatch_end::timed_out && end != dispatch_end::stopped) ||
+               run >= 4 * service.run_time.mean().value_or(assumed_run)) {
         // A caller with a deadline below the usual run time must not get executors ejected.
-        this->executors.record_health(now, ticket.vm, end != dispatch_end::answered);
+        this->executors.record_health(now, ticket.executor.vm, end != dispatch_end::answered);
     }
-    ticket.may_have_run =
-        ticket.may_have_run || ran || end == dispatch_end::no_answer || end == dispatch_end::timed_out;
+    ticket.may_have_run = ticket.may_have_run || !not_run;
 }
 
 bool dispatcher::impl::on_dispatch_done(boot_time now, ticket_id id, dispatch_end end) {
@@ -762,23 +779,25 @@
         return false;
     case dispatch_end::not_sent:
         ++this->count.not_sent;
-        this->retry_paid_or_refuse(now, ticket, fmt::format("executor {} could not be reached", ticket.vm));
+        this->retry_paid_or_refuse(now, ticket,
+                                   fmt::format("executor {} could not be reached", ticket.executor.vm));
         return false;
     case dispatch_end::failed_answer:
         ++this->count.failed_answers;
         this->retry_paid_or_refuse(now, ticket,
-                                   fmt::format("executor {} answered with a failure", ticket.vm));
+                                   fmt::format("executor {} answered with a failure", ticket.executor.vm));
         return false;
     case dispatch_end::no_answer:
         ++this->count.no_answer;
         this->retry_paid_or_refuse(now, ticket,
-                                   fmt::format("executor {} gave no complete answer", ticket.vm));
+                                   fmt::format("executor {} gave no complete answer", ticket.executor.vm));
         return false;
     case dispatch_end::timed_out:
+    case dispatch_end::stopped:
         ++this->count.timed_out;
         this->refuse(now, ticket,
                      make_refusal("deadline_exceeded", run_outcome::unknown,
-                                  fmt::format("executor {} did not answer in time", ticket.vm)));
+                                  fmt::format("executor {} did not answer in time", ticket.executor.vm)));
         return false;
     }
     return false;
@@ -804,9 +823,10 @@
     // than being refused.
     ticket.needs_budget = true;
     if (!this->schedule_retry(now, ticket)) {
-        this->refuse(now, ticket,
-                     make_refusal("deadline_exceeded", ticket.outcome(),
-                                  fmt::format("executor {} refused and no time is left", ticket.vm)));
+        this->refuse(
+            now, ticket,
+            make_refusal("deadline_exceeded", ticket.outcome(),
+                         fmt::format("executor {} refused and no time is left", ticket.executor.vm)));
     }
 }
 
@@ -814,11 +834,12 @@
     const bool repeatable = ticket.request.idempotent || !ticket.may_have_run;
     ticket.needs_budget = false;
     if (repeatable && !ticket.caller_gone && !this->stopping &&
-        this->service_of(ticket)->retries.left() >= 1 - 1e-9 && this->schedule_retry(now, ticket)) {
-        this->service_of(ticket)->retries.try_spend();
+        this->service_of(ticket)->retries.can_spend(now) && this->schedule_retry(now, ticket)) {
+        this->service_of(ticket)->retries.try_spend(now);
         return;
     }
-    this->refuse(now, ticket, make_refusal("backend_failed", ticket.outcome(), std::move(message)));
+    const auto* error = now >= ticket.deadline ? "deadline_exceeded" : "backend_failed";
+    this->refuse(now, ticket, make_refusal(error, ticket.outcome(), std::move(message)));
 }
 
 void dispatcher::impl::resolve(ticket_entry& ticket, wire::ClaimResolution::type resolution) {
@@ -830,6 +851,7 @@
     message.request_id = ticket.request.request_id;
     message.claimant = ticket.claimant;
     message.resolution = resolution;
+    message.attempt = ticket.claim_attempt;
     this->actions.emplace_back(resolve_claim{.owner = ticket.owner, .resolution = std::move(message)});
 }
 
@@ -976,17 +998,31 @@
 }
 
 bool dispatcher::idle() const {
-    return this->self->tickets.empty() && this->self->units.empty();
+    return this->self->tickets.empty() && this->self->units.all() == this->self->task_units.all();
 }
 
 bool dispatcher::try_reserve_units(boot_time now, std::string_view team, std::int64_t units) {
     this->self->take_state(now);
-    return this->self->may_start_work(now) &&
-           this->self->units.try_take(team, units, this->self->core.usable_units(team));
+    if (!this->self->may_start_work(now) ||
+        !this->self->units.try_take(team, units, this->self->core.usable_units(team))) {
+        return false;
+    }
+    this->self->task_units.take(team, units);
+    return true;
+}
+
+void dispatcher::adopt_units(boot_time, std::string_view team, std::int64_t units) {
+    this->self->units.take(team, units);
+    this->self->task_units.take(team, units);
+}
+
+std::int64_t dispatcher::task_units_held(std::string_view team) const {
+    return this->self->task_units.in_use(team);
 }
 
 void dispatcher::release_units(boot_time, std::string_view team, std::int64_t units) {
     this->self->units.give_back(team, units);
+    this->self->task_units.give_back(team, units);
     this->self->on_free_units(team);
 }
 
--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -3,8 +3,10 @@
 #include "node/admin_api.hpp"
 #include "node/node_runtime.hpp"
 #include "node/request_api.hpp"
+#include "node/task_api.hpp"
 #include "protocol/digest.hpp"
 #include "protocol/json_log.hpp"
+#include "state/published.hpp"
 #include "transport/peer_server.hpp"
 
 #include <boost/json/object.hpp>
@@ -133,7 +135,7 @@
         const auto seed = this->options.seed != 0
                               ? this->options.seed
                               : (std::uint64_t{std::random_device()()} << 32U) | std::random_device()();
-        this->runtime =
+        this->runtime.store(
             std::make_shared<node_runtime>(this->threads,
                                            core_options{.node_id = settings.node_id,
                                                         .peer_address = this->peers->address(),
@@ -144,7 +146,7 @@
                                                         .address_taken = true,
                                                         .timings = this->options.timings},
                                            dispatcher_options{.zone = settings.zone, .seed = seed + 1},
-                                           settings.platform, this->peer_client_identity);
+                                           settings.platform, this->peer_client_identity));
     }
 
     void handle_caller(http_request request, const http_reply& reply) {
@@ -154,11 +156,30 @@
             this->submit(*served, path.name, std::move(request), reply);
             return;
         }
+        if (this->handle_task(served, path, request, reply)) {
+            return;
+        }
         auto response = this->answer_directly(*served, path, request.method);
         served->decorate(response, std::string(request.headers.value_or("Request-Id", "")));
         reply.send(std::move(response));
     }
 
+    /// @return whether the request was one of the task interface
+    bool handle_task(const std::shared_ptr<node_runtime>& served, const parsed_route& path,
+                     const http_request& request, const http_reply& reply) {
+        task_api tasks(this->threads, served);
+        if (path.route == caller_route::tasks && request.method == "POST") {
+            tasks.submit(request, reply);
+        } else if (path.route == caller_route::task && request.method == "GET") {
+            tasks.show(path.name, request, reply);
+        } else if (path.route == caller_route::task && request.method == "DELETE") {
+            tasks.cancel(path.name, request, reply);
+        } else {
+            return false;
+        }
+        return true;
+    }
+
     http_response answer_directly(const node_runtime& served, const parsed_route& path,
                                   std::string_view method) const {
         const bool get = method == "GET";
@@ -168,10 +189,6 @@
         if (path.route == caller_route::health && get) {
             return this->health(served);
         }
-        if (path.route == caller_route::tasks || path.route == caller_route::task) {
-            return make_error_response(503, "not_available", "this node does not take tasks",
-                                       "submit the work as requests", "not_run");
-        }
         if (path.route != caller_route::unknown) {
             return make_error_response(405, "wrong_method", "the method does not fit the path",
                                        "use POST for requests and GET for documents", "not_run");
@@ -235,7 +252,7 @@
             }
             this->leaving = true;
             this->leave_deadline = boot_clock::now() + this->options.leave_timeout;
-            served->with_core([](node_core& core, boot_time now) { core.begin_stop(now); });
+            served->begin_leave();
         }
         const bool left =
             served->read([](const node_core& core, const dispatcher&, boot_time) { return core.stopped(); });
@@ -257,7 +274,7 @@
     std::shared_ptr<tls_settings> peer_server_identity;
     std::shared_ptr<tls_settings> peer_client_identity;
     std::unique_ptr<peer_server> peers;
-    std::atomic<std::shared_ptr<node_runtime>> runtime; ///< null until the peer address is bound
+    published<node_runtime> runtime; ///< null until the peer address is bound
     std::unique_ptr<admin_api> admin_documents;
     std::unique_ptr<http_server> admin;
     std::unique_ptr<http_server> callers;
--- a/src/node/executor_table.cpp
+++ b/src/node/executor_table.cpp
@@ -203,13 +203,27 @@
     this->renewals.emplace(at, item.vm);
 }
 
+bool executor_table::has_settled_zone(boot_time now, const service_entry& service) const {
+    return std::any_of(service.vm_at.begin(), service.vm_at.end(), [&](const std::string& vm) {
+        const auto& item = this->executors.at(vm);
+        const auto returned = this->zone_returned.find(item.zone);
+        const bool ramps =
+            returned != this->zone_returned.end() && now < returned->second + this->settings.zone_ramp;
+        return item.in_service && !item.zone_out && !item.leaving && !ramps;
+    });
+}
+
 std::int64_t executor_table::slots_now(boot_time now, const executor& item,
                                        const service_entry& service) const {
     if (!item.may_start(now)) {
         return 0;
     }
     double weight = service.health.weight(now, item.vm);
-    if (const auto returned = this->zone_returned.find(item.zone); returned != this->zone_returned.end()) {
+    // The ramp shifts load from other zones; with none to shift from, it would only refuse work to idle
+    // executors.
+    if (const auto returned = this->zone_returned.find(item.zone);
+        returned != this->zone_returned.end() && now < returned->second + this->settings.zone_ramp &&
+        this->has_settled_zone(now, service)) {
         weight = std::min(weight, ramp_weight(now, returned->second, this->settings.zone_ramp));
     }
     if (weight <= 0) {
@@ -324,7 +338,8 @@
         }
         ++item.in_flight;
         this->refresh(now, item);
-        return choice{.vm = item.vm, .address = item.address, .token = item.token};
+        return choice{
+            .vm = item.vm, .address = item.address, .token = item.token, .accepted_until = item.executor_end};
     }
     return std::nullopt;
 }
@@ -366,10 +381,10 @@
     }
 }
 
-boot_time executor_table::last_acceptance(boot_time now, std::string_view vm) const {
-    const auto* item = this->find(vm);
-    // The VM has left the table: the longest lease that it can have given is assumed.
-    return item == nullptr ? now + std::chrono::seconds(3) : std::max(now, item->executor_end);
+boot_time executor_table::accepted_until(const choice& taken) const {
+    const auto* item = this->find(taken.vm);
+    const bool extended = item != nullptr && item->token == taken.token;
+    return extended ? std::max(taken.accepted_until, item->executor_end) : taken.accepted_until;
 }
 
 std::int64_t executor_table::capacity(std::string_view service) const {
