--- a/src/coordination/grant_manager.cpp
+++ b/src/coordination/grant_manager.cpp
@@ -1,7 +1,7 @@
 #include "coordination/grant_manager.hpp"
 
 #include <algorithm>
-#include <set>
+#include <unordered_map>
 
 namespace hornbeamrail {
 
@@ -48,12 +48,17 @@
             teams.try_emplace(team);
         }
     }
+    std::unordered_map<std::string_view, const team_config*> configs;
+    for (const auto& team : state.config().teams) {
+        configs.emplace(team.name, &team);
+    }
     std::vector<team_units> deltas;
     for (const auto& [team, sums] : teams) {
-        const auto* config = state.config().find_team(team);
-        if (config == nullptr) {
+        const auto found = configs.find(team);
+        if (found == configs.end()) {
             continue;
         }
+        const auto* config = found->second;
         const auto granted = state.grant_of(team, self);
         const auto target = target_of(sums, config->upper_limit);
         if (target > granted) {
--- a/src/coordination/membership.cpp
+++ b/src/coordination/membership.cpp
@@ -219,8 +219,8 @@
 }
 
 void membership::send(boot_time now, const own_view& view, const wire::Heartbeat& base, incarnation_id target,
-                      int level, const level_sums* sums_of_level, std::uint64_t& call_number,
-                      std::vector<send_peer_request>& requests) {
+                      int level, const level_sums* sums_of_level, std::size_t room,
+                      std::uint64_t& call_number, std::vector<send_peer_request>& requests) {
     const auto found = this->peers.find(target);
     if (found == this->peers.end() || found->second.open_call != 0) {
         return;
@@ -237,7 +237,7 @@
             entry.outside_sent.reset();
         }
         // An aggregator keeps half of the room for the sums that it passes down.
-        const auto room = this->options.limits.demand_entries / (sums_of_level->leads ? 2 : 1);
+        room = std::max<std::size_t>(1, sums_of_level->leads ? room / 2 : room);
         heartbeat.demand_reset = entry.demand_sent.needs_reset();
         call.demand = entry.demand_sent.changes(sums_of_level->subtree, room);
         heartbeat.demand = call.demand;
@@ -267,6 +267,11 @@
     this->update_confirmed(view);
     const auto base = this->own_heartbeat(now, view);
     const auto levels = this->sums(now);
+    std::size_t links = 1;
+    for (std::size_t index = 0; index < this->path.size() && levels[index].takes_part; ++index) {
+        links += this->path[index].cell->children.size() - 1;
+    }
+    const auto room = this->options.limits.demand_entries / links;
     std::set<incarnation_id> contacted{this->self};
     for (std::size_t index = 0; index < this->path.size() && levels[index].takes_part; ++index) {
         const auto& group = this->path[index];
@@ -276,12 +281,12 @@
             }
             const auto target = this->target_in(now, group.cell->children[child], group.level);
             contacted.insert(target);
-            this->send(now, view, base, target, group.level, &levels[index], call_number, requests);
+            this->send(now, view, base, target, group.level, &levels[index], room, call_number, requests);
         }
     }
     for (const auto node : this->counted) {
         if (this->self_counted && contacted.insert(node).second) {
-            this->send(now, view, base, node, -1, nullptr, call_number, requests);
+            this->send(now, view, base, node, -1, nullptr, 0, call_number, requests);
         }
     }
     return requests;
--- a/src/coordination/membership.hpp
+++ b/src/coordination/membership.hpp
@@ -145,7 +145,7 @@
     void note(boot_time now, const wire::Heartbeat& heartbeat);
     void update_confirmed(const own_view& view);
     void send(boot_time now, const own_view& view, const wire::Heartbeat& base, incarnation_id target,
-              int level, const level_sums* sums_of_level, std::uint64_t& call_number,
+              int level, const level_sums* sums_of_level, std::size_t room, std::uint64_t& call_number,
               std::vector<send_peer_request>& requests);
 
     core_options options;
--- a/src/fakes/core_simulation.cpp
+++ b/src/fakes/core_simulation.cpp
@@ -218,6 +218,7 @@
             load.ends.pop_front();
         }
         const auto usable = may_start ? target.core->usable_units(team) : 0;
+        const auto before = load.started;
         while (static_cast<std::int64_t>(load.ends.size()) < std::min(usable, load.wanted)) {
             load.ends.push_back(this->clock + load.run_time);
             ++load.started;
@@ -225,8 +226,10 @@
                 this->on_start(target.place.node_id, team);
             }
         }
-        auto& peak = this->peaks[team];
-        peak = std::max(peak, this->running(team));
+        if (load.started != before) {
+            auto& peak = this->peaks[team];
+            peak = std::max(peak, this->running(team));
+        }
     }
 }
 
@@ -253,14 +256,14 @@
 }
 
 std::int64_t core_simulation::running(const std::string& node_id, std::string_view team) const {
-    std::int64_t units = 0;
-    for (const auto& [name, load] : this->processes.at(node_id).loads) {
-        if (name == team) {
-            units += std::count_if(load.ends.begin(), load.ends.end(),
-                                   [&](const auto& end) { return end > this->clock; });
-        }
-    }
-    return units;
+    const auto& loads = this->processes.at(node_id).loads;
+    const auto load = loads.find(team);
+    if (load == loads.end()) {
+        return 0;
+    }
+    // Ends ascend for a constant run time only.
+    return std::count_if(load->second.ends.begin(), load->second.ends.end(),
+                         [&](const auto& end) { return end > this->clock; });
 }
 
 std::int64_t core_simulation::running(std::string_view team) const {
--- a/src/fakes/core_simulation.hpp
+++ b/src/fakes/core_simulation.hpp
@@ -116,7 +116,7 @@
         bool paused = false;
         bool tick_scheduled = false;
         std::vector<std::function<void()>> while_paused;
-        std::map<std::string, team_load> loads;
+        std::map<std::string, team_load, std::less<>> loads;
         node_cost cost;
     };
     struct event {
