--- a/src/policy/retry_budget.cpp
+++ b/src/policy/retry_budget.cpp
@@ -17,11 +17,17 @@
     if (!this->can_spend(now)) {
         return false;
     }
-    this->available = std::max(0.0, this->available - 1);
+    // One that was not earned leaves what is owed as it is.
+    this->available =
+        this->available >= 1 - 1e-9 ? std::max(0.0, this->available - 1) : std::min(this->available, 0.0);
     this->last_spent = now;
     return true;
 }
 
+void retry_budget::charge() {
+    this->available = std::max(this->available - 1, -this->options.reserve);
+}
+
 std::optional<boot_time> retry_budget::next_attempt(boot_time now, int attempt, boot_time deadline,
                                                     std::chrono::microseconds run,
                                                     std::mt19937_64& random) const {
--- a/src/policy/retry_budget.hpp
+++ b/src/policy/retry_budget.hpp
@@ -12,9 +12,8 @@
     double part = 0.09; ///< retries per first dispatch
     double reserve = 3; ///< unspent retries kept for later
     double initial = 1; ///< retries available before any load
-    /// One retry is allowed this long after the last one even if none was earned. A service under load earns
-    /// more than that; without it, requests that executors refused as busy wait for the end of a burst until
-    /// they expire.
+    /// One retry is allowed this long after the last one even if none was earned, so that a single failure at
+    /// low load can be repeated. A service under load earns more than that.
     std::chrono::milliseconds longest_wait{1000};
     std::chrono::milliseconds base_delay{25};
     std::chrono::milliseconds longest_delay{1000};
@@ -36,6 +35,10 @@
     /// @return whether `try_spend` would allow a retry
     [[nodiscard]] bool can_spend(boot_time now) const;
 
+    /// Counts a repetition that is made in any case, after a refusal by an executor with no free slot. It
+    /// leaves less for others; at most `reserve` is owed.
+    void charge();
+
     [[nodiscard]] double left() const noexcept { return this->available; }
 
     /// Chooses when to retry: exponential backoff with a uniformly random delay.
