--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -33,10 +33,6 @@
 /// Run time that is assumed for a service before the first answer.
 constexpr std::chrono::microseconds assumed_run{20000};
 
-/// A request that an executor refused to run waits no longer than this for the retry budget. When a pool is
-/// full about a tenth of the dispatches find an executor busy, which is more than the budget pays for;
-/// without a bound those requests starve behind new ones that started later.
-
 enum class ticket_phase { claiming, queued, waiting_retry, dispatched };
 
 std::string_view to_string(ticket_phase phase) {
