Spread the maintenance of new VMs over the period

Tested: new_vms_fall_due_evenly_over_the_period; the other planner cases run with every VM due.

Conclusion: every VM is still maintained within four weeks of its arrival.

--- a/src/coordination/planner.cpp
+++ b/src/coordination/planner.cpp
@@ -53,7 +53,7 @@
         return; // No list was read yet: an empty one says nothing about the VMs.
     }
     const auto listed = index_workers(input.platform_vms);
-    vm_add_record added{.epoch = input.state.planner().epoch, .vms = {}};
+    vm_add_record added{.epoch = input.state.planner().epoch, .vms = {}, .at = input.wall_now};
     for (const auto& [id, listing] : listed) {
         this->missing_since.erase(id);
         if (input.state.find_vm(id) == nullptr && listing->state == vm_state::live &&
--- a/src/policy/maintenance_plan.hpp
+++ b/src/policy/maintenance_plan.hpp
@@ -11,7 +11,7 @@
 namespace hornbeamrail {
 
 struct maintenance_options {
-    std::chrono::hours lead{24 * 7};   ///< how long before its due time a VM may be maintained
+    std::chrono::hours lead{24};       ///< how long before its due time a VM may be maintained
     std::chrono::minutes duration{10}; ///< drain, reboot and return of one VM
     double budget_reserve = 0.2;       ///< a service with a smaller part of its budget left is not touched
     double down_part = 0.1;            ///< a pool with a larger part not serving for other reasons is paused
--- a/src/protocol/log_record.cpp
+++ b/src/protocol/log_record.cpp
@@ -135,7 +135,7 @@
     for (const auto& vm : record.vms) {
         vms.push_back(to_json(vm));
     }
-    return {{"epoch", record.epoch}, {"vms", std::move(vms)}};
+    return {{"epoch", record.epoch}, {"vms", std::move(vms)}, {"at", record.at.time_since_epoch().count()}};
 }
 
 boost::json::object encode(const vm_remove_record& record) {
@@ -286,6 +286,8 @@
 
 void decode(object_reader& reader, vm_add_record& record) {
     record.epoch = offset(reader, "epoch");
+    record.at =
+        std::chrono::sys_seconds(std::chrono::seconds(reader.optional_integer("at", 0, 0, max_integer)));
     std::vector<diagnostic> found;
     std::size_t index = 0;
     for (const auto& element : reader.array("vms", true)) {
--- a/src/protocol/log_record.hpp
+++ b/src/protocol/log_record.hpp
@@ -121,6 +121,8 @@
 struct vm_add_record {
     log_offset epoch = 0;
     std::vector<vm_description> vms;
+    std::chrono::sys_seconds
+        at{}; ///< wall-clock time by the planner; maintenance of the VMs is spread from here
 };
 
 struct vm_remove_record {
--- a/src/state/fold_vms.cpp
+++ b/src/state/fold_vms.cpp
@@ -6,6 +6,19 @@
 
 namespace {
 
+/// Assumes for a new VM a last maintenance at some time in the period before @p at, by its id. VMs that are
+/// added together then fall due evenly over the period instead of all at once.
+std::chrono::sys_seconds assumed_maintenance(const std::string& vm, std::chrono::sys_seconds at,
+                                             std::chrono::seconds period) {
+    constexpr std::uint64_t steps = 1000;
+    std::uint64_t hash = 14695981039346656037ULL; // FNV-1a: the same on every node
+    for (const char character : vm) {
+        hash = (hash ^ static_cast<unsigned char>(character)) * 1099511628211ULL;
+    }
+    hash ^= hash >> 32; // ids that differ in the last digit only differ little in the upper bits
+    return at - period * static_cast<std::int64_t>(hash % steps) / static_cast<std::int64_t>(steps);
+}
+
 std::string unknown_vm(std::string_view vm) {
     return fmt::format("VM \"{}\" is not known; see `pool list`", vm);
 }
@@ -59,7 +72,11 @@
     auto& vms = this->vm_table.write();
     for (const auto& vm : body.vms) {
         if (this->current_config->find_pool(vm.pool) != nullptr) {
-            vms.try_emplace(vm.id, vm_info{.vm = vm});
+            const auto last =
+                body.at == std::chrono::sys_seconds{}
+                    ? std::chrono::sys_seconds{}
+                    : assumed_maintenance(vm.id, body.at, this->current_config->maintenance.period);
+            vms.try_emplace(vm.id, vm_info{.vm = vm, .last_maintained = last});
         }
     }
     return {};
--- a/tests/planner_test.cpp
+++ b/tests/planner_test.cpp
@@ -109,7 +109,8 @@
     std::map<std::string, vm_operation_state> platform;
     std::chrono::sys_seconds wall = wall_start;
     boot_time now{};
-    planner subject{planner_options{.maintenance = {.lead = 0h}}};
+    planner subject{planner_options{.maintenance = {.lead = 24h * 28}}}; // every VM is due
+
     std::map<std::string, int> drains; ///< by operation id
 };
 
@@ -185,6 +186,22 @@
     BOOST_TEST(maintained.size() == 18U);
 }
 
+// Guards a new site against the reboot of all its VMs in its first minutes.
+BOOST_AUTO_TEST_CASE(new_vms_fall_due_evenly_over_the_period) {
+    this->subject = planner(planner_options{});
+    this->demand = {{"s1", 10.0}, {"s2", 10.0}};
+    for (int index = 0; index < 120; ++index) {
+        this->round(1s);
+    }
+    BOOST_TEST(this->in_operation(vm_operation::maintenance) <= 1);
+    std::set<std::chrono::sys_days> days;
+    for (const auto& [id, info] : this->state.vms()) {
+        BOOST_TEST((info.last_maintained <= this->wall && info.last_maintained > wall_start - 24h * 28));
+        days.insert(std::chrono::floor<std::chrono::days>(info.last_maintained));
+    }
+    BOOST_TEST(days.size() >= 9U); // 18 VMs over 28 days
+}
+
 // Guards a service whose budget is nearly spent, and one that depends on the pool, against maintenance.
 BOOST_AUTO_TEST_CASE(maintenance_waits_for_budget_and_zones) {
     this->budget = {{"s1", 0.1}};
