Refuse peer messages with a number that an enum does not have

Cause: the undefined-behaviour sanitizer reports loads of invalid enum values in reader_robustness_test: the reader that Thrift generates stores any number in ClaimResolution and ClaimStatus, and copying it is undefined. Change: decode looks at the bytes of both enums before the message is used and refuses what is out of range. Conclusion: a newer node's enum value is refused as a malformed message instead of being guessed.

--- a/src/transport/thrift_frame.cpp
+++ b/src/transport/thrift_frame.cpp
@@ -5,6 +5,9 @@
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
 
+#include <cstdint>
+#include <cstring>
+
 namespace hornbeamrail {
 
 namespace {
@@ -48,6 +51,25 @@
     return frame;
 }
 
+/// The generated reader stores any number in an enum. Even a copy of one outside the range of its enumerators
+/// is undefined, so the bytes are looked at before the message is used. 0 stands for a field that was left
+/// out.
+template <class Enum>
+bool is_in_range(const Enum& value, std::int32_t last) {
+    std::int32_t number = 0;
+    static_assert(sizeof number == sizeof value);
+    std::memcpy(&number, &value, sizeof number);
+    return number >= 0 && number <= last;
+}
+
+bool has_valid_enums(const wire::PeerRequest& message) {
+    return is_in_range(message.resolve_claim.resolution, wire::ClaimResolution::outcome_unknown);
+}
+
+bool has_valid_enums(const wire::PeerResponse& message) {
+    return is_in_range(message.claim.status, wire::ClaimStatus::unavailable);
+}
+
 template <class Message>
 result<Message> decode(std::string_view body) {
     // OBSERVE mode reads the bytes in place and never writes through the pointer.
@@ -64,6 +86,10 @@
         return make_error(errc::parse_failed, std::string("malformed Thrift message: ") + failure.what(),
                           "check that both nodes run compatible versions");
     }
+    if (!has_valid_enums(message)) {
+        return make_error(errc::parse_failed, "Thrift message with a number that its enum does not have",
+                          "check that both nodes run compatible versions");
+    }
     return message;
 }
 
--- a/tools/measure_state.cpp
+++ b/tools/measure_state.cpp
@@ -41,17 +41,22 @@
 
     void add(const std::string& figure, double value, bound kind = bound::none, double target = 0,
              const std::string& baseline = "-") {
-        const bool holds = kind == bound::none || (kind == bound::at_most ? value <= target : value >= target);
+        const bool holds =
+            kind == bound::none || (kind == bound::at_most ? value <= target : value >= target);
         const auto limit = kind == bound::none
                                ? std::string("-")
                                : fmt::format("{} {}", kind == bound::at_most ? "<=" : ">=", target);
         const bool known = this->known_red.find("measure_state: " + figure) != std::string::npos;
         fmt::print("{:<58} {:>12.3f} {:>14} {:>14} {}\n", figure, value, limit, baseline,
-                   holds ? "" : known ? "known red" : "MISSED");
+                   holds   ? ""
+                   : known ? "known red"
+                           : "MISSED");
         std::fflush(stdout);
-        this->lines << boost::json::serialize(boost::json::object{
-                           {"figure", figure}, {"value", value}, {"target", limit}, {"baseline", baseline},
-                           {"holds", holds}})
+        this->lines << boost::json::serialize(boost::json::object{{"figure", figure},
+                                                                  {"value", value},
+                                                                  {"target", limit},
+                                                                  {"baseline", baseline},
+                                                                  {"holds", holds}})
                     << '\n';
         this->missed = this->missed || (!holds && !known);
     }
@@ -94,7 +99,8 @@
     }
     for (int pool = 0; pool < size.pools; ++pool) {
         const auto name = "pool" + std::to_string(pool);
-        config.pools.push_back({.name = name, .vms = size.workers / size.pools, .spare = pool == size.pools - 1});
+        config.pools.push_back(
+            {.name = name, .vms = size.workers / size.pools, .spare = pool == size.pools - 1});
         if (pool < size.pools - 1) {
             config.services.push_back({.name = "service" + std::to_string(pool), .pool = name});
         }
@@ -113,13 +119,15 @@
 }
 
 std::string config_bytes(const fleet_size& size, std::int64_t upper_limit, log_offset expected = 0) {
-    return encoded(config_record{.expected_version = expected,
-                                 .config = std::make_shared<const fleet_config>(make_config(size, upper_limit))});
+    return encoded(
+        config_record{.expected_version = expected,
+                      .config = std::make_shared<const fleet_config>(make_config(size, upper_limit))});
 }
 
 double percentile(std::vector<double> values, double part) {
     std::sort(values.begin(), values.end());
-    return values.empty() ? 0 : values[static_cast<std::size_t>(part * static_cast<double>(values.size() - 1))];
+    return values.empty() ? 0
+                          : values[static_cast<std::size_t>(part * static_cast<double>(values.size() - 1))];
 }
 
 double seconds(std::chrono::nanoseconds span) {
@@ -202,7 +210,8 @@
             const auto age = seconds(nodes.simulation.now() - change.submitted);
             bool everywhere = true;
             for (int node = 1; node <= 7 && everywhere && !change.in_force; ++node) {
-                everywhere = nodes.simulation.core(site::name(node)).state()->outcome_of(change.id).has_value();
+                everywhere =
+                    nodes.simulation.core(site::name(node)).state()->outcome_of(change.id).has_value();
             }
             if (everywhere && !change.in_force) {
                 change.in_force = true;
@@ -246,7 +255,8 @@
         seeded_generator random(seed + 2);
         const auto change_load = [&](int node) {
             for (int team = 0; team < 20; ++team) {
-                nodes.simulation.set_load(site::name(node), "team" + std::to_string((node * 7 + team * 31) % 770),
+                nodes.simulation.set_load(site::name(node),
+                                          "team" + std::to_string((node * 7 + team * 31) % 770),
                                           random.between(std::int64_t{0}, std::int64_t{20}));
             }
         };
@@ -301,19 +311,22 @@
 /// A log of a fleet that has run for a while: configuration, VMs and enough changes to fill the change table.
 std::vector<std::string> make_history(const fleet_size& size) {
     std::vector<std::string> records{config_bytes(size, 1000)};
-    records.push_back(encoded(node_register_record{
-        .node_id = "old", .peer_address = {"10.9.0.1", 1}, .zone = zone_name(0), .region = region_of(size, 0)}));
+    records.push_back(encoded(node_register_record{.node_id = "old",
+                                                   .peer_address = {"10.9.0.1", 1},
+                                                   .zone = zone_name(0),
+                                                   .region = region_of(size, 0)}));
     records.push_back(encoded(planner_claim_record{.incarnation = 2}));
     vm_add_record added{.epoch = 3, .vms = {}};
     for (int vm = 0; vm < size.workers; ++vm) {
-        added.vms.push_back({.id = fmt::format("vm-{:05}", vm),
-                             .address = {fmt::format("10.{}.{}.{}", vm >> 16, (vm >> 8) & 255, vm & 255), 8080},
-                             .zone = zone_name(vm % size.zones),
-                             .rack = fmt::format("rack{}", vm / 4),
-                             .pool = "pool" + std::to_string(vm % size.pools),
-                             .cores = 32,
-                             .memory_mb = 65536,
-                             .accelerators = vm % 4});
+        added.vms.push_back(
+            {.id = fmt::format("vm-{:05}", vm),
+             .address = {fmt::format("10.{}.{}.{}", vm >> 16, (vm >> 8) & 255, vm & 255), 8080},
+             .zone = zone_name(vm % size.zones),
+             .rack = fmt::format("rack{}", vm / 4),
+             .pool = "pool" + std::to_string(vm % size.pools),
+             .cores = 32,
+             .memory_mb = 65536,
+             .accelerators = vm % 4});
         if (added.vms.size() == 500 || vm + 1 == size.workers) {
             records.push_back(encoded(added));
             added.vms.clear();
@@ -326,7 +339,8 @@
     }
     for (int change = 0; change < 16000; ++change) {
         const auto vm = fmt::format("vm-{:05}", change / 2 % size.workers);
-        records.push_back(change % 2 == 0 ? encoded(vm_out_record{.vm = vm}) : encoded(vm_in_record{.vm = vm}));
+        records.push_back(change % 2 == 0 ? encoded(vm_out_record{.vm = vm})
+                                          : encoded(vm_in_record{.vm = vm}));
     }
     return records;
 }
@@ -348,8 +362,8 @@
     options.log.retained_records = 5200;
     core_simulation simulation(options);
     simulation.append_now(history);
-    for (const auto& part :
-         split_snapshot("s", state.next_offset(), snapshot_codec::encode(state), core_limits{}.snapshot_part_bytes)) {
+    for (const auto& part : split_snapshot("s", state.next_offset(), snapshot_codec::encode(state),
+                                           core_limits{}.snapshot_part_bytes)) {
         simulation.append_now({encoded(part)});
     }
     for (int change = 0; change < 5000; ++change) {
@@ -386,7 +400,8 @@
         auto state = fold(history);
         const auto bytes = snapshot_codec::encode(state);
         const double target = size == &today ? 2 : 10;
-        table.add(size->name + ": snapshot MB", static_cast<double>(bytes.size()) / megabyte, bound::at_most, 4);
+        table.add(size->name + ": snapshot MB", static_cast<double>(bytes.size()) / megabyte, bound::at_most,
+                  4);
         const auto before = mallinfo2().uordblks;
         error failure;
         const auto copy = value_or_error([&] { return snapshot_codec::decode(bytes); }, failure);
@@ -394,15 +409,16 @@
                   static_cast<double>(mallinfo2().uordblks - before) / megabyte);
         table.add(size->name + ": start from snapshot and tail s", start_from_log(seed, history, state),
                   bound::at_most, target);
-        table.add(size->name + ": start from a peer s", start_from_peer(seed, history), bound::at_most, target);
+        table.add(size->name + ": start from a peer s", start_from_peer(seed, history), bound::at_most,
+                  target);
 
         core_simulation simulation({.seed = seed});
         simulation.append_now(history);
         const auto empty = mallinfo2().uordblks;
         simulation.start({.node_id = "new", .zone = zone_name(0), .region = "r0"});
         simulation.run_for(5s);
-        table.add(size->name + ": core in memory MB", static_cast<double>(mallinfo2().uordblks - empty) / megabyte,
-                  bound::at_most, 32);
+        table.add(size->name + ": core in memory MB",
+                  static_cast<double>(mallinfo2().uordblks - empty) / megabyte, bound::at_most, 32);
     }
 }
 
@@ -411,7 +427,8 @@
     seeded_generator random(seed + 3);
     std::vector<std::int64_t> calls; ///< of all nodes together, every 100 ms
     for (int step = 0; step < 3000; ++step) {
-        // Demand rotates between five times its mean and a twentieth of it, and operators change keys in waves.
+        // Demand rotates between five times its mean and a twentieth of it, and operators change keys in
+        // waves.
         if (step % 30 == 0) {
             for (int node = 1; node <= 7; ++node) {
                 for (int team = 0; team < 6; ++team) {
@@ -423,7 +440,8 @@
         for (int node = 1; node <= 7; ++node) {
             const auto id = random_uuid();
             nodes.simulation.core(site::name(node))
-                .submit_change(nodes.simulation.local_time(site::name(node)), id, zone_in_record{.zone = "z0"});
+                .submit_change(nodes.simulation.local_time(site::name(node)), id,
+                               zone_in_record{.zone = "z0"});
         }
         nodes.simulation.run_for(100ms);
         std::int64_t sum = 0;
@@ -487,7 +505,8 @@
         // All demand at one node, then at another, then two thirds and one third at two nodes.
         const auto settle = [&](const std::vector<std::int64_t>& wanted) {
             for (int node = 1; node <= 7; ++node) {
-                nodes.simulation.set_load(site::name(node), "team1", wanted[static_cast<std::size_t>(node - 1)]);
+                nodes.simulation.set_load(site::name(node), "team1",
+                                          wanted[static_cast<std::size_t>(node - 1)]);
             }
             nodes.simulation.run_for(2s);
             const auto used = static_cast<double>(nodes.simulation.running("team1"));
