Satisfy the move check in the call pool

Cause: clang-tidy reports a use of `call` after a move in call_pool::submit; a moved shared_ptr is null, but the check cannot know that the branch relies on it. Change: the call is handed over with std::exchange, so that null is explicit.

--- a/src/transport/call_pool.hpp
+++ b/src/transport/call_pool.hpp
@@ -89,7 +89,7 @@
             if (auto peer = this->take_idle(*own, stale)) {
                 peer->deadline = call->deadline;
                 peer->busy = true;
-                peer->next = std::move(call);
+                peer->next = std::exchange(call, nullptr); // null tells below that the call is placed
                 // Empty while the coroutine still completes its last call; it then finds the next one itself.
                 if (peer->waiter) {
                     resume.emplace(std::move(*peer->waiter));
