--- a/src/policy/retry_budget.cpp
+++ b/src/policy/retry_budget.cpp
@@ -8,15 +8,26 @@
     this->available = std::min(this->available + this->options.part, this->options.reserve);
 }
 
-bool retry_budget::try_spend() {
+bool retry_budget::can_spend(boot_time now) const {
     // The small term makes ten additions of 0.1 count as one.
-    if (this->available < 1 - 1e-9) {
+    return this->available >= 1 - 1e-9 || now - this->last_spent >= this->options.longest_wait;
+}
+
+bool retry_budget::try_spend(boot_time now) {
+    if (!this->can_spend(now)) {
         return false;
     }
-    this->available -= 1;
+    // One that was not earned leaves what is owed as it is.
+    this->available =
+        this->available >= 1 - 1e-9 ? std::max(0.0, this->available - 1) : std::min(this->available, 0.0);
+    this->last_spent = now;
     return true;
 }
 
+void retry_budget::charge() {
+    this->available = std::max(this->available - 1, -this->options.reserve);
+}
+
 std::optional<boot_time> retry_budget::next_attempt(boot_time now, int attempt, boot_time deadline,
                                                     std::chrono::microseconds run,
                                                     std::mt19937_64& random) const {
--- a/src/transport/http_client_pool.cpp
+++ b/src/transport/http_client_pool.cpp
@@ -57,7 +57,7 @@
     io_task<bool> exchange(socket_stream& stream, boost::beast::flat_buffer& buffer) {
         std::string head;
         head.reserve(512 + (this->request.body.size() <= 4096 ? this->request.body.size() : 0));
-        if (!append_request_head(head, this->request, to_string(this->target))) {
+        if (!append_request_head(head, this->request, this->target)) {
             this->fail_unsent("a header of the request holds a control character");
             co_return true;
         }
@@ -65,7 +65,10 @@
         std::size_t written = 0;
         if (this->request.body.size() <= 4096) {
             head.append(this->request.body);
-            written = co_await stream.write(asio::buffer(head), failure);
+            written = stream.write_now(head);
+            if (written < head.size()) {
+                written += co_await stream.write(asio::buffer(head) + written, failure);
+            }
         } else {
             const std::array<asio::const_buffer, 2> parts{asio::buffer(head),
                                                           asio::buffer(this->request.body)};
@@ -79,12 +82,7 @@
         if (failure) {
             co_return this->fail_sent("the request was written in part: " + failure.message());
         }
-        co_return co_await this->read_answer(stream, buffer);
-    }
-
-    io_task<bool> read_answer(socket_stream& stream, boost::beast::flat_buffer& buffer) {
         http_parser<false> parser(this->max_head_bytes, this->max_body_bytes);
-        error_code failure;
         while (!parser.is_done()) {
             if (buffer.size() + read_bytes > buffer.max_size()) {
                 co_return this->fail_sent("the answer's head is too long");
@@ -150,7 +148,7 @@
 void http_client_pool::call(http_call request, callback done) {
     auto pending = std::make_shared<pending_call>();
     pending->target = std::move(request.target);
-    pending->deadline = std::chrono::steady_clock::now() + request.timeout;
+    pending->deadline = coarse_now() + request.timeout;
     pending->request = std::move(request.request);
     pending->correlation_id = std::move(request.correlation_id);
     if (!pending->correlation_id.empty()) {
