End only registrations that the new process had folded

Change: the record names the offset up to which its writer had folded; the fold ends only registrations below it.

Tested: delayed_registration_does_not_end_a_later_process fails on the previous fold; all 29 programs pass.

Conclusion: the proof holds for delayed and repeated appends too.

--- a/src/coordination/node_core.cpp
+++ b/src/coordination/node_core.cpp
@@ -244,12 +244,13 @@
     }
     // Only the first registration proves that an earlier process has ended: later ones come from a process
     // that is itself the earlier one.
-    this->register_change = this->append(
-        node_register_record{.node_id = this->options.node_id,
-                             .peer_address = this->options.peer_address,
-                             .zone = this->options.zone,
-                             .region = this->options.region,
-                             .address_taken = this->options.address_taken && !this->registered_before});
+    this->register_change = this->append(node_register_record{
+        .node_id = this->options.node_id,
+        .peer_address = this->options.peer_address,
+        .zone = this->options.zone,
+        .region = this->options.region,
+        .ended_before =
+            this->options.address_taken && !this->registered_before ? this->log.next_offset() : 0});
 }
 
 void node_core::impl::counted_step(boot_time now) {
--- a/src/fakes/sample_records.cpp
+++ b/src/fakes/sample_records.cpp
@@ -76,7 +76,7 @@
             .peer_address = {"::1", static_cast<std::uint16_t>(number(generator))},
             .zone = text(generator, "zone"),
             .region = text(generator, "region"),
-            .address_taken = true};
+            .ended_before = 7};
 }
 
 void fill(std::mt19937_64& generator, node_counted_record& body) {
--- a/src/protocol/log_record.cpp
+++ b/src/protocol/log_record.cpp
@@ -114,7 +114,7 @@
             {"peer_address", to_string(record.peer_address)},
             {"zone", record.zone},
             {"region", record.region},
-            {"address_taken", record.address_taken}};
+            {"ended_before", record.ended_before}};
 }
 
 boost::json::object encode(const grant_delta_record& record) {
@@ -253,7 +253,7 @@
               .peer_address = read_endpoint(reader, "peer_address"),
               .zone = reader.required_string("zone"),
               .region = reader.required_string("region"),
-              .address_taken = reader.optional_bool("address_taken", false)};
+              .ended_before = reader.optional_integer("ended_before", 0, 0, max_integer)};
 }
 
 void decode(object_reader& reader, grant_delta_record& record) {
--- a/src/protocol/log_record.hpp
+++ b/src/protocol/log_record.hpp
@@ -64,8 +64,9 @@
     endpoint peer_address;
     std::string zone;
     std::string region;
-    bool address_taken =
-        false; ///< the writer has bound `peer_address`, so an earlier process of this node has ended
+    /// The writer held `peer_address` exclusively when it had folded every record below this offset, so
+    /// processes of this node that registered below it have ended. 0: no such proof.
+    log_offset ended_before = 0;
 };
 
 struct node_counted_record {
--- a/src/state/fold_nodes.cpp
+++ b/src/state/fold_nodes.cpp
@@ -37,11 +37,11 @@
 fleet_state::verdict fleet_state::fold(log_offset offset, const log_record&,
                                        const node_register_record& body) {
     auto& nodes = this->node_table.write();
-    if (body.address_taken) {
-        for (auto& [incarnation, node] : nodes) {
-            if (node.node_id == body.node_id && node.peer_address == body.peer_address && !node.ended) {
-                this->mark_ended(node, offset);
-            }
+    for (auto& [incarnation, node] : nodes) {
+        // A delayed record must not end a process that registered after its writer had looked.
+        if (incarnation < body.ended_before && node.node_id == body.node_id &&
+            node.peer_address == body.peer_address && !node.ended) {
+            this->mark_ended(node, offset);
         }
     }
     node_info node{.incarnation = offset,
--- a/tests/fleet_state_test.cpp
+++ b/tests/fleet_state_test.cpp
@@ -31,11 +31,12 @@
     }
 
     incarnation_id join(const std::string& node_id, std::uint16_t port, bool address_taken = false) {
-        const auto outcome = this->add(node_register_record{.node_id = node_id,
-                                                            .peer_address = {"127.0.0.1", port},
-                                                            .zone = "a",
-                                                            .region = "r",
-                                                            .address_taken = address_taken});
+        const auto outcome =
+            this->add(node_register_record{.node_id = node_id,
+                                           .peer_address = {"127.0.0.1", port},
+                                           .zone = "a",
+                                           .region = "r",
+                                           .ended_before = address_taken ? this->state.next_offset() : 0});
         BOOST_REQUIRE(outcome.accepted);
         return outcome.offset;
     }
@@ -150,6 +151,20 @@
     BOOST_TEST(this->state.find_node(fresh)->ended);
 }
 
+// Guards a live process against a delayed registration by an earlier process of the same node.
+BOOST_AUTO_TEST_CASE(delayed_registration_does_not_end_a_later_process) {
+    const auto seen_by_first = this->state.next_offset();
+    const auto second = this->join("n1", 1, true);
+    const auto late = this->add(node_register_record{.node_id = "n1",
+                                                     .peer_address = {"127.0.0.1", 1},
+                                                     .zone = "a",
+                                                     .region = "r",
+                                                     .ended_before = seen_by_first});
+    BOOST_TEST(late.accepted);
+    BOOST_TEST(!this->state.find_node(second)->ended);
+    BOOST_TEST(this->state.find_node(second)->counted);
+}
+
 // Guards "exactly one pool per VM" against a planner that was paused past its lease.
 BOOST_AUTO_TEST_CASE(stale_planner_cannot_move_a_vm) {
     this->configure(10);
--- a/tests/log_record_test.cpp
+++ b/tests/log_record_test.cpp
@@ -37,8 +37,8 @@
     const auto round_trip = [&]<class Body>(const Body& body) {
         return std::get<Body>(decode_record(encode_record({.change_id = "c", .body = body})).value().body);
     };
-    const node_register_record node{"n", {"::1", 9}, "z", "r", true};
-    BOOST_TEST(round_trip(node).address_taken);
+    const node_register_record node{"n", {"::1", 9}, "z", "r", 9};
+    BOOST_TEST(round_trip(node).ended_before == 9);
     BOOST_CHECK(round_trip(node).peer_address == node.peer_address);
     BOOST_TEST(round_trip(node_reclaim_record{.incarnation = 3, .vm_gone = true}).vm_gone);
     const auto deltas =
