Free a unit at its deadline when the executor reports the stop

Cause: no driver reported dispatch_end::stopped, so each run cut off at its deadline kept its unit until the slot lease and the deadline had passed. Change: node_runtime and simulated_node wait 50 ms beyond the remaining time. A 504 with Outcome: unknown and the same Correlation-Id ends the dispatch as stopped; a closed connection or silence keeps the unit. A 504 before 98% of the time has passed counts as a failed answer, so a faulty executor is still ejected. The stand-in executors answer 504, close or stay silent, by option. Tested: new cases at the dispatcher and with the real node on loopback.

--- a/src/fakes/executor_server.cpp
+++ b/src/fakes/executor_server.cpp
@@ -129,14 +129,22 @@
         if (this->options.on_run) {
             this->options.on_run(now, result.ends, wanted.body);
         }
-        // A run without an answer keeps its connection until the deadline, at which the executor gives up.
-        const auto when = result.answered.value_or(now + wanted.remaining);
+        // Without an answer the connection stays open well past the time for which drivers wait.
+        const auto when = result.answered.value_or(now + wanted.remaining + std::chrono::seconds(1));
         const bool answered = result.answered.has_value();
         auto answer = [result = std::move(result), reply, answered] {
             if (!answered || !result.answer.complete) {
                 reply.abandon();
                 return;
             }
+            if (result.answer.stopped) {
+                auto stopped =
+                    make_error_response(504, "deadline_exceeded", "the run was stopped at its deadline",
+                                        "allow more time", "unknown");
+                stopped.headers.add("Correlation-Id", result.answer.correlation_id);
+                reply.send(std::move(stopped));
+                return;
+            }
             http_response response{
                 .status = result.answer.failed ? 500 : 200, .headers = {}, .body = result.answer.body};
             response.headers.add("Correlation-Id", result.answer.correlation_id);
--- a/src/fakes/fake_executor.cpp
+++ b/src/fakes/fake_executor.cpp
@@ -48,6 +48,11 @@
     outcome.ends = now + run_time;
     if (this->generator.chance(this->options.hang_part) || outcome.ends > deadline) {
         outcome.ends = deadline;
+        outcome.answer.stopped = true;
+        outcome.answer.complete = this->options.at_deadline == deadline_answer::stopped;
+        if (this->options.at_deadline != deadline_answer::none) {
+            outcome.answered = deadline + this->options.stop_answer_delay;
+        }
         return;
     }
     outcome.answered = outcome.ends;
--- a/src/fakes/fake_executor.hpp
+++ b/src/fakes/fake_executor.hpp
@@ -12,6 +12,13 @@
 
 namespace hornbeamrail {
 
+/// What an executor does at the deadline of a run, after it has stopped the work.
+enum class deadline_answer {
+    stopped, ///< answers 504
+    closed,  ///< closes the connection
+    none,    ///< leaves the connection open and never answers
+};
+
 /// Faults and limits of a `fake_executor`. They can be changed while it runs.
 struct fake_executor_options {
     std::int64_t slots = 8;
@@ -19,7 +26,9 @@
     double run_time_factor = 1;    ///< true run time over the requested one
     bool fails_everything = false; ///< every run fails after 1 ms
     double hang_part = 0;          ///< part of the runs that do not end before their deadline
-    double late_part = 0;          ///< part of the answers that come `late_by` after the end of the run
+    deadline_answer at_deadline = deadline_answer::stopped;
+    std::chrono::microseconds stop_answer_delay{0}; ///< from the deadline to the answer or the close
+    double late_part = 0; ///< part of the answers that come `late_by` after the end of the run
     std::chrono::microseconds late_by{3'000'000};
     double crossed_part = 0; ///< part of the answers that carry the correlation id of another run
     double half_part = 0;    ///< part of the answers that break off in the middle
@@ -48,6 +57,7 @@
     std::string correlation_id;
     std::string body;
     bool failed = false;  ///< the run ended without a result
+    bool stopped = false; ///< the run was stopped at its deadline
     bool complete = true; ///< false: the connection breaks off within the answer
 };
 
--- a/src/fakes/simulated_node.cpp
+++ b/src/fakes/simulated_node.cpp
@@ -457,7 +457,7 @@
             self->deliver([finish, end, answer] { finish(end, answer ? &*answer : nullptr); });
         });
     };
-    this->after(action.remaining, [finish] { finish(dispatch_end::timed_out, nullptr); });
+    this->after(action.remaining + stop_answer_wait, [finish] { finish(dispatch_end::timed_out, nullptr); });
     // The process may be paused between the decision and the send.
     this->after(boot_clock::duration(50), [self, action, request, reply, finish] {
         const bool sent = self->site.send(self->who.node_id, action.vm, [self, action, request, reply] {
@@ -474,6 +474,8 @@
                     reply(dispatch_end::no_answer, std::nullopt);
                 } else if (!trusting && (answer->correlation_id != correlation_id || !answer->complete)) {
                     reply(dispatch_end::no_answer, std::nullopt);
+                } else if (answer->stopped) {
+                    reply(dispatch_end::stopped, std::nullopt);
                 } else if (answer->failed) {
                     reply(dispatch_end::failed_answer, std::nullopt);
                 } else {
@@ -504,7 +506,8 @@
 }
 
 void simulated_node::finish_dispatch(ticket_id ticket, dispatch_end end, const fake_run_answer* answer) {
-    const bool lost = end == dispatch_end::no_answer || end == dispatch_end::timed_out;
+    const bool lost =
+        end == dispatch_end::no_answer || end == dispatch_end::timed_out || end == dispatch_end::stopped;
     if (lost && this->defects.misreports_lost_runs) {
         end = dispatch_end::not_sent;
     }
--- a/src/fakes/site_world.cpp
+++ b/src/fakes/site_world.cpp
@@ -172,7 +172,9 @@
                           .zone = vm->description.zone,
                           .run = run,
                           .units = 1});
-    const std::string how = !outcome.answered ? "deadline" : outcome.answer.failed ? "failed" : "completed";
+    const std::string how = outcome.answer.stopped  ? "deadline"
+                            : outcome.answer.failed ? "failed"
+                                                    : "completed";
     this->queue.at(outcome.ends, [this, id, run, how, outcome, answered = std::move(answered)] {
         if (this->find_vm(id)->runs.erase(run) == 0) {
             return; // The VM ended before the run did.
--- a/src/node/dispatcher.hpp
+++ b/src/node/dispatcher.hpp
@@ -65,13 +65,17 @@
     not_sent,      ///< no byte was written
     no_answer,     ///< bytes were written; no complete answer, or one with another correlation id
     timed_out,     ///< bytes were written; the remaining time passed without an answer
-    /// Bytes were written and the remaining time has passed; then the executor answered without a result or
-    /// closed the connection, which it does only after it has stopped the work. The unit is free at once,
-    /// while after `timed_out` it stays in use until the slot lease and the deadline have passed. Drivers
-    /// wait a little beyond the remaining time for it.
+    /// The executor answered 504 with `Outcome: unknown` and the same correlation id at the deadline, which
+    /// it does only after it has stopped the work. The unit is free at once, while after `timed_out` it stays
+    /// in use until the slot lease and the deadline have passed. A closed connection is no such proof: the
+    /// executor may go on.
     stopped,
 };
 
+/// Drivers wait this long beyond the remaining time of a dispatch for `dispatch_end::stopped`: a round trip
+/// and the executor's timer take a few ms, and the caller's 504 is delayed by no more than this.
+inline constexpr std::chrono::milliseconds stop_answer_wait{50};
+
 struct dispatch_result {
     dispatch_end end = dispatch_end::no_answer;
 };
@@ -106,8 +110,9 @@
     endpoint address;
     std::string service;
     std::string lease_token;
-    std::string correlation_id;             ///< unique per dispatch
-    std::chrono::milliseconds remaining{0}; ///< sent as `Deadline-Ms`; the driver stops waiting after it
+    std::string correlation_id; ///< unique per dispatch
+    std::chrono::milliseconds remaining{
+        0}; ///< sent as `Deadline-Ms`; the driver waits `stop_answer_wait` longer
 };
 
 /// Ask an executor for its slot lease. Answered by `on_lease` or `on_lease_failed`, exactly once.
--- a/src/node/node_runtime.cpp
+++ b/src/node/node_runtime.cpp
@@ -30,21 +30,33 @@
             .leaving = message.leaving};
 }
 
+/// An executor whose clock is up to 1% fast stops work this much before the remaining time has passed here.
+bool at_deadline(boot_clock::duration elapsed, std::chrono::milliseconds remaining) {
+    return elapsed >= std::chrono::microseconds(remaining) * 98 / 100;
+}
+
+/// @param elapsed since the dispatch began
 /// @return how a dispatch ended, from the executor's answer or its absence
-dispatch_end end_of(const http_call_result& result, bool past_deadline) {
+dispatch_end end_of(const http_call_result& result, boot_clock::duration elapsed,
+                    std::chrono::milliseconds remaining) {
     if (result.status == call_status::unsent) {
         return dispatch_end::not_sent;
     }
     if (result.status == call_status::unknown) {
-        return past_deadline ? dispatch_end::timed_out : dispatch_end::no_answer;
+        return elapsed >= remaining ? dispatch_end::timed_out : dispatch_end::no_answer;
     }
     const auto& response = result.response;
     if (response.status == 200) {
         return dispatch_end::answered;
     }
-    if (response.headers.value_or("Outcome", "") == "not_run") {
+    const auto outcome = response.headers.value_or("Outcome", "");
+    if (outcome == "not_run") {
         return response.status == 409 ? dispatch_end::lease_lapsed : dispatch_end::busy;
     }
+    // A 504 well before the deadline is a fault of the executor and must count against its health.
+    if (response.status == 504 && outcome == "unknown" && at_deadline(elapsed, remaining)) {
+        return dispatch_end::stopped;
+    }
     return dispatch_end::failed_answer;
 }
 
@@ -315,7 +327,7 @@
 void node_runtime::carry_out(dispatch_request action) {
     http_call call{.target = action.address,
                    .request = {.method = "POST", .target = "/run", .headers = {}, .body = {}},
-                   .timeout = action.remaining,
+                   .timeout = action.remaining + stop_answer_wait,
                    .correlation_id = action.correlation_id};
     bool found = false;
     {
@@ -346,9 +358,7 @@
 }
 
 void node_runtime::on_run_answer(const dispatch_request& action, boot_time sent_at, http_call_result result) {
-    const bool past_deadline =
-        result.status == call_status::unknown && boot_clock::now() - sent_at >= action.remaining;
-    const auto end = end_of(result, past_deadline);
+    const auto end = end_of(result, boot_clock::now() - sent_at, action.remaining);
     bool passes = false;
     boot_time answered_at{};
     std::optional<pending_request> done;
--- a/tests/dispatcher_test.cpp
+++ b/tests/dispatcher_test.cpp
@@ -60,6 +60,24 @@
     BOOST_TEST(this->dispatches.size() == 2u);
 }
 
+// Guards against a unit that is used again before the slot lease and the deadline have surely passed, when
+// the executor has not said that the work stopped.
+BOOST_AUTO_TEST_CASE(unit_stays_in_use_after_a_silent_deadline) {
+    this->core.usable["one"] = 1;
+    auto first = request();
+    first.deadline = 1000ms;
+    const auto ticket = this->submit(first);
+    this->step();
+    this->answer_leases = false;
+    this->step(1000ms + stop_answer_wait);
+    this->done(ticket, dispatch_end::timed_out);
+    BOOST_TEST((this->refusals[ticket].outcome == run_outcome::unknown));
+    this->step(1850ms); // 2.9 s after the lease, of 1.96 s of lease and 1.02 s of run
+    BOOST_TEST(this->node->running_units("one") == 1);
+    this->step(200ms);
+    BOOST_TEST(this->node->running_units("one") == 0);
+}
+
 // Guards against a second run: bytes were written, so the outcome is unknown and nothing is retried.
 BOOST_AUTO_TEST_CASE(unanswered_dispatch_of_non_idempotent_request_is_unknown) {
     const auto ticket = this->submit(once());
--- a/tests/entry_node_test.cpp
+++ b/tests/entry_node_test.cpp
@@ -1,4 +1,5 @@
 #include "loopback_site.hpp"
+#include "node/dispatcher.hpp"
 
 #include <atomic>
 #include <thread>
@@ -142,6 +143,34 @@
     BOOST_TEST(own > 0);
 }
 
+// Guards against a unit that is used again while the work may still run, against one held for seconds
+// although the executor has stopped the work, and against a caller that gets no answer soon after its
+// deadline.
+BOOST_AUTO_TEST_CASE(unit_after_a_deadline_depends_on_the_executors_answer) {
+    constexpr auto deadline = 400ms;
+    constexpr auto scheduling = 100ms; // of this process's threads, on top of the stated bound
+    const auto held_after = [&](deadline_answer at_deadline) {
+        for (const auto& vm : this->platform->vms()) {
+            this->platform->with_executor(vm, [&](fake_executor& executor) {
+                executor.faults().at_deadline = at_deadline;
+                // Longer than the client pool's sweep interval of 10 ms, which delays a timeout.
+                executor.faults().stop_answer_delay = 25ms;
+            });
+        }
+        const auto sent = std::chrono::steady_clock::now();
+        const auto answer =
+            this->submit(0, {.body = "run_ms=5000", .extra_headers = "Request-Deadline-Ms: 400\r\n"});
+        BOOST_TEST((std::chrono::steady_clock::now() - sent <= deadline + stop_answer_wait + scheduling));
+        BOOST_TEST(answer.status == 504);
+        BOOST_TEST(answer.head.find("Outcome: unknown\r\n") != std::string::npos);
+        const auto dump = json::parse(this->admin(0, "GET", "/admin/dump").body);
+        return dump.at("dispatcher").at("units_held_back").as_int64();
+    };
+    BOOST_TEST(held_after(deadline_answer::stopped) == 0);
+    BOOST_TEST(held_after(deadline_answer::closed) == 1);
+    BOOST_TEST(held_after(deadline_answer::none) == 2);
+}
+
 // Guards against a log outage that stops registered nodes, and against a node that stays red after it.
 BOOST_AUTO_TEST_CASE(log_outage_leaves_nodes_serving) {
     this->platform->with_log([](fake_log& log) { log.faults().down = true; });
--- a/tests/fakes_test.cpp
+++ b/tests/fakes_test.cpp
@@ -101,7 +101,10 @@
     const std::string token = executor.lease(start, "n1").token;
     const auto outcome = executor.run(start, {token, "1", "b", 1s, 4s});
     BOOST_CHECK(outcome.ends == start + 4s);
-    BOOST_TEST(!outcome.answered.has_value());
+    BOOST_CHECK(outcome.answered == outcome.ends);
+    BOOST_TEST(outcome.answer.stopped);
+    executor.faults().at_deadline = hr::deadline_answer::none;
+    BOOST_TEST(!executor.run(start, {token, "2", "b", 1s, 4s}).answered.has_value());
 }
 
 // Guards against two owners of one task after its hand-over.
