Count units of tasks in one place

Cause: units_of_task (policy) and task_units (protocol) both computed a task's units, with fixed worker sizes in one and the fleet text's sizes in the other. Change: units_of_task is removed, with task_reservation::units and the limit check of why_never, which the product did not use; the task manager makes that check with task_units. task_units has its own test now, which it lacked. Conclusion: a limit and a reservation cannot disagree about a task's units.

--- a/src/policy/task_placement.cpp
+++ b/src/policy/task_placement.cpp
@@ -167,20 +167,8 @@
     return fmt::format("{}/{}", service, team);
 }
 
-std::int64_t divide_up(std::int64_t value, std::int64_t unit) {
-    return (value + unit - 1) / unit;
-}
-
 } // namespace
 
-std::int64_t units_of_task(const task_spec& task, std::int64_t worker_accelerators) {
-    auto units = std::max(divide_up(task.cores, 4), divide_up(task.memory_mb, 8192));
-    if (task.accelerators > 0 && worker_accelerators > 0) {
-        units = std::max(units, divide_up(8 * task.accelerators, worker_accelerators));
-    }
-    return std::max<std::int64_t>(1, units);
-}
-
 struct task_placement::impl {
     explicit impl(task_placement_options placement_options) : options(placement_options) {}
 
@@ -298,33 +286,28 @@
     this->self->workers.erase(found);
 }
 
-std::optional<std::string> task_placement::why_never(std::string_view pool_name, const task_spec& task,
-                                                     std::int64_t upper_limit) const {
+std::optional<std::string> task_placement::why_never(std::string_view pool_name,
+                                                     const task_spec& task) const {
     const auto found = this->self->pools.find(pool_name);
     if (found == this->self->pools.end() || found->second.shapes.empty()) {
         return fmt::format("pool \"{}\" has no workers", pool_name);
     }
-    std::int64_t least_units = -1;
+    bool fits_one = false;
     std::array<std::int64_t, 3> largest{};
     for (const auto& [shape, count] : found->second.shapes) {
         for (std::size_t r = 0; r < shape.size(); ++r) {
             largest[r] = std::max(largest[r], shape[r]);
         }
         if (task.cores <= shape[0] && task.memory_mb <= shape[1] && task.accelerators <= shape[2]) {
-            const auto units = units_of_task(task, shape[2]);
-            least_units = least_units < 0 ? units : std::min(least_units, units);
+            fits_one = true;
         }
     }
-    if (least_units < 0) {
+    if (!fits_one) {
         return fmt::format(
             "no worker of pool \"{}\" has {} cores, {} MB and {} accelerators together; the most of "
             "each are {}, {} and {}",
             pool_name, task.cores, task.memory_mb, task.accelerators, largest[0], largest[1], largest[2]);
     }
-    if (least_units > upper_limit) {
-        return fmt::format("the task counts {} units and the team's upper limit is {}", least_units,
-                           upper_limit);
-    }
     return std::nullopt;
 }
 
@@ -371,8 +354,7 @@
                                                   .started = now,
                                                   .last_report = now});
     return task_reservation{.vm = *vm,
-                            .size = {.cores = need[0], .memory_mb = need[1], .accelerators = need[2]},
-                            .units = units_of_task(task, worker.vm.accelerators)};
+                            .size = {.cores = need[0], .memory_mb = need[1], .accelerators = need[2]}};
 }
 
 void task_placement::release(std::string_view task_id) {
--- a/src/policy/task_placement.hpp
+++ b/src/policy/task_placement.hpp
@@ -16,10 +16,6 @@
 
 namespace hornbeamrail {
 
-/// @param worker_accelerators accelerators of the worker that runs the task; may be 0 if the task takes none
-/// @return units that the task counts against its team's upper limit, at least 1
-std::int64_t units_of_task(const task_spec& task, std::int64_t worker_accelerators);
-
 struct task_placement_options {
     std::chrono::milliseconds settle_time{
         10000};                ///< usage reports this soon after a start do not lower a size
@@ -31,7 +27,6 @@
 struct task_reservation {
     std::string vm;
     resource_vector size; ///< what to lease: the declared size, corrected by the use of earlier tasks
-    std::int64_t units = 0;
 };
 
 /// Chooses workers for tasks by cores, memory and accelerators.
@@ -52,8 +47,7 @@
     void remove_worker(std::string_view vm);
 
     /// @return why the task can never run in the pool, or nothing if some worker is large enough
-    [[nodiscard]] std::optional<std::string> why_never(std::string_view pool, const task_spec& task,
-                                                       std::int64_t upper_limit) const;
+    [[nodiscard]] std::optional<std::string> why_never(std::string_view pool, const task_spec& task) const;
 
     /// Reserves room for a task. The lesser loaded of two random fitting workers is taken; racks count as
     /// well.
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -403,18 +403,15 @@
     }));
 }
 
-// Guards against jobs that wait for ever: no single worker is large enough, or the limit is too low.
+// Guards against jobs that wait for ever because no single worker is large enough.
 BOOST_AUTO_TEST_CASE(impossible_tasks_are_refused_with_the_reason) {
     task_placement placement;
     placement.set_worker(worker("small"), true);
     placement.set_worker(worker("accelerated", 8), false);
-    BOOST_TEST(!placement.why_never("p", task("x", 32, 65536), 100));
-    BOOST_TEST(!placement.why_never("p", task("x", 1, 1, 8), 100), "the worker may come back into service");
-    BOOST_TEST(placement.why_never("p", task("x", 33, 1), 100).value().find("33 cores") != std::string::npos);
-    BOOST_TEST(placement.why_never("p", task("x", 32, 1), 7).value().find("upper limit is 7") !=
-               std::string::npos);
-    BOOST_TEST(placement.why_never("none", task("x", 1, 1), 7).has_value());
-    BOOST_TEST(units_of_task(task("x", 1, 1, 3), 4) == 6);
+    BOOST_TEST(!placement.why_never("p", task("x", 32, 65536)));
+    BOOST_TEST(!placement.why_never("p", task("x", 1, 1, 8)), "the worker may come back into service");
+    BOOST_TEST(placement.why_never("p", task("x", 33, 1)).value().find("33 cores") != std::string::npos);
+    BOOST_TEST(placement.why_never("none", task("x", 1, 1)).has_value());
 }
 
 // Guards against trusting declared sizes: overuse counts at once, low use frees room only after a settling
--- a/tests/protocol_values_test.cpp
+++ b/tests/protocol_values_test.cpp
@@ -2,6 +2,7 @@
 #include "hornbeamrail/request_id.hpp"
 #include "protocol/digest.hpp"
 #include "protocol/log_record.hpp"
+#include "protocol/task_units.hpp"
 
 #include <boost/test/unit_test.hpp>
 #include <rapidcheck.h>
@@ -107,3 +108,27 @@
     }
     BOOST_CHECK(!parse_task_phase("done"));
 }
+
+// Guards against a task that counts less than its scarcest resource, and against one that can never run but
+// is accepted.
+BOOST_AUTO_TEST_CASE(task_units_follow_the_scarcest_resource) {
+    const fleet_config config{.pools = {{.name = "p", .accelerators_per_vm = 4}},
+                              .services = {{.name = "s", .pool = "p"}, {.name = "poolless", .pool = "none"}}};
+    const auto units = [&](std::int64_t cores, std::int64_t memory_mb, std::int64_t accelerators,
+                           const std::string& service = "s") {
+        return task_units(
+                   config,
+                   {.service = service, .cores = cores, .memory_mb = memory_mb, .accelerators = accelerators})
+            .value_or(0);
+    };
+    BOOST_TEST(units(1, 1, 0) == 1);
+    BOOST_TEST(units(5, 1, 0) == 2);
+    BOOST_TEST(units(1, 3 * 8192, 0) == 3);
+    BOOST_TEST(units(1, 1, 3) == 6);
+    BOOST_TEST(units(32, 65536, 4) == 8);
+    BOOST_TEST(units(33, 1, 0) == 0);
+    BOOST_TEST(units(1, 65537, 0) == 0);
+    BOOST_TEST(units(1, 1, 5) == 0);
+    BOOST_TEST(units(1, 1, 0, "poolless") == 0);
+    BOOST_TEST(units(1, 1, 0, "none") == 0);
+}
