Tell the planner the availability budgets that callers leave

Cause: nobody called report_budgets in the real node, so maintenance was never held back by a spent budget there.

Change: dispatcher::budgets_left, passed on with each demand report.

The planner knows only what its own node's callers saw.

--- a/src/node/dispatcher.hpp
+++ b/src/node/dispatcher.hpp
@@ -13,6 +13,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -233,6 +234,10 @@
     ///         without a start in between.
     [[nodiscard]] std::vector<service_demand> demand(boot_time now) const;
 
+    /// @return part of the availability budget left per service, as the callers of this node saw it; 1:
+    /// untouched
+    [[nodiscard]] std::map<std::string, double, std::less<>> budgets_left(boot_time now) const;
+
     /// @return counters, queues, executors and the reasons of the last refusals
     [[nodiscard]] boost::json::value dump(boot_time now) const;
 
--- a/src/node/dispatcher_report.cpp
+++ b/src/node/dispatcher_report.cpp
@@ -119,4 +119,12 @@
                                {"refusals", this->refusals.dump(now)}};
 }
 
+std::map<std::string, double, std::less<>> dispatcher::budgets_left(boot_time now) const {
+    std::map<std::string, double, std::less<>> left;
+    for (const auto& [name, service] : this->self->services) {
+        left.emplace(name, service.availability.at(now).remaining);
+    }
+    return left;
+}
+
 } // namespace hornbeamrail
--- a/src/node/node_runtime.cpp
+++ b/src/node/node_runtime.cpp
@@ -139,6 +139,7 @@
                 running.push_back({team.name, units});
             }
         }
+        this->core.report_budgets(this->dispatch.budgets_left(now));
         this->core.report_demand(now, this->dispatch.demand(now), running);
         this->tick_core(now);
         this->tasks_synced = this->core.state();
--- a/tests/dispatcher_test.cpp
+++ b/tests/dispatcher_test.cpp
@@ -181,6 +181,18 @@
     BOOST_TEST(this->dispatches.size() == 4u);
 }
 
+// Guards the planner against maintaining VMs of a service whose budget is spent without knowing it.
+BOOST_AUTO_TEST_CASE(failures_lower_the_budget_left) {
+    this->step();
+    const auto service = request().service;
+    BOOST_TEST(this->node->budgets_left(this->now).at(service) == 1);
+    const auto failed = this->submit(request());
+    this->step();
+    this->done(failed, dispatch_end::timed_out);
+    this->step();
+    BOOST_TEST(this->node->budgets_left(this->now).at(service) < 1);
+}
+
 // Guards against a ramp that refuses work to idle executors when every zone was out and no other zone has
 // load to shift.
 BOOST_AUTO_TEST_CASE(the_only_zone_takes_all_load_at_once) {
