Find a caller's task in one place

Change: task_api::find_or_refuse serves both; answers are unchanged.

The other programs were not run again.

Conclusion: one place decides what a team may see of a task.

--- a/src/node/task_api.cpp
+++ b/src/node/task_api.cpp
@@ -164,37 +164,35 @@
     });
 }
 
-void task_api::show(std::string_view task_id, const http_request& request, const http_reply& reply) {
+const task_info* task_api::find_or_refuse(const fleet_state& state, std::string_view task_id,
+                                          const http_request& request, const http_reply& reply) const {
     const std::string request_id(request.headers.value_or("Request-Id", ""));
     const auto who = this->identify(request);
-    const auto state = this->node->state();
     const auto* known = std::get_if<caller>(&who);
-    const auto* task = known == nullptr ? nullptr : this->visible_task(*state, *known, task_id);
     if (known == nullptr) {
         this->answer(reply, to_response(std::get<refusal>(who)), request_id);
-    } else if (task == nullptr) {
+        return nullptr;
+    }
+    const auto* task = this->visible_task(state, *known, task_id);
+    if (task == nullptr) {
         this->answer(reply, to_response(unknown_task(task_id)), request_id);
-    } else {
-        this->answer(reply, describe(200, *task), request_id);
     }
+    return task;
 }
 
-void task_api::cancel(std::string_view task_id, const http_request& request, const http_reply& reply) {
-    const std::string request_id(request.headers.value_or("Request-Id", ""));
-    const auto who = this->identify(request);
+void task_api::show(std::string_view task_id, const http_request& request, const http_reply& reply) {
     const auto state = this->node->state();
-    const auto* known = std::get_if<caller>(&who);
-    const auto* task = known == nullptr ? nullptr : this->visible_task(*state, *known, task_id);
-    if (known == nullptr) {
-        this->answer(reply, to_response(std::get<refusal>(who)), request_id);
-        return;
+    if (const auto* task = this->find_or_refuse(*state, task_id, request, reply)) {
+        this->answer(reply, describe(200, *task), std::string(request.headers.value_or("Request-Id", "")));
     }
-    if (task == nullptr) {
-        this->answer(reply, to_response(unknown_task(task_id)), request_id);
-        return;
+}
+
+void task_api::cancel(std::string_view task_id, const http_request& request, const http_reply& reply) {
+    const auto state = this->node->state();
+    if (const auto* task = this->find_or_refuse(*state, task_id, request, reply)) {
+        this->node->with_tasks([&](task_manager& tasks, boot_time) { tasks.cancel(task_id); });
+        this->answer(reply, describe(202, *task), std::string(request.headers.value_or("Request-Id", "")));
     }
-    this->node->with_tasks([&](task_manager& tasks, boot_time) { tasks.cancel(task_id); });
-    this->answer(reply, describe(202, *task), request_id);
 }
 
 } // namespace hornbeamrail
--- a/src/node/task_api.hpp
+++ b/src/node/task_api.hpp
@@ -31,6 +31,9 @@
     [[nodiscard]] std::variant<caller, refusal> identify(const http_request& request) const;
     [[nodiscard]] const task_info* visible_task(const fleet_state& state, const caller& who,
                                                 std::string_view task_id) const;
+    /// @return the caller's task; nullptr after a refusal was sent
+    [[nodiscard]] const task_info* find_or_refuse(const fleet_state& state, std::string_view task_id,
+                                                  const http_request& request, const http_reply& reply) const;
     void answer(const http_reply& reply, http_response response, const std::string& request_id) const;
     void answer_when_folded(const std::string& task_id, const std::string& request_id,
                             const http_reply& reply, boot_time deadline) const;
