--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -5,6 +5,7 @@
 #include "cli/fleet_commands.hpp"
 #include "cli/key_commands.hpp"
 #include "cli/serve.hpp"
+#include "cli/serve_site.hpp"
 #include "cli/view_commands.hpp"
 #include "cli/vm_commands.hpp"
 #include "cli/zone_commands.hpp"
@@ -26,6 +27,11 @@
          .summary = "runs an entry node until SIGTERM (graceful stop); SIGHUP re-reads certificates",
          .flags = {"config", "output"},
          .run = run_serve},
+        {.name = "serve-site",
+         .arguments = "[--platform_settings FILE]",
+         .summary = "runs an entry node on the users' platform until SIGTERM (graceful stop)",
+         .flags = {"platform_settings", "output"},
+         .run = run_serve_site},
         {.name = "check",
          .arguments = "FILE",
          .summary = "checks a fleet text or the settings of a node",
--- /dev/null
+++ b/src/cli/serve_site.cpp
@@ -0,0 +1,105 @@
+#include "cli/serve_site.hpp"
+
+#include "cli/command.hpp"
+#include "node/site_node.hpp"
+#include "platform/adapter.hpp"
+#include "platform/codec.hpp"
+#include "platform/settings.hpp"
+#include "protocol/json_log.hpp"
+
+#include <boost/json/object.hpp>
+#include <fmt/format.h>
+#include <gflags/gflags.h>
+
+#include <csignal>
+#include <cstdlib>
+#include <memory>
+#include <random>
+
+DEFINE_string(platform_settings, "", "settings file of the platform; empty: the file named in the environment");
+
+namespace hornbeamrail::cli {
+
+namespace {
+
+constexpr std::size_t longest_settings = 1 << 20;
+/// Part of the platform's grace that a stop leaves unused.
+constexpr std::chrono::milliseconds stop_reserve{600};
+
+using platform_node = site_node<platform::adapter, platform::codec>;
+
+std::string settings_path() {
+    const char* from_environment = std::getenv(platform::settings_variable);
+    return !FLAGS_platform_settings.empty() || from_environment == nullptr ? FLAGS_platform_settings
+                                                                           : from_environment;
+}
+
+result<site_node_settings> read_settings() {
+    BOOST_LEAF_AUTO(text, read_file(settings_path(), longest_settings));
+    return platform::parse_settings(text);
+}
+
+std::string make_incarnation() {
+    std::random_device random;
+    return fmt::format("{:08x}{:08x}", random(), random());
+}
+
+/// Reads the settings again and reports whether they can be used. Addresses take effect at the next start.
+void reload_settings() {
+    error failure;
+    const auto settings = value_or_error([] { return read_settings(); }, failure);
+    write_log(settings ? severity::info : severity::error, "settings_read",
+              {{"done", settings.has_value()}, {"reason", failure.message}});
+}
+
+void wait_for_stop(const sigset_t& signals) {
+    while (true) {
+        int received = 0;
+        sigwait(&signals, &received);
+        if (received != SIGHUP) {
+            return;
+        }
+        reload_settings();
+    }
+}
+
+result<bool> run(const sigset_t& signals) {
+    BOOST_LEAF_AUTO(settings, read_settings());
+    const auto grace = settings.limits.stop_grace - stop_reserve;
+    io_threads threads(1);
+    BOOST_LEAF_AUTO(node, platform_node::make(threads, {.settings = settings, .incarnation = make_incarnation()}));
+    write_log(severity::info, "serving",
+              {{"node", settings.node_id},
+               {"zone", settings.zone},
+               {"caller_address", to_string(settings.caller_address)},
+               {"log_address", to_string(settings.log_address)}});
+    wait_for_stop(signals);
+    write_log(severity::info, "stopping", {{"node", settings.node_id}});
+    node->begin_stop();
+    const bool stopped = node->wait_stopped(grace);
+    write_log(stopped ? severity::info : severity::warning, "stopped", {{"clean", stopped}});
+    threads.stop();
+    return true;
+}
+
+} // namespace
+
+int run_serve_site(int argc, char** argv) {
+    if (!expect_arguments(argc, argv, 0, "no arguments besides --platform_settings FILE")) {
+        return exit_invalid;
+    }
+    // Blocked before the workers start, so that only sigwait receives them.
+    sigset_t signals{};
+    sigemptyset(&signals);
+    for (const int number : {SIGTERM, SIGINT, SIGHUP}) {
+        sigaddset(&signals, number);
+    }
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    error failure;
+    if (!value_or_error([&] { return run(signals); }, failure)) {
+        return print_error(failure);
+    }
+    return exit_done;
+}
+
+} // namespace hornbeamrail::cli
--- /dev/null
+++ b/src/coordination/scheduler.cpp
@@ -0,0 +1,240 @@
+#include "coordination/scheduler.hpp"
+
+#include "coordination/scheduler_impl.hpp"
+#include "protocol/json_log.hpp"
+#include "state/job_index.hpp"
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+
+namespace hornbeamrail {
+
+scheduler::scheduler(scheduler_options options) : self(std::make_unique<impl>(std::move(options))) {}
+
+scheduler::~scheduler() = default;
+
+void scheduler::begin_term(std::int64_t term, boot_time now) {
+    auto fresh = std::make_unique<impl>(this->self->options);
+    fresh->config = this->self->config;
+    fresh->zones_out = std::move(this->self->zones_out);
+    for (auto& [number, wave] : this->self->waves) {
+        fresh->waves[number].request = std::move(wave.request);
+        fresh->waves[number].begun = wave.begun;
+    }
+    fresh->term = term;
+    fresh->term_begin = now;
+    fresh->last_log_contact = now;
+    this->self = std::move(fresh);
+}
+
+void scheduler::end_term() {
+    this->self->term = 0;
+    this->self->loaded = false;
+    this->self->actions.clear();
+}
+
+std::int64_t scheduler::term() const noexcept {
+    return this->self->term;
+}
+
+void scheduler::load_job(std::int32_t partition, const keyed_record& record) {
+    this->on_job_record(partition, record, this->self->term_begin);
+}
+
+void scheduler::load_progress(const keyed_record& record) {
+    auto* job = this->self->find_job(record.key);
+    if (job == nullptr || record.value.empty()) {
+        return;
+    }
+    error problem;
+    const auto read = value_or_error(
+        [&]() -> result<bool> {
+            BOOST_LEAF_CHECK(job->decode(record.value));
+            return true;
+        },
+        problem);
+    if (!read) {
+        write_log(severity::error, "progress_unreadable", {{"job", record.key}, {"reason", problem.message}});
+    }
+}
+
+void scheduler::load_state(const keyed_record& record) {
+    const auto state = parse_job_state(record.value);
+    auto* job = this->self->find_job(record.key);
+    if (!state || !is_final(*state)) {
+        return;
+    }
+    this->self->finals.emplace(record.key, job == nullptr ? 0 : job->partition);
+    this->self->finished.push_back({.id = record.key,
+                                    .partition = job == nullptr ? 0 : job->partition,
+                                    .finished = this->self->term_begin,
+                                    .records_dropped = job == nullptr,
+                                    .cancelled = *state == job_state::cancelled});
+    // Runs of a final job that still exist are stopped as unknown ones.
+    this->self->jobs.erase(record.key);
+}
+
+void scheduler::finish_load(boot_time now) {
+    auto& state = *this->self;
+    std::size_t adopted = 0;
+    const auto longest_lease = state.timings.hold_without_log + state.options.limits.longest_lease;
+    for (auto& [id, job] : state.jobs) {
+        if (job->cancel_requested && !is_final(job->state)) {
+            job->state = job_state::cancelled;
+        }
+        for (auto& occurrence : job->occurrences) {
+            for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+                auto& tasks = occurrence.steps[step].tasks;
+                for (std::size_t index = 0; index < tasks.size(); ++index) {
+                    auto& task = tasks[index];
+                    if (task.phase != run_phase::placed) {
+                        continue;
+                    }
+                    const task_id name{.job = id,
+                                       .occurrence = occurrence.number,
+                                       .step = static_cast<std::int32_t>(step),
+                                       .index = static_cast<std::int32_t>(index)};
+                    auto& worker = state.workers[task.worker];
+                    worker.entry.id = task.worker;
+                    task.placed_at = now;
+                    auto* placed = state.add_placement(worker, *job, name, task.run, now);
+                    placed->stage = start_stage::doubtful; // of an earlier term; any hold of this one settles it
+                    ++adopted;
+                }
+            }
+        }
+    }
+    for (auto& [id, worker] : state.workers) {
+        state.note_lease(worker, longest_lease, now);
+        if (worker.entry.address.port == 0) {
+            // Not in the list of workers: nothing to ask, only the list of VMs and the lease can tell.
+            worker.unanswered = 2;
+            worker.unanswered_since = now;
+            worker.hold_in_flight = true;
+        }
+    }
+    for (auto& [id, job] : state.jobs) {
+        if (is_final(job->state)) {
+            state.next_batch.states.emplace_back(id, job->state);
+            state.mark_dirty(*job);
+        }
+    }
+    std::vector<std::string> over;
+    for (auto& [id, job] : state.jobs) {
+        if (is_final(job->state) || job->is_done()) {
+            over.push_back(id);
+        }
+    }
+    for (const auto& id : over) {
+        if (auto* job = state.find_job(id)) {
+            state.after_progress(*job, now);
+        }
+    }
+    state.loaded = true;
+    state.dispatch_due = true;
+    write_log(severity::info, "schedule_loaded",
+              {{"term", state.term}, {"jobs", state.jobs.size()}, {"final_jobs", state.finals.size()},
+               {"runs_adopted", adopted}, {"workers", state.workers.size()}});
+}
+
+void scheduler::on_job_record(std::int32_t partition, const keyed_record& record, boot_time now) {
+    auto& state = *this->self;
+    const std::string_view key = record.key;
+    if (key.ends_with(cancel_suffix)) {
+        if (!record.value.empty()) {
+            const auto id = std::string(key.substr(0, key.size() - cancel_suffix.size()));
+            if (state.loaded) {
+                state.cancel_job(id, now);
+            } else if (auto* job = state.find_job(id)) {
+                job->cancel_requested = true;
+            } else {
+                state.cancelled_early.insert(id);
+            }
+        }
+        return;
+    }
+    state.add_job(partition, record);
+    if (state.cancelled_early.erase(record.key) > 0) {
+        if (auto* job = state.find_job(record.key)) {
+            if (state.loaded) {
+                state.cancel_job(record.key, now);
+            } else {
+                job->cancel_requested = true;
+            }
+        }
+    }
+}
+
+void scheduler::set_config(std::shared_ptr<const site_config> config) {
+    this->self->config = std::move(config);
+    this->self->dispatch_due = true;
+}
+
+void scheduler::set_zones_out(std::set<std::string> zones) {
+    this->self->zones_out = std::move(zones);
+    this->self->dispatch_due = true;
+}
+
+void scheduler::set_log_contact(boot_time last_contact) {
+    this->self->last_log_contact = std::max(this->self->last_log_contact, last_contact);
+}
+
+void scheduler::on_committed(std::int64_t sequence, boot_time now) {
+    auto& state = *this->self;
+    if (!state.batch_in_flight || state.batch_in_flight->sequence != sequence) {
+        return;
+    }
+    auto batch = std::move(*state.batch_in_flight);
+    state.batch_in_flight.reset();
+    state.run_effects(batch, now);
+}
+
+void scheduler::on_published(std::int64_t sequence, boot_time) {
+    auto& state = *this->self;
+    if (state.publish_in_flight && state.publish_in_flight->sequence == sequence) {
+        state.publish_in_flight.reset();
+    }
+}
+
+std::vector<scheduler_action> scheduler::tick(boot_time now, unix_time clock) {
+    auto& state = *this->self;
+    if (state.term == 0 || !state.loaded) {
+        return {};
+    }
+    state.check_doubtful(now);
+    state.ask_vm_list(now);
+    state.plan_waves(now);
+    state.open_occurrences(clock);
+    state.dispatch(now, clock);
+    state.pace_fillers(now);
+    state.drop_finished(now);
+    state.commit(now);
+    state.publish(now);
+    state.hold_workers(now);
+    return std::move(state.actions);
+}
+
+boost::json::value scheduler::dump(boot_time now) const {
+    const auto& state = *this->self;
+    boost::json::array workers;
+    for (const auto& [id, worker] : state.workers) {
+        workers.push_back(boost::json::object{{"worker", id},
+                                              {"pool", worker.entry.pool},
+                                              {"tasks", worker.tasks.size()},
+                                              {"used_cpu_millis", worker.used.cpu_millis},
+                                              {"confirmed", worker.confirmed},
+                                              {"unanswered", worker.unanswered},
+                                              {"avoided", now < worker.avoid_until}});
+    }
+    boost::json::array jobs;
+    for (const auto& [id, job] : state.jobs) {
+        jobs.push_back(boost::json::object{{"job", id},
+                                           {"queue", job->spec.queue},
+                                           {"state", to_string(job->state)},
+                                           {"active_tasks", job->active_tasks()}});
+    }
+    return boost::json::object{
+        {"term", state.term}, {"workers", std::move(workers)}, {"jobs", std::move(jobs)}};
+}
+
+} // namespace hornbeamrail
--- /dev/null
+++ b/src/coordination/scheduler_dispatch.cpp
@@ -0,0 +1,421 @@
+#include "coordination/scheduler_impl.hpp"
+
+#include "protocol/json_log.hpp"
+
+#include <algorithm>
+
+namespace hornbeamrail {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Occurrences are opened a little before they are due, so that their first tasks start in time.
+constexpr milliseconds early_start{50};
+
+/// An occurrence with tasks that wait, and its rank.
+struct waiting_work {
+    job_rank rank;
+    job_progress* job = nullptr;
+    std::int32_t occurrence = 0;
+};
+
+bool cap_allows(std::int64_t used, std::int64_t need, std::int64_t cap) {
+    return cap <= 0 || used + need <= cap;
+}
+
+std::int32_t tasks_of_step(const worker_control& worker, const task_id& step) {
+    const task_id first{.job = step.job, .occurrence = step.occurrence, .step = step.step, .index = 0};
+    std::int32_t count = 0;
+    for (auto at = worker.tasks.lower_bound(first); at != worker.tasks.end(); ++at) {
+        if (at->first.job != step.job || at->first.occurrence != step.occurrence || at->first.step != step.step) {
+            break;
+        }
+        ++count;
+    }
+    return count;
+}
+
+} // namespace
+
+const std::string& scheduler::impl::pool_of(const job_progress& job) const {
+    static const std::string none;
+    const auto* queue = this->config->find_queue(job.spec.queue);
+    return queue == nullptr ? none : queue->pool;
+}
+
+void scheduler::impl::open_occurrences(unix_time clock) {
+    for (auto& [id, job] : this->jobs) {
+        if (!job->spec.is_timed() || is_final(job->state)) {
+            continue;
+        }
+        const auto opened = job->finished_occurrences + static_cast<std::int32_t>(job->occurrences.size());
+        for (auto next = opened;
+             next < job->spec.occurrence_count() && job->spec.due(next) <= clock + early_start; ++next) {
+            job->occurrence(next);
+            this->dispatch_due = true;
+        }
+    }
+}
+
+bool scheduler::impl::account_has_room(const std::string& account, const resources& need) const {
+    const auto* config_entry = account.empty() ? nullptr : this->config->find_account(account);
+    if (config_entry == nullptr) {
+        return true;
+    }
+    const auto found = this->account_use.find(account);
+    const auto used = found == this->account_use.end() ? resources{} : found->second;
+    return cap_allows(used.cpu_millis, need.cpu_millis, config_entry->cap.cpu_millis) &&
+           cap_allows(used.memory_mb, need.memory_mb, config_entry->cap.memory_mb) &&
+           cap_allows(used.accelerators, need.accelerators, config_entry->cap.accelerators);
+}
+
+bool scheduler::impl::takes_new_tasks(const worker_control& worker, boot_time now) const {
+    return worker.listed && worker.confirmed && worker.clock && !worker.in_doubt() && !worker.entry.draining &&
+           now >= worker.avoid_until && !this->zones_out.contains(worker.entry.zone) &&
+           !this->is_reserved(worker.entry.id);
+}
+
+job_rank scheduler::impl::rank_of(const job_progress& job, const occurrence_progress& occurrence,
+                                  unix_time clock) const {
+    const auto* queue = this->config->find_queue(job.spec.queue);
+    const auto learned = this->durations.find(job.spec.queue);
+    const auto duration_of = [&](std::size_t step) {
+        const auto stated = job.spec.steps[step].estimate;
+        return learned == this->durations.end() ? stated : learned->second.expect(stated);
+    };
+    const auto never = [](std::size_t) { return false; };
+    const auto is_over = [&](std::size_t step) { return occurrence.steps[step].is_done(); };
+    const auto chain = longest_chain(job.spec, duration_of, never);
+    const auto left = longest_chain(job.spec, duration_of, is_over);
+    const double stretch = queue == nullptr ? 1.0 : queue->stretch;
+    const auto slack = queue == nullptr ? milliseconds(0) : queue->objective_slack;
+    const bool begun = std::any_of(occurrence.steps.begin(), occurrence.steps.end(), [](const auto& step) {
+        return step.waiting < static_cast<std::int32_t>(step.tasks.size());
+    });
+    return rank_job({.long_running = job.is_long_running(),
+                     .begun = begun,
+                     .priority = queue == nullptr ? 0 : queue->priority,
+                     .due = job.spec.due(occurrence.number),
+                     .objective = milliseconds(static_cast<std::int64_t>(
+                                      stretch * static_cast<double>(chain.count()))) + slack,
+                     .remaining_chain = left},
+                    clock);
+}
+
+void scheduler::impl::dispatch(boot_time now, unix_time clock) {
+    if (!this->dispatch_due || now < this->last_dispatch + this->timings.dispatch_interval) {
+        return;
+    }
+    this->dispatch_due = false;
+    this->last_dispatch = now;
+    for (const auto& pool : this->config->pools) {
+        this->dispatch_pool(pool.name, now, clock);
+    }
+}
+
+void scheduler::impl::dispatch_pool(const std::string& pool, boot_time now, unix_time clock) {
+    std::vector<waiting_work> work;
+    for (auto& [id, job] : this->jobs) {
+        if (is_final(job->state) || this->pool_of(*job) != pool) {
+            continue;
+        }
+        for (const auto& occurrence : job->occurrences) {
+            const bool waits = std::any_of(occurrence.steps.begin(), occurrence.steps.end(),
+                                           [](const auto& step) { return step.waiting > 0; });
+            if (waits) {
+                work.push_back({.rank = this->rank_of(*job, occurrence, clock),
+                                .job = job.get(),
+                                .occurrence = occurrence.number});
+            }
+        }
+    }
+    if (work.empty()) {
+        return;
+    }
+    std::sort(work.begin(), work.end(), [](const auto& left, const auto& right) {
+        return std::tie(left.rank, left.job->spec.id, left.occurrence) <
+               std::tie(right.rank, right.job->spec.id, right.occurrence);
+    });
+    std::vector<worker_view> views;
+    std::vector<worker_control*> controls;
+    for (auto& [id, worker] : this->workers) {
+        if (worker.entry.pool != pool || !this->takes_new_tasks(worker, now)) {
+            continue;
+        }
+        auto room = worker.entry.capacity;
+        room -= worker.used;
+        views.push_back({.id = id,
+                         .rack = worker.entry.rack(),
+                         .room = room,
+                         .capacity = worker.entry.capacity,
+                         .serving = worker.serving,
+                         .filling = worker.filling});
+        controls.push_back(&worker);
+    }
+    for (const auto& item : work) {
+        auto& occurrence = item.job->occurrence(item.occurrence);
+        for (std::int32_t step = 0; step < static_cast<std::int32_t>(occurrence.steps.size()); ++step) {
+            if (occurrence.steps[static_cast<std::size_t>(step)].waiting > 0 &&
+                item.job->is_released(occurrence, step)) {
+                this->place_step(*item.job, occurrence, step, views, controls, now);
+            }
+        }
+    }
+}
+
+bool scheduler::impl::place_step(job_progress& job, occurrence_progress& occurrence, std::int32_t number,
+                                 std::vector<worker_view>& views, const std::vector<worker_control*>& controls,
+                                 boot_time now) {
+    const auto& step = job.spec.steps[static_cast<std::size_t>(number)];
+    const task_id step_id{.job = job.spec.id, .occurrence = occurrence.number, .step = number};
+    for (std::size_t index = 0; index < views.size(); ++index) {
+        views[index].same_step = step.max_per_worker > 0 || step.long_running
+                                     ? tasks_of_step(*controls[index], step_id) : 0;
+        views[index].allowed = step.required_label.empty() || controls[index]->entry.has_label(step.required_label);
+    }
+    if (step.gang) {
+        return this->place_gang(job, occurrence, number, views, controls, now);
+    }
+    place_request request{.need = step.need,
+                          .data_rack = step.data_rack,
+                          .max_per_worker = step.max_per_worker,
+                          .fills = step.fills,
+                          .serves = step.latency_target.count() > 0};
+    if (step.fills) {
+        request.need.cpu_millis = 0;
+    }
+    if (step.rack_sensitive) {
+        request.preferred_rack = choose_rack(views, request.need, step.count);
+    }
+    auto& tasks = occurrence.steps[static_cast<std::size_t>(number)].tasks;
+    for (std::size_t index = 0; index < tasks.size(); ++index) {
+        auto& task = tasks[index];
+        if (task.phase != run_phase::waiting || now < task.retry_at) {
+            this->dispatch_due = this->dispatch_due || now < task.retry_at;
+            continue;
+        }
+        if (!this->account_has_room(job.spec.account, step.need)) {
+            return false;
+        }
+        request.avoided_worker = views.size() > 1 ? std::string_view(task.worker) : std::string_view();
+        const auto chosen = choose_worker(views, request);
+        if (!chosen) {
+            return false;
+        }
+        task_id id = step_id;
+        id.index = static_cast<std::int32_t>(index);
+        auto& view = views[*chosen];
+        view.room -= request.need;
+        ++view.same_step;
+        view.serving += request.serves ? 1 : 0;
+        view.filling += request.fills ? 1 : 0;
+        this->place(job, id, task, *controls[*chosen], task.run + 1, now);
+    }
+    return true;
+}
+
+bool scheduler::impl::place_gang(job_progress& job, occurrence_progress& occurrence, std::int32_t number,
+                                 std::vector<worker_view>& views, const std::vector<worker_control*>& controls,
+                                 boot_time now) {
+    const auto& step = job.spec.steps[static_cast<std::size_t>(number)];
+    auto& tasks = occurrence.steps[static_cast<std::size_t>(number)].tasks;
+    std::int64_t run = 0;
+    for (const auto& task : tasks) {
+        if (task.phase != run_phase::waiting || now < task.retry_at) {
+            return false; // members of an earlier run are still there
+        }
+        run = std::max(run, task.run);
+    }
+    auto trial = views;
+    std::vector<std::size_t> chosen;
+    resources total;
+    place_request request{.need = step.need,
+                          .data_rack = step.data_rack,
+                          .max_per_worker = step.max_per_worker,
+                          .preferred_rack = step.rack_sensitive ? choose_rack(views, step.need, step.count)
+                                                                : std::string_view()};
+    for (std::size_t index = 0; index < tasks.size(); ++index) {
+        const auto place = choose_worker(trial, request);
+        total += step.need;
+        if (!place || !this->account_has_room(job.spec.account, total)) {
+            return false;
+        }
+        trial[*place].room -= request.need;
+        ++trial[*place].same_step;
+        chosen.push_back(*place);
+    }
+    views = std::move(trial);
+    // Every member resumes from the same point: the furthest that any of them has saved.
+    std::string saved;
+    for (const auto& task : tasks) {
+        saved = task.saved.empty() ? saved : task.saved;
+    }
+    for (std::size_t index = 0; index < tasks.size(); ++index) {
+        const task_id id{.job = job.spec.id,
+                         .occurrence = occurrence.number,
+                         .step = number,
+                         .index = static_cast<std::int32_t>(index)};
+        tasks[index].saved = saved;
+        this->place(job, id, tasks[index], *controls[chosen[index]], run + 1, now);
+    }
+    return true;
+}
+
+void scheduler::impl::place(job_progress& job, const task_id& id, task_progress& task, worker_control& worker,
+                            std::int64_t run, boot_time now) {
+    task.run = run;
+    task.worker = worker.entry.id;
+    task.placed_at = now;
+    job.set_phase(id, task, run_phase::placed);
+    this->add_placement(worker, job, id, run, now);
+    this->mark_dirty(job);
+    this->next_batch.starts.emplace_back(worker.entry.id, id);
+}
+
+void scheduler::impl::send_start_order(worker_control& worker, const task_id& id, placement& placed,
+                                       boot_time now) {
+    auto* job = this->find_job(id.job);
+    auto* task = job == nullptr ? nullptr : job->find_task(id);
+    const bool valid = task != nullptr && task->run == placed.run && task->phase == run_phase::placed &&
+                       !is_final(job->state) && !worker.entry.draining &&
+                       !this->zones_out.contains(worker.entry.zone);
+    const auto until = this->lease_end(worker, this->timings.start_lease, now);
+    if (!valid || !until) {
+        this->remove_placement(worker, id, job == nullptr ? "" : job->spec.account);
+        if (task != nullptr && task->run == placed.run && task->phase == run_phase::placed) {
+            this->requeue(*job, id, *task, now);
+            this->after_progress(*job, now);
+        }
+        return;
+    }
+    placed.stage = start_stage::sent;
+    placed.fence = this->fence_of(worker);
+    placed.changed = now;
+    this->note_lease(worker, this->timings.start_lease, now);
+    this->act(send_start{.worker = {.id = worker.entry.id, .address = worker.entry.address},
+                         .order = {.task = id,
+                                   .run = placed.run,
+                                   .payload = job->spec.payload,
+                                   .saved = task->saved,
+                                   .lease_until = *until,
+                                   .fence = placed.fence}});
+}
+
+void scheduler::on_start_answer(const worker_target& target, const start_order& order,
+                                const order_answer& answer, boot_time now) {
+    auto& state = *this->self;
+    const auto found = state.workers.find(target.id);
+    const auto placed = found == state.workers.end() ? std::map<task_id, placement>::iterator()
+                                                    : found->second.tasks.find(order.task);
+    if (state.term == 0 || found == state.workers.end() || placed == found->second.tasks.end() ||
+        placed->second.run != order.run || placed->second.stage != start_stage::sent) {
+        return;
+    }
+    auto& worker = found->second;
+    state.note_clock(worker, answer.worker_clock, now);
+    auto* job = state.find_job(order.task.job);
+    auto* task = job == nullptr ? nullptr : job->find_task(order.task);
+    if (answer.outcome == order_outcome::done) {
+        placed->second.stage = start_stage::confirmed;
+        placed->second.changed = now;
+        if (task != nullptr && task->phase == run_phase::placed) {
+            job->set_phase(order.task, *task, run_phase::running);
+            if (job->state == job_state::pending) {
+                state.set_state(*job, job_state::running);
+            }
+            if (is_final(job->state)) {
+                task->stop_sent = now;
+                state.send_stop_order(worker, order.task, order.run);
+            }
+        }
+        return;
+    }
+    write_log(severity::info, "start_not_done",
+              {{"job", order.task.job}, {"step", order.task.step}, {"index", order.task.index},
+               {"run", order.run}, {"worker", target.id}, {"outcome", to_string(answer.outcome)},
+               {"reason", answer.reason}});
+    if (answer.outcome == order_outcome::unknown) {
+        placed->second.stage = start_stage::doubtful;
+        state.raise_fence(worker, now);
+        return;
+    }
+    if (answer.outcome == order_outcome::fenced && order.fence < state.fence_of(worker)) {
+        state.send_start_order(worker, order.task, placed->second, now);
+        return;
+    }
+    if (answer.outcome == order_outcome::unhealthy || answer.outcome == order_outcome::unsent ||
+        answer.outcome == order_outcome::no_room) {
+        worker.avoid_until = std::max(worker.avoid_until, now + state.timings.retry_after_refusal);
+    }
+    state.remove_placement(worker, order.task, job == nullptr ? "" : job->spec.account);
+    if (task != nullptr) {
+        state.requeue(*job, order.task, *task, now + state.timings.retry_after_refusal);
+        state.after_progress(*job, now);
+    }
+}
+
+void scheduler::on_stop_answer(const worker_target& target, const stop_order& order,
+                               const order_answer& answer, boot_time now) {
+    auto& state = *this->self;
+    const auto found = state.workers.find(target.id);
+    if (found == state.workers.end()) {
+        return;
+    }
+    state.note_clock(found->second, answer.worker_clock, now);
+    if (answer.outcome != order_outcome::done) {
+        write_log(severity::info, "stop_not_done",
+                  {{"job", order.task.job}, {"run", order.run}, {"worker", target.id},
+                   {"outcome", to_string(answer.outcome)}, {"reason", answer.reason}});
+    }
+}
+
+void scheduler::impl::pace_fillers(boot_time now) {
+    constexpr milliseconds settle{600};
+    for (auto& [id, worker] : this->workers) {
+        if (worker.filling == 0 || worker.serving == 0 || !worker.confirmed) {
+            continue;
+        }
+        bool harmed = false;
+        for (const auto& [task_name, placed] : worker.tasks) {
+            const auto* job = placed.serves ? this->find_job(task_name.job) : nullptr;
+            if (job != nullptr) {
+                const auto target = job->spec.steps[static_cast<std::size_t>(task_name.step)].latency_target;
+                harmed = harmed || placed.latest_load * 10 > target.count() * 8;
+            }
+        }
+        for (auto& [task_name, placed] : worker.tasks) {
+            if (!placed.fills || placed.stage != start_stage::confirmed || now < placed.pace_sent + settle) {
+                continue;
+            }
+            const auto wanted = harmed ? placed.percent / 3 : std::min(100, placed.percent + 10);
+            if (wanted == placed.percent) {
+                continue;
+            }
+            placed.pace_sent = now;
+            this->act(send_pace{.worker = {.id = id, .address = worker.entry.address},
+                                .order = {.task = task_name,
+                                          .run = placed.run,
+                                          .percent = wanted,
+                                          .fence = this->fence_of(worker)}});
+        }
+    }
+}
+
+void scheduler::on_pace_answer(const worker_target& target, const pace_order& order, const order_answer& answer,
+                               boot_time now) {
+    auto& state = *this->self;
+    const auto found = state.workers.find(target.id);
+    if (found == state.workers.end()) {
+        return;
+    }
+    state.note_clock(found->second, answer.worker_clock, now);
+    const auto placed = found->second.tasks.find(order.task);
+    if (answer.outcome == order_outcome::done && placed != found->second.tasks.end()) {
+        placed->second.percent = order.percent;
+    }
+}
+
+void scheduler::on_advice(const advice_call&, const advice_answer&, boot_time) {}
+
+} // namespace hornbeamrail
--- /dev/null
+++ b/src/coordination/scheduler_jobs.cpp
@@ -0,0 +1,364 @@
+#include "coordination/scheduler_impl.hpp"
+
+#include "protocol/json_log.hpp"
+#include "state/job_index.hpp"
+
+#include <boost/json/parse.hpp>
+
+#include <algorithm>
+
+namespace hornbeamrail {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Longest group of records dropped in one append.
+constexpr std::size_t cleanup_batch = 200;
+/// Pause before a long-running task that failed starts again.
+constexpr milliseconds long_running_backoff{50};
+
+milliseconds to_millis(boot_clock::duration value) {
+    return std::chrono::duration_cast<milliseconds>(value);
+}
+
+} // namespace
+
+void duration_estimate::learn(milliseconds actual, milliseconds stated) {
+    const double weight = this->samples < 20 ? 1.0 / static_cast<double>(this->samples + 1) : 0.05;
+    this->mean_ms += weight * (static_cast<double>(actual.count()) - this->mean_ms);
+    this->mean_stated_ms += weight * (static_cast<double>(stated.count()) - this->mean_stated_ms);
+    ++this->samples;
+}
+
+milliseconds duration_estimate::expect(milliseconds stated) const {
+    if (this->samples == 0) {
+        return stated;
+    }
+    if (stated.count() <= 0 || this->mean_stated_ms <= 0) {
+        return milliseconds(static_cast<std::int64_t>(this->mean_ms));
+    }
+    // Statements are far off one by one; half of the deviation from their mean is believed.
+    const double scaled = this->mean_ms * static_cast<double>(stated.count()) / this->mean_stated_ms;
+    return milliseconds(static_cast<std::int64_t>((this->mean_ms + scaled) / 2));
+}
+
+job_progress* scheduler::impl::find_job(const std::string& id) {
+    const auto found = this->jobs.find(id);
+    return found == this->jobs.end() ? nullptr : found->second.get();
+}
+
+void scheduler::impl::add_job(std::int32_t partition, const keyed_record& record) {
+    if (record.value.empty() || this->jobs.contains(record.key) || this->finals.contains(record.key)) {
+        return;
+    }
+    boost::system::error_code parse_failure;
+    const auto document = boost::json::parse(record.value, parse_failure);
+    error problem;
+    auto spec = value_or_error(
+        [&]() -> result<job_spec> {
+            if (parse_failure) {
+                return make_error(errc::parse_failed, parse_failure.message(), "look for other writers");
+            }
+            return parse_job(record.key, document);
+        },
+        problem);
+    if (!spec) {
+        write_log(severity::error, "job_unreadable", {{"job", record.key}, {"reason", problem.message}});
+        return;
+    }
+    auto job = std::make_unique<job_progress>(std::move(*spec));
+    job->partition = partition;
+    if (!job->spec.is_timed()) {
+        job->occurrence(0);
+    }
+    this->jobs.emplace(record.key, std::move(job));
+    this->dispatch_due = true;
+}
+
+void scheduler::impl::set_state(job_progress& job, job_state state) {
+    if (job.state == state) {
+        return;
+    }
+    job.state = state;
+    this->mark_dirty(job);
+    this->next_batch.states.emplace_back(job.spec.id, state);
+}
+
+void scheduler::impl::cancel_job(const std::string& id, boot_time now) {
+    auto* job = this->find_job(id);
+    if (job == nullptr) {
+        if (!this->finals.contains(id)) {
+            this->cancelled_early.insert(id);
+        }
+        return;
+    }
+    if (job->cancel_requested) {
+        return;
+    }
+    job->cancel_requested = true;
+    write_log(severity::info, "job_cancelled", {{"job", id}, {"active_tasks", job->active_tasks()}});
+    this->finish_job(*job, job_state::cancelled, now);
+}
+
+void scheduler::impl::stop_all_runs(job_progress& job, boot_time now) {
+    for (auto& occurrence : job.occurrences) {
+        for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+            auto& tasks = occurrence.steps[step].tasks;
+            for (std::size_t index = 0; index < tasks.size(); ++index) {
+                auto& task = tasks[index];
+                const auto found = this->workers.find(task.worker);
+                if ((task.phase != run_phase::placed && task.phase != run_phase::running) ||
+                    found == this->workers.end()) {
+                    continue;
+                }
+                const task_id id{.job = job.spec.id,
+                                 .occurrence = occurrence.number,
+                                 .step = static_cast<std::int32_t>(step),
+                                 .index = static_cast<std::int32_t>(index)};
+                const auto placed = found->second.tasks.find(id);
+                if (placed != found->second.tasks.end() && placed->second.stage == start_stage::recording) {
+                    this->remove_placement(found->second, id, job.spec.account); // the order was never sent
+                    this->requeue(job, id, task, now);
+                    continue;
+                }
+                if (now >= task.stop_sent + this->timings.stop_retry) {
+                    task.stop_sent = now;
+                    this->send_stop_order(found->second, id, task.run);
+                }
+            }
+        }
+    }
+}
+
+void scheduler::impl::finish_job(job_progress& job, job_state state, boot_time now) {
+    this->set_state(job, state);
+    this->stop_all_runs(job, now);
+    if (job.active_tasks() > 0 || this->finals.contains(job.spec.id)) {
+        return; // kept until its last run has ended
+    }
+    this->finished.push_back({.id = job.spec.id,
+                              .partition = job.partition,
+                              .finished = now,
+                              .cancelled = job.cancel_requested});
+    this->finals.emplace(job.spec.id, job.partition);
+    // The record is written from the job, which is dropped at the end of the commit.
+    this->mark_dirty(job);
+}
+
+void scheduler::impl::requeue(job_progress& job, const task_id& id, task_progress& task, boot_time retry_at) {
+    job.set_phase(id, task, run_phase::waiting);
+    task.worker.clear();
+    task.retry_at = retry_at;
+    this->mark_dirty(job);
+    this->dispatch_due = true;
+}
+
+void scheduler::impl::apply_end(worker_control& worker, const ended_task& ended, boot_time now) {
+    auto* job = this->find_job(ended.task.job);
+    auto* task = job == nullptr ? nullptr : job->find_task(ended.task);
+    if (task == nullptr) {
+        const auto stray = worker.tasks.find(ended.task);
+        if (stray != worker.tasks.end()) {
+            this->remove_placement(worker, ended.task, "");
+        }
+        return;
+    }
+    const bool current = task->run == ended.run && task->worker == worker.entry.id &&
+                         (task->phase == run_phase::placed || task->phase == run_phase::running);
+    if (current) {
+        const auto placed = worker.tasks.find(ended.task);
+        if (placed != worker.tasks.end() && ended.how == task_end::done && placed->second.stage != start_stage::recording) {
+            const auto& step = job->spec.steps[static_cast<std::size_t>(ended.task.step)];
+            this->durations[job->spec.queue].learn(to_millis(now - task->placed_at), step.estimate);
+        }
+        this->remove_placement(worker, ended.task, job->spec.account);
+        this->finish_run(*job, ended.task, *task, ended, now);
+        return;
+    }
+    const auto& step = job->spec.steps[static_cast<std::size_t>(ended.task.step)];
+    if (ended.how == task_end::done && !step.long_running && task->phase != run_phase::done) {
+        // An earlier run, on a worker that was taken for lost, has done the work after all.
+        const auto other = this->workers.find(task->worker);
+        if (task->phase != run_phase::waiting && other != this->workers.end()) {
+            this->send_stop_order(other->second, ended.task, task->run);
+            this->remove_placement(other->second, ended.task, job->spec.account);
+        }
+        write_log(severity::info, "earlier_run_done",
+                  {{"job", job->spec.id}, {"run", ended.run}, {"worker", worker.entry.id}});
+        job->set_phase(ended.task, *task, run_phase::done);
+        this->mark_dirty(*job);
+        this->after_progress(*job, now);
+    }
+}
+
+void scheduler::impl::finish_run(job_progress& job, const task_id& id, task_progress& task,
+                                 const ended_task& ended, boot_time now) {
+    const auto& step = job.spec.steps[static_cast<std::size_t>(id.step)];
+    if (!ended.saved.empty()) {
+        task.saved = ended.saved;
+    }
+    const auto found = this->workers.find(task.worker);
+    if (ended.how == task_end::done && !step.long_running) {
+        if (found != this->workers.end()) {
+            found->second.recent_failures = 0;
+        }
+        job.set_phase(id, task, run_phase::done);
+        if (step.gang) {
+            this->complete_gang(job, id, ended.run, now);
+        }
+    } else if (ended.how == task_end::failed) {
+        ++task.failures;
+        if (found != this->workers.end()) {
+            this->note_failure(found->second, now);
+        }
+        write_log(severity::info, "run_failed",
+                  {{"job", id.job}, {"step", id.step}, {"index", id.index}, {"run", ended.run},
+                   {"worker", task.worker}, {"failures", task.failures}});
+        const auto* queue = this->config->find_queue(job.spec.queue);
+        const auto failed_on = task.worker;
+        this->requeue(job, id, task, step.long_running ? now + long_running_backoff : now);
+        task.worker = failed_on; // kept as the place to avoid
+        if (!step.long_running && queue != nullptr && task.failures >= queue->attempts &&
+            !is_final(job.state)) {
+            write_log(severity::info, "job_failed",
+                      {{"job", id.job}, {"failures", task.failures}, {"attempts", queue->attempts}});
+            this->finish_job(job, job_state::failed, now);
+            return;
+        }
+    } else {
+        this->requeue(job, id, task, now);
+    }
+    this->mark_dirty(job);
+    this->after_progress(job, now);
+}
+
+void scheduler::impl::complete_gang(job_progress& job, const task_id& id, std::int64_t run, boot_time now) {
+    auto& tasks = job.occurrence(id.occurrence).steps[static_cast<std::size_t>(id.step)].tasks;
+    for (std::size_t index = 0; index < tasks.size(); ++index) {
+        auto& member = tasks[index];
+        if (member.run != run || member.phase == run_phase::done) {
+            continue;
+        }
+        const task_id member_id{.job = id.job,
+                                .occurrence = id.occurrence,
+                                .step = id.step,
+                                .index = static_cast<std::int32_t>(index)};
+        const auto found = this->workers.find(member.worker);
+        if (found != this->workers.end()) {
+            this->remove_placement(found->second, member_id, job.spec.account);
+        }
+        job.set_phase(member_id, member, run_phase::done);
+    }
+    (void)now;
+}
+
+void scheduler::impl::after_progress(job_progress& job, boot_time now) {
+    while (!job.occurrences.empty() && job.occurrences.front().is_done() &&
+           job.occurrences.front().number == job.finished_occurrences && job.spec.is_timed() &&
+           job.finished_occurrences + 1 < job.spec.occurrence_count()) {
+        job.occurrences.pop_front();
+        ++job.finished_occurrences;
+    }
+    if (is_final(job.state)) {
+        this->finish_job(job, job.state, now);
+    } else if (job.is_done()) {
+        write_log(severity::info, "job_completed", {{"job", job.spec.id}});
+        this->finish_job(job, job_state::completed, now);
+    }
+    this->dispatch_due = true;
+}
+
+void scheduler::impl::commit(boot_time now) {
+    const bool empty = this->dirty.empty() && this->next_batch.starts.empty() && this->next_batch.ends.empty() &&
+                       this->next_batch.states.empty() && this->next_batch.records.empty();
+    if (this->batch_in_flight || empty || now < this->last_commit + this->timings.commit_interval) {
+        return;
+    }
+    commit_batch batch = std::move(this->next_batch);
+    this->next_batch = {};
+    for (const auto& id : this->dirty) {
+        if (const auto* job = this->find_job(id)) {
+            batch.records.push_back({.key = id, .value = job->encode()});
+            if (this->finals.contains(id)) {
+                this->jobs.erase(id);
+            }
+        }
+    }
+    this->dirty.clear();
+    this->last_commit = now;
+    if (batch.records.empty()) {
+        this->run_effects(batch, now);
+        return;
+    }
+    batch.sequence = ++this->commit_sequence;
+    this->act(commit_progress{.sequence = batch.sequence, .records = batch.records});
+    this->batch_in_flight = std::move(batch);
+}
+
+void scheduler::impl::run_effects(commit_batch& batch, boot_time now) {
+    for (const auto& [worker_id, task] : batch.starts) {
+        const auto worker = this->workers.find(worker_id);
+        if (worker == this->workers.end()) {
+            continue; // lost meanwhile; its tasks were requeued
+        }
+        const auto placed = worker->second.tasks.find(task);
+        if (placed != worker->second.tasks.end() && placed->second.stage == start_stage::recording) {
+            this->send_start_order(worker->second, task, placed->second, now);
+        }
+    }
+    for (const auto& [worker_id, number] : batch.ends) {
+        const auto worker = this->workers.find(worker_id);
+        if (worker != this->workers.end()) {
+            worker->second.recorded_end = std::max(worker->second.recorded_end, number);
+        }
+    }
+    for (const auto& [id, state] : batch.states) {
+        this->states_to_publish.push_back({.key = id, .value = std::string(to_string(state))});
+    }
+}
+
+void scheduler::impl::publish(boot_time) {
+    if (this->publish_in_flight || this->states_to_publish.empty()) {
+        return;
+    }
+    this->publish_in_flight =
+        publish_states{.sequence = ++this->publish_sequence, .records = std::move(this->states_to_publish)};
+    this->states_to_publish.clear();
+    this->act(*this->publish_in_flight);
+}
+
+void scheduler::impl::drop_finished(boot_time now) {
+    const bool busy = this->publish_in_flight || !this->states_to_publish.empty() || this->batch_in_flight;
+    if (busy || now < this->last_cleanup + this->timings.state_cleanup) {
+        return;
+    }
+    this->last_cleanup = now;
+    std::map<std::int32_t, std::vector<keyed_record>> by_partition;
+    std::size_t count = 0;
+    for (; this->finished_dropped < this->finished.size() && count < cleanup_batch; ++this->finished_dropped) {
+        const auto& job = this->finished[this->finished_dropped];
+        if (job.records_dropped) {
+            continue;
+        }
+        // Its final state is published by now, so no successor takes it for a new job.
+        by_partition[job.partition].push_back({.key = job.id});
+        if (job.cancelled) {
+            by_partition[job.partition].push_back({.key = job.id + std::string(cancel_suffix)});
+        }
+        this->next_batch.records.push_back({.key = job.id});
+        ++count;
+    }
+    for (auto& [partition, records] : by_partition) {
+        this->act(drop_job_records{.partition = partition, .records = std::move(records)});
+    }
+    while (this->finished_dropped > 0 &&
+           now > this->finished.front().finished + this->options.limits.status_kept) {
+        this->states_to_publish.push_back({.key = this->finished.front().id});
+        this->finals.erase(this->finished.front().id);
+        this->finished.pop_front();
+        --this->finished_dropped;
+    }
+}
+
+} // namespace hornbeamrail
--- /dev/null
+++ b/src/coordination/scheduler_lease.cpp
@@ -0,0 +1,154 @@
+#include "coordination/scheduler_lease.hpp"
+
+#include "protocol/json_log.hpp"
+
+#include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <functional>
+
+namespace hornbeamrail {
+
+namespace {
+
+constexpr std::string_view lease_key = "scheduler";
+constexpr std::size_t ranks = 6;
+/// A free lease is claimed at once, but for the stagger.
+constexpr std::chrono::milliseconds free_lease_stagger{25};
+
+std::string text_in(const boost::json::object& from, std::string_view name) {
+    const auto* value = from.if_contains(name);
+    const auto* text = value == nullptr ? nullptr : value->if_string();
+    return text == nullptr ? std::string() : std::string(*text);
+}
+
+} // namespace
+
+scheduler_lease::scheduler_lease(scheduler_lease_options settings)
+    : options(std::move(settings)),
+      rank(static_cast<std::int64_t>(std::hash<std::string>()(this->options.node_id) % ranks)) {}
+
+void scheduler_lease::on_record(const keyed_record& record, boot_time now) {
+    if (record.key != lease_key || record.offset < this->known_end) {
+        return;
+    }
+    boost::system::error_code failure;
+    const auto document = boost::json::parse(record.value, failure);
+    const auto* object = failure ? nullptr : document.if_object();
+    if (object == nullptr) {
+        write_log(severity::warning, "lease_record_unreadable", {{"offset", record.offset}});
+        return;
+    }
+    const auto* term = object->if_contains("term");
+    this->holder_node = text_in(*object, "node");
+    this->holder_incarnation = text_in(*object, "incarnation");
+    this->holder_term = term != nullptr && term->is_int64() ? term->as_int64() : 0;
+    this->last_record = now;
+    this->known_end = record.offset + 1;
+    const bool own = this->holder_incarnation == this->options.incarnation;
+    if (this->held && (!own || this->holder_term != this->own_term)) {
+        write_log(severity::warning, "lease_lost",
+                  {{"term", this->own_term}, {"holder", this->holder_node}, {"holder_term", this->holder_term}});
+        this->held = false;
+    } else if (!this->held && own && !this->holder_node.empty() && !this->stopping &&
+               this->holder_term > this->own_term) {
+        this->held = true; // the answer to the claim was lost, the claim was not
+        this->own_term = this->holder_term;
+    }
+}
+
+void scheduler_lease::on_read(std::int64_t end, boot_time asked_at, boot_time now) {
+    if (this->reads_good_since == boot_time{}) {
+        this->reads_good_since = now;
+    }
+    this->known_end = std::max(this->known_end, end);
+    this->last_read = now;
+    this->last_read_asked = asked_at;
+    this->must_read = false;
+}
+
+void scheduler_lease::on_read_failed(boot_time) {
+    this->reads_good_since = {};
+}
+
+bool scheduler_lease::may_claim(boot_time now) const {
+    if (this->stopping || this->known_end < 0 || this->must_read || this->reads_good_since == boot_time{} ||
+        now > this->last_read + this->options.read_freshness) {
+        return false;
+    }
+    if (this->holder_node.empty()) {
+        return now >= this->reads_good_since + this->rank * free_lease_stagger;
+    }
+    if (this->holder_node == this->options.node_id) {
+        return true; // an earlier process of this node
+    }
+    const auto silence = this->options.takeover_after + this->rank * this->options.stagger;
+    return now > this->last_record + silence && now > this->reads_good_since + silence &&
+           this->last_read_asked > this->last_record;
+}
+
+append_call scheduler_lease::make_append(std::int64_t term, bool release) const {
+    const boost::json::object value{{"node", release ? std::string() : this->options.node_id},
+                                    {"incarnation", this->options.incarnation},
+                                    {"term", term}};
+    return {.topic = log_topic::leader,
+            .records = {{.key = std::string(lease_key), .value = boost::json::serialize(value)}},
+            .expected_end = this->known_end,
+            .timeout = std::chrono::milliseconds(1000)};
+}
+
+std::optional<append_call> scheduler_lease::tick(boot_time now) {
+    if (this->append_in_flight || now < this->next_append || this->known_end < 0) {
+        return std::nullopt;
+    }
+    if (this->held) {
+        if (this->must_read) {
+            return std::nullopt;
+        }
+        this->pending_release = this->stopping;
+        this->pending_term = this->own_term;
+    } else if (this->may_claim(now)) {
+        this->pending_release = false;
+        this->pending_term = this->known_end + 1;
+    } else {
+        return std::nullopt;
+    }
+    this->append_in_flight = true;
+    return this->make_append(this->pending_term, this->pending_release);
+}
+
+void scheduler_lease::on_append(const append_answer& answer, boot_time now) {
+    this->append_in_flight = false;
+    this->next_append = now + this->options.renew_retry;
+    if (answer.outcome == append_outcome::appended) {
+        this->known_end = std::max(this->known_end, answer.end);
+        this->last_record = now;
+        this->next_append = now + this->options.renew_interval;
+        if (this->pending_release) {
+            this->held = false;
+            this->holder_node.clear();
+        } else if (!this->held && this->pending_term > this->own_term) {
+            this->held = true;
+            this->own_term = this->pending_term;
+            this->holder_node = this->options.node_id;
+            this->holder_incarnation = this->options.incarnation;
+            this->holder_term = this->own_term;
+        }
+    } else if (answer.outcome != append_outcome::refused) {
+        this->must_read = true;
+    }
+}
+
+void scheduler_lease::begin_stop() {
+    this->stopping = true;
+    this->next_append = {};
+}
+
+void scheduler_lease::step_down(boot_time now) {
+    this->held = false;
+    this->must_read = true;
+    this->next_append = now + this->options.renew_interval;
+}
+
+} // namespace hornbeamrail
--- /dev/null
+++ b/src/coordination/scheduler_workers.cpp
@@ -0,0 +1,409 @@
+#include "coordination/scheduler_impl.hpp"
+
+#include "protocol/json_log.hpp"
+
+#include <algorithm>
+
+namespace hornbeamrail {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Room for raises of a worker's fence within one term.
+constexpr std::int64_t fences_per_term = 100000;
+/// A report holds at most so many ends; the others come with the next one.
+constexpr std::size_t longest_list_of_ends = 500;
+
+milliseconds to_millis(boot_clock::duration value) {
+    return std::chrono::duration_cast<milliseconds>(value);
+}
+
+} // namespace
+
+std::int64_t scheduler::impl::fence_of(const worker_control& worker) const {
+    return this->term * fences_per_term + worker.fence_bumps;
+}
+
+std::optional<milliseconds> scheduler::impl::lease_end(const worker_control& worker, milliseconds length,
+                                                       boot_time now) const {
+    if (!worker.clock) {
+        return std::nullopt;
+    }
+    return *worker.clock + to_millis(now - worker.clock_at) + length;
+}
+
+void scheduler::impl::note_lease(worker_control& worker, milliseconds length, boot_time now) {
+    const auto longest = milliseconds(static_cast<std::int64_t>(
+                             static_cast<double>(length.count()) * slow_clock_factor)) + lease_margin;
+    worker.lease_bound = std::max(worker.lease_bound, now + longest);
+}
+
+void scheduler::impl::note_clock(worker_control& worker, const std::optional<milliseconds>& clock,
+                                 boot_time now) {
+    if (clock) {
+        worker.clock = clock;
+        worker.clock_at = now;
+    }
+}
+
+void scheduler::impl::hold_workers(boot_time now) {
+    if (now > this->last_log_contact + this->timings.hold_without_log) {
+        return; // a successor may rely on the leases to lapse
+    }
+    for (auto& [id, worker] : this->workers) {
+        const bool ends_wait = worker.applied_end > worker.recorded_end;
+        if (worker.hold_in_flight || now < worker.next_hold || ends_wait) {
+            continue;
+        }
+        hold_order order{.fence = this->fence_of(worker), .acknowledged_end = worker.recorded_end};
+        if (worker.clock) {
+            order.lease_until = this->lease_end(worker, this->options.limits.longest_lease, now);
+            this->note_lease(worker, this->options.limits.longest_lease, now);
+        }
+        if (worker.confirmed && !worker.in_doubt()) {
+            order.wait = this->timings.hold_wait;
+        }
+        worker.hold_in_flight = true;
+        worker.hold_sent = now;
+        this->act(send_hold{.worker = {.id = id, .address = worker.entry.address}, .order = order});
+    }
+}
+
+void scheduler::impl::raise_fence(worker_control& worker, boot_time now) {
+    if (worker.fence_bumps + 1 < fences_per_term) {
+        ++worker.fence_bumps;
+    }
+    worker.confirmed = false;
+    worker.next_hold = now;
+}
+
+placement* scheduler::impl::add_placement(worker_control& worker, const job_progress& job, const task_id& id,
+                                          std::int64_t run, boot_time now) {
+    const auto& step = job.spec.steps[static_cast<std::size_t>(id.step)];
+    placement made{.run = run,
+                   .changed = now,
+                   .need = step.need,
+                   .fills = step.fills,
+                   .serves = step.latency_target.count() > 0};
+    if (made.fills) {
+        made.need.cpu_millis = 0;
+    }
+    worker.used += made.need;
+    worker.serving += made.serves ? 1 : 0;
+    worker.filling += made.fills ? 1 : 0;
+    if (!job.spec.account.empty()) {
+        this->account_use[job.spec.account] += step.need;
+    }
+    return &(worker.tasks[id] = made);
+}
+
+void scheduler::impl::remove_placement(worker_control& worker, const task_id& id, std::string_view account) {
+    const auto found = worker.tasks.find(id);
+    if (found == worker.tasks.end()) {
+        return;
+    }
+    worker.used -= found->second.need;
+    worker.serving -= found->second.serves ? 1 : 0;
+    worker.filling -= found->second.fills ? 1 : 0;
+    if (!account.empty()) {
+        if (const auto* job = this->find_job(id.job)) {
+            this->account_use[std::string(account)] -= job->spec.steps[static_cast<std::size_t>(id.step)].need;
+        }
+    }
+    worker.tasks.erase(found);
+    this->dispatch_due = true;
+}
+
+void scheduler::impl::note_failure(worker_control& worker, boot_time now) {
+    ++worker.recent_failures;
+    if (worker.recent_failures >= 2) {
+        worker.avoid_until = now + this->timings.avoid_after_failure * std::min(worker.recent_failures - 1, 4);
+        write_log(severity::info, "worker_avoided",
+                  {{"worker", worker.entry.id}, {"recent_failures", worker.recent_failures}});
+    }
+}
+
+void scheduler::impl::send_stop_order(worker_control& worker, const task_id& task, std::int64_t run) {
+    this->act(send_stop{.worker = {.id = worker.entry.id, .address = worker.entry.address},
+                        .order = {.task = task, .run = run, .fence = this->fence_of(worker)}});
+}
+
+void scheduler::impl::accept_report(worker_control& worker, const hold_order& order, const hold_report& report,
+                                    boot_time now) {
+    worker.unanswered = 0;
+    this->note_clock(worker, report.worker_clock, now);
+    if (order.fence == this->fence_of(worker)) {
+        if (!worker.confirmed) {
+            this->dispatch_due = true;
+        }
+        worker.confirmed = true;
+    }
+    for (const auto& ended : report.ended) {
+        if (ended.number > worker.applied_end) {
+            worker.applied_end = ended.number;
+            this->apply_end(worker, ended, now);
+        }
+    }
+    if (worker.applied_end > worker.recorded_end) {
+        this->next_batch.ends[worker.entry.id] = worker.applied_end;
+    }
+    this->reconcile(worker, order, report, now);
+    // Without the first lease nothing on the worker is safe for long.
+    worker.next_hold = order.lease_until ? now + this->timings.hold_pause : now;
+}
+
+void scheduler::impl::reconcile(worker_control& worker, const hold_order& order, const hold_report& report,
+                                boot_time now) {
+    std::set<task_id> seen;
+    for (const auto& running : report.running) {
+        seen.insert(running.task);
+        auto* job = this->find_job(running.task.job);
+        auto* task = job == nullptr ? nullptr : job->find_task(running.task);
+        const auto placed = worker.tasks.find(running.task);
+        const bool known = task != nullptr && placed != worker.tasks.end() && placed->second.run == running.run;
+        if (!known) {
+            write_log(severity::info, "unknown_run_stopped",
+                      {{"job", running.task.job}, {"run", running.run}, {"worker", worker.entry.id}});
+            this->send_stop_order(worker, running.task, running.run);
+            continue;
+        }
+        if (placed->second.stage != start_stage::confirmed) {
+            placed->second.stage = start_stage::confirmed;
+            placed->second.changed = now;
+        }
+        placed->second.percent = running.percent;
+        placed->second.latest_load = running.latest_load;
+        if (task->phase == run_phase::placed) {
+            job->set_phase(running.task, *task, run_phase::running);
+        }
+        if (!running.saved.empty()) {
+            task->saved = running.saved;
+        }
+        if (job->state == job_state::pending) {
+            this->set_state(*job, job_state::running);
+        }
+        if (is_final(job->state) && now >= task->stop_sent + this->timings.stop_retry) {
+            task->stop_sent = now;
+            this->send_stop_order(worker, running.task, running.run);
+        }
+    }
+    // A run that is neither listed nor reported as ended does not exist: the fence of this report settles
+    // every order without answer, and confirmed runs are listed until their end is.
+    std::vector<task_id> missing;
+    const bool complete = report.ended.size() < longest_list_of_ends;
+    for (const auto& [id, placed] : worker.tasks) {
+        const bool settled = (placed.stage == start_stage::doubtful && placed.fence < order.fence) ||
+                             (placed.stage == start_stage::confirmed && placed.changed < worker.hold_sent);
+        if (complete && settled && !seen.contains(id)) {
+            missing.push_back(id);
+        }
+    }
+    for (const auto& id : missing) {
+        auto* job = this->find_job(id.job);
+        auto* task = job == nullptr ? nullptr : job->find_task(id);
+        this->remove_placement(worker, id, job == nullptr ? "" : job->spec.account);
+        if (task != nullptr) {
+            write_log(severity::info, "run_missing",
+                      {{"job", id.job}, {"step", id.step}, {"index", id.index}, {"run", task->run},
+                       {"worker", worker.entry.id}});
+            this->requeue(*job, id, *task, now);
+            this->after_progress(*job, now);
+        }
+    }
+}
+
+void scheduler::impl::lose_worker(const std::string& id, std::string_view reason, boot_time now) {
+    const auto found = this->workers.find(id);
+    if (found == this->workers.end()) {
+        return;
+    }
+    auto& worker = found->second;
+    write_log(severity::warning, "worker_lost",
+              {{"worker", id}, {"reason", reason}, {"tasks", worker.tasks.size()}});
+    const auto tasks = worker.tasks;
+    for (const auto& [task_name, placed] : tasks) {
+        auto* job = this->find_job(task_name.job);
+        auto* task = job == nullptr ? nullptr : job->find_task(task_name);
+        this->remove_placement(worker, task_name, job == nullptr ? "" : job->spec.account);
+        if (task != nullptr && task->run == placed.run) {
+            this->requeue(*job, task_name, *task, now);
+            this->after_progress(*job, now);
+        }
+    }
+    this->workers.erase(found);
+}
+
+void scheduler::impl::check_doubtful(boot_time now) {
+    std::vector<std::pair<std::string, std::string_view>> lost;
+    for (const auto& [id, worker] : this->workers) {
+        const bool silent = worker.unanswered >= 2;
+        if (!silent) {
+            continue;
+        }
+        const auto vm = this->vm_of_worker.find(id);
+        const bool list_is_newer = this->vm_list_seen > worker.unanswered_since;
+        if (list_is_newer && vm == this->vm_of_worker.end()) {
+            lost.emplace_back(id, "no VM runs it");
+        } else if (list_is_newer && this->vms[vm->second].condition != vm_condition::up) {
+            lost.emplace_back(id, "its VM is not up");
+        } else if (now > worker.lease_bound) {
+            lost.emplace_back(id, "its leases have lapsed");
+        }
+    }
+    for (const auto& [id, reason] : lost) {
+        const auto worker = this->workers.find(id);
+        const bool keep = worker->second.listed && worker->second.tasks.empty();
+        if (!keep) {
+            auto entry = worker->second.entry;
+            const bool listed = worker->second.listed;
+            this->lose_worker(id, reason, now);
+            if (listed) { // asked again, as it may come back
+                auto& again = this->workers[id];
+                again.entry = std::move(entry);
+                again.listed = true;
+                again.listed_since = now;
+                again.unanswered = 2;
+                again.unanswered_since = now;
+                again.next_hold = now + this->timings.hold_retry * 2;
+                again.lease_bound = now;
+            }
+        }
+    }
+}
+
+void scheduler::impl::ask_vm_list(boot_time now) {
+    const bool doubt = std::any_of(this->workers.begin(), this->workers.end(), [](const auto& item) {
+        return item.second.in_doubt() && !item.second.tasks.empty();
+    });
+    const bool waves_open = std::any_of(this->waves.begin(), this->waves.end(),
+                                        [](const auto& item) { return !item.second.completed; });
+    const auto interval =
+        doubt || waves_open ? this->timings.vm_list_interval : this->timings.vm_list_idle;
+    if (this->vm_list_in_flight || now < this->vm_list_asked + interval) {
+        return;
+    }
+    this->vm_list_in_flight = true;
+    this->vm_list_asked = now;
+    this->act(read_vm_list{});
+}
+
+void scheduler::on_worker(const worker_entry& entry, boot_time now) {
+    auto& state = *this->self;
+    auto found = state.workers.find(entry.id);
+    if (found != state.workers.end() && found->second.entry.born_ms != entry.born_ms && entry.born_ms != 0 &&
+        found->second.entry.born_ms != 0) {
+        state.lose_worker(entry.id, "it has started again", now);
+        found = state.workers.end();
+    }
+    const bool fresh = found == state.workers.end();
+    auto& worker = fresh ? state.workers[entry.id] : found->second;
+    if (!fresh && worker.entry.address.port == 0) { // adopted from the records, without an address
+        worker.hold_in_flight = false;
+        worker.unanswered = 0;
+    }
+    if (fresh) {
+        worker.lease_bound = now;
+        write_log(severity::info, "worker_joined",
+                  {{"worker", entry.id}, {"pool", entry.pool}, {"zone", entry.zone}});
+    }
+    if (!worker.listed) {
+        worker.listed = true;
+        worker.listed_since = now;
+        worker.next_hold = std::min(worker.next_hold, now);
+    }
+    if (entry.draining && !worker.entry.draining) {
+        write_log(severity::info, "worker_draining", {{"worker", entry.id}});
+    }
+    worker.entry = entry;
+    state.dispatch_due = true;
+}
+
+void scheduler::on_worker_removed(const std::string& id, boot_time now) {
+    auto& state = *this->self;
+    const auto found = state.workers.find(id);
+    if (found == state.workers.end()) {
+        return;
+    }
+    found->second.listed = false;
+    found->second.listed_since = now;
+    if (found->second.tasks.empty()) {
+        state.workers.erase(found);
+    }
+}
+
+void scheduler::keep_listed(const std::set<std::string>& ids, boot_time now) {
+    std::vector<std::string> gone;
+    for (const auto& [id, worker] : this->self->workers) {
+        if (worker.listed && !ids.contains(id)) {
+            gone.push_back(id);
+        }
+    }
+    for (const auto& id : gone) {
+        this->on_worker_removed(id, now);
+    }
+}
+
+void scheduler::on_hold_report(const worker_target& target, const hold_order& order, const hold_report& report,
+                               boot_time now) {
+    auto& state = *this->self;
+    const auto found = state.workers.find(target.id);
+    if (state.term == 0 || found == state.workers.end()) {
+        return;
+    }
+    auto& worker = found->second;
+    worker.hold_in_flight = false;
+    switch (report.outcome) {
+    case order_outcome::done:
+        if (report.born_ms != 0 && worker.entry.born_ms != 0 && report.born_ms != worker.entry.born_ms) {
+            auto entry = worker.entry;
+            entry.born_ms = report.born_ms;
+            state.lose_worker(target.id, "it has started again", now);
+            this->on_worker(entry, now);
+            return;
+        }
+        state.accept_report(worker, order, report, now);
+        return;
+    case order_outcome::other_worker:
+        state.lose_worker(target.id, "another worker has its address", now);
+        return;
+    case order_outcome::fenced:
+        if (order.fence == state.fence_of(worker)) {
+            write_log(severity::warning, "worker_fenced", {{"worker", target.id}, {"fence", order.fence}});
+            worker.confirmed = false;
+            worker.next_hold = now + state.timings.hold_retry;
+        } else {
+            worker.next_hold = now;
+        }
+        return;
+    default:
+        if (worker.unanswered++ == 0) {
+            worker.unanswered_since = now;
+            write_log(severity::info, "worker_doubted",
+                      {{"worker", target.id}, {"outcome", to_string(report.outcome)}, {"reason", report.reason}});
+        }
+        worker.next_hold = now + state.timings.hold_retry * std::min(worker.unanswered, 4);
+        return;
+    }
+}
+
+void scheduler::on_vm_list(const std::vector<vm_entry>& vms, boot_time asked_at, boot_time now) {
+    auto& state = *this->self;
+    state.vm_list_in_flight = false;
+    state.vm_list_seen = asked_at;
+    state.vms.clear();
+    state.vm_of_worker.clear();
+    for (const auto& vm : vms) {
+        state.vms[vm.id] = vm;
+        if (!vm.worker.empty()) {
+            state.vm_of_worker[vm.worker] = vm.id;
+        }
+    }
+    (void)now;
+}
+
+void scheduler::on_vm_list_failed(boot_time) {
+    this->self->vm_list_in_flight = false;
+}
+
+} // namespace hornbeamrail
--- /dev/null
+++ b/src/policy/job_order.hpp
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "protocol/job.hpp"
+#include "protocol/site_document.hpp"
+
+#include <chrono>
+#include <compare>
+#include <cstdint>
+
+namespace hornbeamrail {
+
+/// How urgent the tasks of one occurrence of a job are against others of the same pool. Lower comes first.
+struct job_rank {
+    std::int32_t lane = 0;     ///< 0: long-running tasks; 1: can meet its objective; 2: cannot any more
+    std::int32_t priority = 0; ///< of the queue
+    std::int32_t fresh = 0;    ///< 0: some tasks have run; what was begun is finished first
+    std::int64_t slack_ms = 0; ///< time left until the latest start that meets the objective
+
+    friend auto operator<=>(const job_rank&, const job_rank&) = default;
+};
+
+/// What the rank of an occurrence depends on.
+struct job_urgency {
+    bool long_running = false;
+    bool begun = false;
+    std::int32_t priority = 0;
+    unix_time due{};                           ///< from when its time counts
+    std::chrono::milliseconds objective{0};    ///< allowed from `due` to its end
+    std::chrono::milliseconds remaining_chain{0}; ///< longest chain of work that is left
+};
+
+/// Pattern: a pool is asked for several times what it holds, for seconds. Jobs that can still meet their
+/// objective go first, those that were begun before the others; jobs that missed it use what is left over.
+job_rank rank_job(const job_urgency& job, unix_time now);
+
+/// @param durations expected duration of a task of each step
+/// @return the longest chain of steps of @p job; zero for a step that @p is_done tells to be over
+template <class Duration, class Done>
+std::chrono::milliseconds longest_chain(const job_spec& job, Duration duration_of, Done is_done) {
+    std::vector<std::chrono::milliseconds> ends(job.steps.size());
+    std::chrono::milliseconds longest{0};
+    for (std::size_t step = 0; step < job.steps.size(); ++step) {
+        std::chrono::milliseconds begin{0};
+        for (const auto earlier : job.steps[step].after) {
+            begin = std::max(begin, ends[static_cast<std::size_t>(earlier)]);
+        }
+        ends[step] = is_done(step) ? begin : begin + duration_of(step);
+        longest = std::max(longest, ends[step]);
+    }
+    return longest;
+}
+
+} // namespace hornbeamrail
--- /dev/null
+++ b/src/policy/worker_choice.cpp
@@ -0,0 +1,84 @@
+#include "policy/worker_choice.hpp"
+
+#include <algorithm>
+#include <limits>
+#include <map>
+
+namespace hornbeamrail {
+
+namespace {
+
+/// Part of a worker that is free, in thousandths.
+std::int64_t free_part(const worker_view& worker) {
+    return worker.capacity.cpu_millis <= 0 ? 0 : worker.room.cpu_millis * 1000 / worker.capacity.cpu_millis;
+}
+
+bool can_take(const worker_view& worker, const place_request& request) {
+    const bool under_limit = request.max_per_worker <= 0 || worker.same_step < request.max_per_worker;
+    return worker.allowed && under_limit && worker.id != request.avoided_worker &&
+           fits(request.need, worker.room);
+}
+
+/// Higher is better.
+std::int64_t score(const worker_view& worker, const place_request& request) {
+    constexpr std::int64_t rack_bonus = 100000;
+    constexpr std::int64_t interference_cost = 10000;
+    constexpr std::int64_t spread_cost = 2000;
+    std::int64_t value = free_part(worker);
+    if (!request.data_rack.empty() && worker.rack == request.data_rack) {
+        value += rack_bonus;
+    }
+    if (!request.preferred_rack.empty() && worker.rack == request.preferred_rack) {
+        value += rack_bonus;
+    }
+    if (request.fills) {
+        value -= worker.serving * interference_cost;
+    }
+    if (request.serves) {
+        value -= worker.filling * interference_cost + worker.same_step * spread_cost;
+    }
+    return value;
+}
+
+std::int64_t copies_that_fit(const resources& need, const resources& room) {
+    const auto part = [](std::int64_t one, std::int64_t all) {
+        return one <= 0 ? std::numeric_limits<std::int32_t>::max() : std::max<std::int64_t>(0, all / one);
+    };
+    return std::min({part(need.cpu_millis, room.cpu_millis), part(need.memory_mb, room.memory_mb),
+                     part(need.accelerators, room.accelerators)});
+}
+
+} // namespace
+
+std::optional<std::size_t> choose_worker(const std::vector<worker_view>& workers,
+                                         const place_request& request) {
+    std::optional<std::size_t> best;
+    std::int64_t best_score = std::numeric_limits<std::int64_t>::min();
+    for (std::size_t index = 0; index < workers.size(); ++index) {
+        if (!can_take(workers[index], request)) {
+            continue;
+        }
+        const auto value = score(workers[index], request);
+        if (!best || value > best_score) {
+            best = index;
+            best_score = value;
+        }
+    }
+    return best;
+}
+
+std::string_view choose_rack(const std::vector<worker_view>& workers, const resources& need,
+                             std::int32_t count) {
+    std::map<std::string_view, std::int64_t> room;
+    for (const auto& worker : workers) {
+        if (worker.allowed) {
+            room[worker.rack] += copies_that_fit(need, worker.room);
+        }
+    }
+    const auto best = std::max_element(room.begin(), room.end(), [](const auto& left, const auto& right) {
+        return left.second < right.second;
+    });
+    return best != room.end() && best->second >= count ? best->first : std::string_view();
+}
+
+} // namespace hornbeamrail
--- /dev/null
+++ b/src/policy/worker_choice.hpp
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "protocol/job.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace hornbeamrail {
+
+/// A worker as the choice of a place sees it.
+struct worker_view {
+    std::string_view id;
+    std::string_view rack;
+    resources room;              ///< free
+    resources capacity;
+    std::int32_t serving = 0;    ///< tasks with a latency target
+    std::int32_t filling = 0;    ///< tasks that use leftover capacity
+    std::int32_t same_step = 0;  ///< tasks of the step in question that are on it
+    bool allowed = true;         ///< may run the step: label, advice, health
+};
+
+/// What a task asks of its place.
+struct place_request {
+    resources need;
+    std::string_view data_rack;        ///< preferred; empty: none
+    std::string_view avoided_worker;   ///< where its last run failed
+    std::int32_t max_per_worker = 0;   ///< 0: no limit
+    bool fills = false;
+    bool serves = false;
+    std::string_view preferred_rack;   ///< of a rack-sensitive step; empty: none
+};
+
+/// Pattern: many small tasks on few large workers that fail at any time. The task goes where the largest part
+/// of the worker is free, on the rack of its data if there is room. Filling tasks keep away from serving ones.
+/// @return index of the chosen worker, or nothing when none has room
+std::optional<std::size_t> choose_worker(const std::vector<worker_view>& workers, const place_request& request);
+
+/// @return rack with the most room for tasks of @p need, empty when no rack holds @p count of them
+std::string_view choose_rack(const std::vector<worker_view>& workers, const resources& need,
+                             std::int32_t count);
+
+} // namespace hornbeamrail
--- /dev/null
+++ b/src/protocol/job.cpp
@@ -0,0 +1,193 @@
+#include "protocol/job.hpp"
+
+#include "protocol/json_reader.hpp"
+
+#include <boost/json/array.hpp>
+#include <fmt/format.h>
+
+#include <array>
+#include <limits>
+
+namespace hornbeamrail {
+
+namespace {
+
+constexpr std::size_t max_payload_bytes = 4000;
+constexpr std::int64_t max_int64 = std::numeric_limits<std::int64_t>::max() / 4;
+constexpr std::int64_t max_int32 = std::numeric_limits<std::int32_t>::max();
+
+constexpr std::array<std::string_view, 5> state_names{"pending", "running", "completed", "failed",
+                                                      "cancelled"};
+
+template <class Value>
+void put_unless_default(boost::json::object& to, std::string_view name, const Value& value) {
+    if (value != Value{}) {
+        to[name] = value;
+    }
+}
+
+boost::json::object to_json(const step_spec& step) {
+    boost::json::object to;
+    to["count"] = step.count;
+    put_unless_default(to, "cpu", step.need.cpu_millis);
+    put_unless_default(to, "memory", step.need.memory_mb);
+    put_unless_default(to, "accelerators", step.need.accelerators);
+    put_unless_default(to, "estimate_ms", step.estimate.count());
+    if (!step.after.empty()) {
+        to["after"] = boost::json::array(step.after.begin(), step.after.end());
+    }
+    put_unless_default(to, "gang", step.gang);
+    put_unless_default(to, "rack_sensitive", step.rack_sensitive);
+    put_unless_default(to, "speculative", step.speculative);
+    put_unless_default(to, "long_running", step.long_running);
+    put_unless_default(to, "saves_progress", step.saves_progress);
+    put_unless_default(to, "fills", step.fills);
+    put_unless_default(to, "required_label", step.required_label);
+    put_unless_default(to, "data_rack", step.data_rack);
+    put_unless_default(to, "max_per_worker", step.max_per_worker);
+    put_unless_default(to, "image", step.image);
+    put_unless_default(to, "latency_target_ms", step.latency_target.count());
+    put_unless_default(to, "max_unavailable", step.max_unavailable);
+    return to;
+}
+
+step_spec read_step(const boost::json::value& value, std::string path, std::vector<diagnostic>& findings) {
+    object_reader reader(value, std::move(path), findings);
+    const auto count_of = [&reader](std::string_view name, std::int64_t fallback) {
+        return static_cast<std::int32_t>(reader.optional_integer(name, fallback, 0, max_int32));
+    };
+    step_spec step{
+        .count = count_of("count", 1),
+        .need = {.cpu_millis = reader.optional_integer("cpu", 0, 0, max_int64),
+                 .memory_mb = reader.optional_integer("memory", 0, 0, max_int64),
+                 .accelerators = reader.optional_integer("accelerators", 0, 0, max_int64)},
+        .estimate = std::chrono::milliseconds(reader.optional_integer("estimate_ms", 0, 0, max_int64)),
+        .gang = reader.optional_bool("gang", false),
+        .rack_sensitive = reader.optional_bool("rack_sensitive", false),
+        .speculative = reader.optional_bool("speculative", false),
+        .long_running = reader.optional_bool("long_running", false),
+        .saves_progress = reader.optional_bool("saves_progress", false),
+        .fills = reader.optional_bool("fills", false),
+        .required_label = reader.optional_string("required_label", ""),
+        .data_rack = reader.optional_string("data_rack", ""),
+        .max_per_worker = count_of("max_per_worker", 0),
+        .image = reader.optional_string("image", ""),
+        .latency_target =
+            std::chrono::milliseconds(reader.optional_integer("latency_target_ms", 0, 0, max_int64)),
+        .max_unavailable = count_of("max_unavailable", 0)};
+    for (const auto& number : reader.array("after", false)) {
+        step.after.push_back(number.is_int64() ? static_cast<std::int32_t>(number.as_int64()) : -1);
+    }
+    return step;
+}
+
+} // namespace
+
+resources& resources::operator+=(const resources& other) noexcept {
+    this->cpu_millis += other.cpu_millis;
+    this->memory_mb += other.memory_mb;
+    this->accelerators += other.accelerators;
+    return *this;
+}
+
+resources& resources::operator-=(const resources& other) noexcept {
+    this->cpu_millis -= other.cpu_millis;
+    this->memory_mb -= other.memory_mb;
+    this->accelerators -= other.accelerators;
+    return *this;
+}
+
+bool fits(const resources& need, const resources& room) noexcept {
+    return need.cpu_millis <= room.cpu_millis && need.memory_mb <= room.memory_mb &&
+           need.accelerators <= room.accelerators;
+}
+
+bool is_final(job_state state) noexcept {
+    return state == job_state::completed || state == job_state::failed || state == job_state::cancelled;
+}
+
+std::string_view to_string(job_state state) noexcept {
+    return state_names[static_cast<std::size_t>(state)];
+}
+
+std::optional<job_state> parse_job_state(std::string_view text) noexcept {
+    for (std::size_t index = 0; index < state_names.size(); ++index) {
+        if (state_names[index] == text) {
+            return static_cast<job_state>(index);
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<std::string> find_problem(const job_spec& job) {
+    if (job.id.size() != 16 || job.id.find_first_not_of("0123456789abcdef") != std::string::npos) {
+        return "the id is not 16 lower-case hexadecimal digits";
+    }
+    if (job.payload.size() > max_payload_bytes) {
+        return fmt::format("the payload is longer than {} bytes", max_payload_bytes);
+    }
+    if (job.steps.empty()) {
+        return "the job has no steps";
+    }
+    for (std::size_t number = 0; number < job.steps.size(); ++number) {
+        if (job.steps[number].count < 1) {
+            return fmt::format("step {} has no tasks", number);
+        }
+        for (const auto earlier : job.steps[number].after) {
+            if (earlier < 0 || static_cast<std::size_t>(earlier) >= number) {
+                return fmt::format("step {} waits for step {}, which is not an earlier one", number, earlier);
+            }
+        }
+    }
+    return std::nullopt;
+}
+
+boost::json::object to_json(const job_spec& job) {
+    boost::json::object to;
+    to["queue"] = job.queue;
+    put_unless_default(to, "account", job.account);
+    to["payload"] = job.payload;
+    boost::json::array steps;
+    for (const auto& step : job.steps) {
+        steps.push_back(to_json(step));
+    }
+    to["steps"] = std::move(steps);
+    put_unless_default(to, "occurrences", job.occurrences);
+    put_unless_default(to, "first_due_ms", job.first_due.time_since_epoch().count());
+    put_unless_default(to, "interval_ms", job.interval.count());
+    to["submitted_ms"] = job.submitted.time_since_epoch().count();
+    return to;
+}
+
+result<job_spec> parse_job(std::string_view id, const boost::json::value& document) {
+    std::vector<diagnostic> findings;
+    object_reader reader(document, "$", findings);
+    const auto time_of = [&reader](std::string_view name) {
+        return unix_time(std::chrono::milliseconds(reader.optional_integer(name, 0, -max_int64, max_int64)));
+    };
+    job_spec job{.id = std::string(id),
+                 .queue = reader.required_string("queue"),
+                 .account = reader.optional_string("account", ""),
+                 .payload = reader.optional_string("payload", ""),
+                 .occurrences =
+                     static_cast<std::int32_t>(reader.optional_integer("occurrences", 0, 0, max_int32)),
+                 .first_due = time_of("first_due_ms"),
+                 .interval =
+                     std::chrono::milliseconds(reader.optional_integer("interval_ms", 0, 0, max_int64)),
+                 .submitted = time_of("submitted_ms")};
+    const auto& steps = reader.array("steps", true);
+    for (std::size_t index = 0; index < steps.size(); ++index) {
+        job.steps.push_back(read_step(steps[index], indexed_path("$.steps", index), findings));
+    }
+    if (!findings.empty()) {
+        return make_error(errc::parse_failed, findings.front().path + ": " + findings.front().message,
+                          "only records that this product wrote can be read");
+    }
+    if (auto problem = find_problem(job)) {
+        return make_error(errc::parse_failed, std::move(*problem),
+                          "only records that this product wrote can be read");
+    }
+    return job;
+}
+
+} // namespace hornbeamrail
--- a/src/transport/call_pool.hpp
+++ b/src/transport/call_pool.hpp
@@ -48,6 +48,8 @@
     std::size_t max_waiting = 1024;   ///< calls per endpoint that wait for a connection
     std::size_t buffer_bytes = 64 * 1024;
     std::chrono::milliseconds idle_timeout{20000};
+    /// Deadlines are checked this often: a timer for each call costs more than the check of all.
+    std::chrono::milliseconds sweep_interval{10};
     std::shared_ptr<tls_settings> tls;
 };
 
@@ -67,7 +69,7 @@
                 pool->drop_idle();
             }
         });
-        this->threads.repeat(sweep_interval, [weak = this->weak_from_this()] {
+        this->threads.repeat(this->options.sweep_interval, [weak = this->weak_from_this()] {
             const auto pool = weak.lock();
             if (pool) {
                 pool->sweep();
@@ -141,9 +143,6 @@
     }
 
 private:
-    /// Deadlines are checked this often: a timer for each call costs more than the check of all.
-    static constexpr std::chrono::milliseconds sweep_interval{10};
-
     struct connection {
         connection(tcp_socket socket, std::shared_ptr<boost::asio::ssl::context> tls,
                    std::size_t buffer_bytes)
--- a/src/transport/http_client_pool.cpp
+++ b/src/transport/http_client_pool.cpp
@@ -131,6 +131,7 @@
                                                  .max_waiting = settings.max_waiting,
                                                  .buffer_bytes = settings.max_head_bytes + 3 * read_bytes,
                                                  .idle_timeout = settings.idle_timeout,
+                                                 .sweep_interval = settings.sweep_interval,
                                                  .tls = nullptr})) {
         this->pool->start();
     }
--- a/src/transport/http_client_pool.hpp
+++ b/src/transport/http_client_pool.hpp
@@ -42,6 +42,7 @@
     std::uint32_t max_head_bytes = 16 * 1024;
     std::uint64_t max_body_bytes = 16 * 1024 * 1024;
     std::chrono::milliseconds idle_timeout{20000};
+    std::chrono::milliseconds sweep_interval{10}; ///< between checks for calls past their deadline
 };
 
 /// Counts since the start of a pool.
--- a/src/transport/http_parser.hpp
+++ b/src/transport/http_parser.hpp
@@ -49,8 +49,7 @@
                        error_code&) override {
         // The parser itself uses the fields of the connection and the framing; no handler needs them.
         using known = boost::beast::http::field;
-        if (id == known::host || id == known::content_length || id == known::connection ||
-            id == known::transfer_encoding) {
+        if (id == known::content_length || id == known::connection || id == known::transfer_encoding) {
             return;
         }
         // Fields of a chunk trailer are dropped: they could pass for fields of the head.
