Keep availability limits while VMs are maintained

Cause: a VM counted as sound again once its order was answered, though the list of VMs did not show it up yet, and an order for a VM that had been maintained before is answered the same way. Change: VMs of a wave count as away until a newer list shows them up; the ordered VMs are kept in the log; only the list of VMs proves that a worker ended.

--- a/src/coordination/scheduler.cpp
+++ b/src/coordination/scheduler.cpp
@@ -42,6 +42,9 @@
 }
 
 void scheduler::load_progress(const keyed_record& record) {
+    if (this->self->load_wave(record)) {
+        return;
+    }
     auto* job = this->self->find_job(record.key);
     if (job == nullptr || record.value.empty()) {
         return;
--- a/src/coordination/scheduler_impl.hpp
+++ b/src/coordination/scheduler_impl.hpp
@@ -187,8 +187,15 @@
     // scheduler_vms.cpp: maintenance waves and moves
     void plan_waves(boot_time now);
     void plan_wave(wave_progress& wave, boot_time now);
+    void record_wave(const wave_progress& wave);
+    bool load_wave(const keyed_record& record);
+    void lose_replaced_workers(const std::map<std::string, std::string>& before, boot_time now);
     [[nodiscard]] bool may_end_tasks_of(const worker_control& worker, boot_time now);
     [[nodiscard]] bool is_reserved(const std::string& worker) const;
+    /// @return whether an order to the VM is under way, or the VM is still away after one
+    [[nodiscard]] bool is_vm_ordered(const std::string& vm) const;
+    /// @return whether the worker answers, stays, and its VM is up without an order under way
+    [[nodiscard]] bool is_sound(const std::string& worker) const;
 
     template <class Action>
     void act(Action action) {
--- a/src/coordination/scheduler_vms.cpp
+++ b/src/coordination/scheduler_vms.cpp
@@ -2,6 +2,10 @@
 
 #include "protocol/json_log.hpp"
 
+#include <boost/json/array.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+
 #include <algorithm>
 
 namespace hornbeamrail {
@@ -10,6 +14,9 @@
 
 using std::chrono::milliseconds;
 
+/// Key of the progress topic under which the VMs of a wave that were ordered are kept.
+const std::string wave_record_prefix = "wave.";
+
 milliseconds to_millis(boot_clock::duration value) {
     return std::chrono::duration_cast<milliseconds>(value);
 }
@@ -21,12 +28,26 @@
     if (vm == this->vm_of_worker.end()) {
         return false;
     }
-    if (this->vm_orders.contains(vm->second)) {
-        return true;
+    return this->is_vm_ordered(vm->second) ||
+           std::any_of(this->waves.begin(), this->waves.end(),
+                       [&vm](const auto& item) { return item.second.draining.contains(vm->second); });
+}
+
+bool scheduler::impl::is_vm_ordered(const std::string& vm) const {
+    const bool in_wave = std::any_of(this->waves.begin(), this->waves.end(),
+                                     [&vm](const auto& item) { return item.second.away.contains(vm); });
+    return in_wave || this->vm_orders.contains(vm);
+}
+
+bool scheduler::impl::is_sound(const std::string& id) const {
+    const auto worker = this->workers.find(id);
+    const auto vm = this->vm_of_worker.find(id);
+    if (worker == this->workers.end() || !worker->second.confirmed || worker->second.in_doubt() ||
+        worker->second.entry.draining || vm == this->vm_of_worker.end() || this->is_vm_ordered(vm->second)) {
+        return false;
     }
-    return std::any_of(this->waves.begin(), this->waves.end(), [&vm](const auto& item) {
-        return item.second.draining.contains(vm->second) || item.second.away.contains(vm->second);
-    });
+    const auto listed = this->vms.find(vm->second);
+    return listed != this->vms.end() && listed->second.condition == vm_condition::up;
 }
 
 bool scheduler::impl::may_end_tasks_of(const worker_control& worker, boot_time now) {
@@ -42,7 +63,7 @@
         std::int32_t away = 0;
         for (auto& task : job->occurrence(id.occurrence).steps[static_cast<std::size_t>(id.step)].tasks) {
             const bool is_self = task.worker == worker.entry.id;
-            const bool settled = task.phase == run_phase::running &&
+            const bool settled = task.phase == run_phase::running && this->is_sound(task.worker) &&
                                  now > task.placed_at + this->options.limits.availability_notice;
             away += !is_self && !settled ? 1 : 0;
         }
@@ -116,7 +137,8 @@
         wave.away[vm] = now;
         this->vm_orders[vm] = now;
         write_log(severity::info, "maintenance_ordered",
-                  {{"vm", vm}, {"wave", wave.request.number}, {"down", wave.away.size()},
+                  {{"vm", vm}, {"worker", this->vms[vm].worker}, {"wave", wave.request.number},
+                   {"down", wave.away.size()},
                    {"max_down", wave.request.max_down}, {"left", situation.left}});
         this->act(order_maintenance{.order = {.vm = vm,
                                               .wave = wave.request.number,
@@ -137,14 +159,12 @@
     }
     switch (outcome) {
     case vm_order_outcome::done: {
+        // The answer is the same when the VM had been maintained before, so the list of VMs tells whether its
+        // worker has ended.
         wave->second.ordered.insert(order.vm);
         wave->second.away[order.vm] = now;
-        const auto vm = state.vms.find(order.vm);
-        if (vm != state.vms.end() && !vm->second.worker.empty()) {
-            const auto worker = vm->second.worker; // the order ended everything on the VM
-            state.vm_of_worker.erase(worker);
-            state.lose_worker(worker, "its VM is maintained", now);
-        }
+        state.record_wave(wave->second);
+        state.vm_list_asked = {};
         break;
     }
     case vm_order_outcome::unknown:
@@ -160,6 +180,32 @@
     }
 }
 
+void scheduler::impl::record_wave(const wave_progress& wave) {
+    boost::json::array ordered(wave.ordered.begin(), wave.ordered.end());
+    this->next_batch.records.push_back({.key = wave_record_prefix + std::to_string(wave.request.number),
+                                        .value = boost::json::serialize(ordered)});
+}
+
+bool scheduler::impl::load_wave(const keyed_record& record) {
+    if (!record.key.starts_with(wave_record_prefix)) {
+        return false;
+    }
+    boost::system::error_code failure;
+    const auto document = boost::json::parse(record.value, failure);
+    const auto* ordered = failure ? nullptr : document.if_array();
+    for (auto& [number, wave] : this->waves) {
+        if (ordered == nullptr || record.key != wave_record_prefix + std::to_string(number)) {
+            continue;
+        }
+        for (const auto& vm : *ordered) {
+            if (const auto* name = vm.if_string()) {
+                wave.ordered.emplace(*name);
+            }
+        }
+    }
+    return true;
+}
+
 void scheduler::set_waves(std::vector<wave_request> requests) {
     auto& state = *this->self;
     std::map<std::int64_t, wave_progress> kept;
--- a/src/coordination/scheduler_workers.cpp
+++ b/src/coordination/scheduler_workers.cpp
@@ -391,15 +391,31 @@
     auto& state = *this->self;
     state.vm_list_in_flight = false;
     state.vm_list_seen = asked_at;
+    const auto before = std::exchange(state.vm_of_worker, {});
     state.vms.clear();
-    state.vm_of_worker.clear();
     for (const auto& vm : vms) {
         state.vms[vm.id] = vm;
         if (!vm.worker.empty()) {
             state.vm_of_worker[vm.worker] = vm.id;
         }
     }
-    (void)now;
+    state.lose_replaced_workers(before, now);
+}
+
+/// A VM that is away, or that runs another worker, has ended the one that it ran.
+void scheduler::impl::lose_replaced_workers(const std::map<std::string, std::string>& before, boot_time now) {
+    for (const auto& [worker, name] : before) {
+        const auto vm = this->vms.find(name);
+        if (vm == this->vms.end() || !this->workers.contains(worker)) {
+            continue;
+        }
+        const bool away = vm->second.condition == vm_condition::moving ||
+                          vm->second.condition == vm_condition::maintenance;
+        const bool replaced = !vm->second.worker.empty() && vm->second.worker != worker;
+        if (away || replaced) {
+            this->lose_worker(worker, away ? "its VM is away" : "its VM runs another worker", now);
+        }
+    }
 }
 
 void scheduler::on_vm_list_failed(boot_time) {
