--- a/src/coordination/scheduler_dispatch.cpp
+++ b/src/coordination/scheduler_dispatch.cpp
@@ -181,7 +181,8 @@
                           .data_rack = step.data_rack,
                           .max_per_worker = step.max_per_worker,
                           .fills = step.fills,
-                          .serves = step.latency_target.count() > 0};
+                          .serves = step.latency_target.count() > 0,
+                          .spread = step.long_running};
     if (step.fills) {
         request.need.cpu_millis = 0;
     }
@@ -267,6 +268,7 @@
     task.run = run;
     task.worker = worker.entry.id;
     task.placed_at = now;
+    task.stop_sent = {};
     job.set_phase(id, task, run_phase::placed);
     this->add_placement(worker, job, id, run, now);
     this->mark_dirty(job);
@@ -321,6 +323,7 @@
         placed->second.changed = now;
         if (task != nullptr && task->phase == run_phase::placed) {
             job->set_phase(order.task, *task, run_phase::running);
+            task->placed_at = now;
             if (job->state == job_state::pending) {
                 state.set_state(*job, job_state::running);
             }
--- a/src/coordination/scheduler_impl.hpp
+++ b/src/coordination/scheduler_impl.hpp
@@ -190,7 +190,12 @@
     void record_wave(const wave_progress& wave);
     bool load_wave(const keyed_record& record);
     void lose_replaced_workers(const std::map<std::string, std::string>& before, boot_time now);
+    /// @return tasks of the step that are not at work
+    [[nodiscard]] std::int32_t tasks_away(job_progress& job, const task_id& id, boot_time now);
+    /// @return whether every availability limit allows to end all tasks of the worker now
     [[nodiscard]] bool may_end_tasks_of(const worker_control& worker, boot_time now);
+    /// Stops one of several tasks of a step on a worker that is to be maintained, so that they part.
+    void spread_tasks_of(worker_control& worker, boot_time now);
     [[nodiscard]] bool is_reserved(const std::string& worker) const;
     /// @return whether an order to the VM is under way, or the VM is still away after one
     [[nodiscard]] bool is_vm_ordered(const std::string& vm) const;
--- a/src/coordination/scheduler_vms.cpp
+++ b/src/coordination/scheduler_vms.cpp
@@ -50,30 +50,62 @@
     return listed != this->vms.end() && listed->second.condition == vm_condition::up;
 }
 
+std::int32_t scheduler::impl::tasks_away(job_progress& job, const task_id& id, boot_time now) {
+    std::int32_t away = 0;
+    for (const auto& task : job.occurrence(id.occurrence).steps[static_cast<std::size_t>(id.step)].tasks) {
+        const bool at_work = task.phase == run_phase::running && task.stop_sent == boot_time{} &&
+                             this->is_sound(task.worker) &&
+                             now > task.placed_at + this->options.limits.availability_notice;
+        away += at_work ? 0 : 1;
+    }
+    return away;
+}
+
 bool scheduler::impl::may_end_tasks_of(const worker_control& worker, boot_time now) {
     for (const auto& [id, placed] : worker.tasks) {
         auto* job = this->find_job(id.job);
-        if (job == nullptr || is_final(job->state)) {
-            continue;
-        }
-        const auto& step = job->spec.steps[static_cast<std::size_t>(id.step)];
-        if (!step.long_running) {
+        const auto* step = job == nullptr || is_final(job->state)
+                               ? nullptr
+                               : &job->spec.steps[static_cast<std::size_t>(id.step)];
+        if (step == nullptr || !step->long_running) {
             continue;
         }
-        std::int32_t away = 0;
-        for (auto& task : job->occurrence(id.occurrence).steps[static_cast<std::size_t>(id.step)].tasks) {
-            const bool is_self = task.worker == worker.entry.id;
-            const bool settled = task.phase == run_phase::running && this->is_sound(task.worker) &&
-                                 now > task.placed_at + this->options.limits.availability_notice;
-            away += !is_self && !settled ? 1 : 0;
+        // All tasks of the step on this worker would be away together.
+        std::int32_t at_work_here = 0;
+        for (const auto& task : job->occurrence(id.occurrence).steps[static_cast<std::size_t>(id.step)].tasks) {
+            const bool here = task.worker == worker.entry.id && task.phase == run_phase::running;
+            at_work_here += here && now > task.placed_at + this->options.limits.availability_notice ? 1 : 0;
         }
-        if (away >= step.max_unavailable) {
+        if (this->tasks_away(*job, id, now) + at_work_here > step->max_unavailable) {
             return false;
         }
     }
     return true;
 }
 
+void scheduler::impl::spread_tasks_of(worker_control& worker, boot_time now) {
+    for (const auto& [id, placed] : worker.tasks) {
+        auto* job = this->find_job(id.job);
+        auto* task = job == nullptr || is_final(job->state) ? nullptr : job->find_task(id);
+        if (task == nullptr || task->phase != run_phase::running || task->stop_sent != boot_time{}) {
+            continue;
+        }
+        const auto& step = job->spec.steps[static_cast<std::size_t>(id.step)];
+        const auto& tasks = job->occurrence(id.occurrence).steps[static_cast<std::size_t>(id.step)].tasks;
+        const auto here = std::count_if(tasks.begin(), tasks.end(), [&worker](const auto& other) {
+            return other.worker == worker.entry.id && other.phase == run_phase::running;
+        });
+        if (step.long_running && here > step.max_unavailable && step.max_unavailable > 0 &&
+            this->tasks_away(*job, id, now) < step.max_unavailable) {
+            task->stop_sent = now;
+            write_log(severity::info, "run_moved_away",
+                      {{"job", id.job}, {"index", id.index}, {"worker", worker.entry.id}});
+            this->send_stop_order(worker, id, task->run);
+            return;
+        }
+    }
+}
+
 void scheduler::impl::plan_waves(boot_time now) {
     if (this->vm_list_seen == boot_time{}) {
         return;
@@ -90,6 +122,13 @@
         const bool back = vm == this->vms.end() || vm->second.condition == vm_condition::up;
         at = list_is_newer && back ? wave.away.erase(at) : std::next(at);
     }
+    for (const auto& name : wave.request.vms) {
+        const auto vm = this->vms.find(name);
+        // Ordered by an earlier scheduler.
+        if (vm != this->vms.end() && vm->second.condition == vm_condition::maintenance) {
+            wave.away.emplace(name, now);
+        }
+    }
     wave_situation situation{.max_down = wave.request.max_down,
                              .down = static_cast<std::int32_t>(wave.away.size()),
                              .elapsed = to_millis(now - wave.begun),
@@ -110,6 +149,9 @@
         if (worker != this->workers.end()) {
             candidate.may_end_tasks = !worker->second.entry.draining && !worker->second.in_doubt() &&
                                       this->may_end_tasks_of(worker->second, now);
+            if (candidate.draining && !candidate.may_end_tasks) {
+                this->spread_tasks_of(worker->second, now);
+            }
             for (const auto& [id, placed] : worker->second.tasks) {
                 const auto* job = this->find_job(id.job);
                 const bool lasting = job != nullptr && job->spec.steps[static_cast<std::size_t>(id.step)].long_running;
--- a/src/node/site_node.hpp
+++ b/src/node/site_node.hpp
@@ -92,6 +92,7 @@
                std::function<void()> stored);
     [[nodiscard]] bool is_ready(boot_time now) const;
     [[nodiscard]] bool keys_are_fresh(boot_time now) const;
+    [[nodiscard]] bool jobs_are_fresh(boot_time now) const;
 
     template <class Function>
     void locked(Function function) {
--- a/src/node/site_node_impl.hpp
+++ b/src/node/site_node_impl.hpp
@@ -7,7 +7,7 @@
 namespace site_node_detail {
 
 inline constexpr std::string_view scheduler_producer = "scheduler";
-inline constexpr std::chrono::milliseconds follower_wait{2000};
+inline constexpr std::chrono::milliseconds follower_wait{1200};
 
 inline unix_time time_of_day() {
     return std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
@@ -599,12 +599,17 @@
                      this->options.timings.key_margin;
 }
 
+template <class Port, class Codec>
+bool site_node<Port, Codec>::jobs_are_fresh(boot_time now) const {
+    const auto is_fresh = [&](const log_tail* tail) {
+        return tail->confirmed() != boot_time{} && now < tail->confirmed() + this->options.timings.job_age;
+    };
+    return is_fresh(this->states_tail) && std::all_of(this->job_tails.begin(), this->job_tails.end(), is_fresh);
+}
+
 template <class Port, class Codec>
 bool site_node<Port, Codec>::is_ready(boot_time now) const {
-    const bool loaded = this->operators.has_config() && this->states_tail->confirmed() != boot_time{} &&
-                        std::all_of(this->job_tails.begin(), this->job_tails.end(),
-                                    [](const log_tail* tail) { return tail->confirmed() != boot_time{}; });
-    return loaded && !this->stopping &&
+    return this->operators.has_config() && !this->stopping && this->jobs_are_fresh(now) &&
            now < this->operators_tail->confirmed() + this->options.timings.ready_age;
 }
 
@@ -689,7 +694,7 @@
     }
     if (call.method == method::ask) {
         if (known == nullptr) {
-            return this->is_ready(now) || this->stopping
+            return this->jobs_are_fresh(now)
                        ? make_error_response(410, "unknown_job", "no such job is known", "submit the job", "not_run")
                        : site_node_detail::retry_later("not_fresh", "this node does not know all jobs yet");
         }
--- a/src/node/site_node_options.hpp
+++ b/src/node/site_node_options.hpp
@@ -22,6 +22,7 @@
     std::chrono::milliseconds default_patience{3000}; ///< of a caller that states none
     std::chrono::milliseconds answer_reserve{100};    ///< a caller gets its answer so long before its deadline
     std::chrono::milliseconds key_margin{900};        ///< keys count as stale so long before their bound
+    std::chrono::milliseconds job_age{2500};          ///< of the jobs, at a node that says which jobs exist
     std::chrono::milliseconds ready_age{2400};        ///< of the configuration, at a node that reports itself ready
     std::chrono::milliseconds stop_idle_grace{700};
     std::chrono::milliseconds stop_rotation{2200}; ///< the load balancer takes a stopping node out within
--- a/src/policy/worker_choice.cpp
+++ b/src/policy/worker_choice.cpp
@@ -35,7 +35,10 @@
         value -= worker.serving * interference_cost;
     }
     if (request.serves) {
-        value -= worker.filling * interference_cost + worker.same_step * spread_cost;
+        value -= worker.filling * interference_cost;
+    }
+    if (request.spread) {
+        value -= worker.same_step * spread_cost;
     }
     return value;
 }
--- a/src/policy/worker_choice.hpp
+++ b/src/policy/worker_choice.hpp
@@ -31,6 +31,7 @@
     std::int32_t max_per_worker = 0;   ///< 0: no limit
     bool fills = false;
     bool serves = false;
+    bool spread = false; ///< on as many workers as possible
     std::string_view preferred_rack;   ///< of a rack-sensitive step; empty: none
 };
 
