Move VMs between pools as their work arrives

Change: policy/pool_moves estimates the cores that arriving work will keep busy when a moved VM is there, long-running tasks share a few VMs, idle VMs go to the pool that lacks them, else to the spare pool. Limits of availability are checked again after each order of a round.

--- a/src/coordination/scheduler.cpp
+++ b/src/coordination/scheduler.cpp
@@ -156,7 +156,7 @@
         }
         return;
     }
-    state.add_job(partition, record);
+    state.add_job(partition, record, now);
     if (state.cancelled_early.erase(record.key) > 0) {
         if (auto* job = state.find_job(record.key)) {
             if (state.loaded) {
@@ -207,6 +207,7 @@
     state.check_doubtful(now);
     state.ask_vm_list(now);
     state.plan_waves(now);
+    state.plan_moves(now);
     state.open_occurrences(clock);
     state.dispatch(now, clock);
     state.pace_fillers(now);
--- a/src/coordination/scheduler_dispatch.cpp
+++ b/src/coordination/scheduler_dispatch.cpp
@@ -150,7 +150,8 @@
                          .room = room,
                          .capacity = worker.entry.capacity,
                          .serving = worker.serving,
-                         .filling = worker.filling});
+                         .filling = worker.filling,
+                         .lasting = worker.lasting});
         controls.push_back(&worker);
     }
     for (const auto& item : work) {
@@ -211,6 +212,7 @@
         ++view.same_step;
         view.serving += request.serves ? 1 : 0;
         view.filling += request.fills ? 1 : 0;
+        view.lasting += step.long_running ? 1 : 0;
         this->place(job, id, task, *controls[*chosen], task.run + 1, now);
     }
     return true;
--- a/src/coordination/scheduler_impl.hpp
+++ b/src/coordination/scheduler_impl.hpp
@@ -4,6 +4,7 @@
 
 #include "coordination/scheduler.hpp"
 #include "policy/job_order.hpp"
+#include "policy/pool_moves.hpp"
 #include "policy/vm_plan.hpp"
 #include "policy/worker_choice.hpp"
 #include "state/job_progress.hpp"
@@ -34,6 +35,10 @@
     std::chrono::milliseconds retry_after_refusal{150};
     std::chrono::milliseconds avoid_after_failure{2500}; ///< of a worker that fails what it starts
     std::chrono::milliseconds state_cleanup{1000};       ///< between drops of records that are not needed
+    std::chrono::milliseconds move_interval{150};        ///< between two plans of VM moves
+    std::chrono::milliseconds need_window{2500};         ///< a pool's need is its highest of so long
+    std::chrono::milliseconds move_warmup{3000};         ///< of a term, without releases of VMs
+    std::chrono::milliseconds move_lead{2200};           ///< from the order of a move to the first task
 };
 
 /// Clocks of workers may run slow by this factor.
@@ -57,6 +62,7 @@
     resources need;
     bool fills = false;
     bool serves = false;
+    bool lasts = false;
     std::int32_t percent = 100;
     std::int64_t latest_load = 0;
     boot_time pace_sent{};
@@ -85,6 +91,7 @@
     resources used;
     std::int32_t serving = 0;
     std::int32_t filling = 0;
+    std::int32_t lasting = 0;
 
     [[nodiscard]] bool in_doubt() const noexcept { return this->unanswered > 0; }
 };
@@ -108,6 +115,12 @@
     [[nodiscard]] std::chrono::milliseconds expect(std::chrono::milliseconds stated) const;
 };
 
+/// Demand of one pool.
+struct pool_demand_view {
+    arrival_rate arrivals;
+    std::deque<std::pair<boot_time, std::int32_t>> needs; ///< VMs needed, over the last `need_window`
+};
+
 /// One maintenance wave.
 struct wave_progress {
     wave_request request;
@@ -125,7 +138,7 @@
     explicit impl(scheduler_options settings) : options(std::move(settings)) {}
 
     // scheduler_jobs.cpp: jobs, ends, records
-    void add_job(std::int32_t partition, const keyed_record& record);
+    void add_job(std::int32_t partition, const keyed_record& record, boot_time now);
     void cancel_job(const std::string& id, boot_time now);
     void finish_job(job_progress& job, job_state state, boot_time now);
     void stop_all_runs(job_progress& job, boot_time now);
@@ -184,7 +197,15 @@
     void send_start_order(worker_control& worker, const task_id& id, placement& run, boot_time now);
     void pace_fillers(boot_time now);
 
-    // scheduler_vms.cpp: maintenance waves and moves
+    // scheduler_moves.cpp: VMs between pools
+    void note_arrival(const job_progress& job, boot_time now);
+    void plan_moves(boot_time now);
+    [[nodiscard]] pool_load load_of(const std::string& pool, boot_time now);
+    [[nodiscard]] std::int32_t smoothed_need(const std::string& pool, boot_time now);
+    [[nodiscard]] pool_need need_of(const worker_pool_config& pool, std::vector<movable_vm>& movable,
+                                    boot_time now);
+
+    // scheduler_vms.cpp: maintenance waves
     void plan_waves(boot_time now);
     void plan_wave(wave_progress& wave, boot_time now);
     void record_wave(const wave_progress& wave);
@@ -257,6 +278,9 @@
     boot_time vm_list_seen{}; ///< when the list that is known was asked for
     std::map<std::int64_t, wave_progress> waves;
     std::map<std::string, boot_time> vm_orders; ///< VMs with an order under way
+    std::map<std::string, std::pair<std::string, boot_time>> vm_moves; ///< target pool and time of the order
+    std::map<std::string, pool_demand_view> demand;                    ///< by pool
+    boot_time last_move_plan{};
 };
 
 } // namespace hornbeamrail
--- a/src/coordination/scheduler_jobs.cpp
+++ b/src/coordination/scheduler_jobs.cpp
@@ -48,7 +48,7 @@
     return found == this->jobs.end() ? nullptr : found->second.get();
 }
 
-void scheduler::impl::add_job(std::int32_t partition, const keyed_record& record) {
+void scheduler::impl::add_job(std::int32_t partition, const keyed_record& record, boot_time now) {
     if (record.value.empty() || this->jobs.contains(record.key) || this->finals.contains(record.key)) {
         return;
     }
@@ -72,7 +72,8 @@
     if (!job->spec.is_timed()) {
         job->occurrence(0);
     }
-    this->jobs.emplace(record.key, std::move(job));
+    const auto& added = *this->jobs.emplace(record.key, std::move(job)).first->second;
+    this->note_arrival(added, now);
     this->dispatch_due = true;
 }
 
--- /dev/null
+++ b/src/coordination/scheduler_moves.cpp
@@ -0,0 +1,137 @@
+#include "coordination/scheduler_impl.hpp"
+
+#include "protocol/json_log.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace hornbeamrail {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::size_t most_moves_per_plan = 8;
+/// An ordered move that no list shows within this time is forgotten.
+constexpr milliseconds move_timeout{4000};
+
+} // namespace
+
+void scheduler::impl::note_arrival(const job_progress& job, boot_time now) {
+    if (job.is_long_running()) {
+        return;
+    }
+    const auto learned = this->durations.find(job.spec.queue);
+    double work = 0;
+    for (const auto& step : job.spec.steps) {
+        const auto duration = learned == this->durations.end() ? step.estimate : learned->second.expect(step.estimate);
+        work += static_cast<double>(step.count) * static_cast<double>(step.need.cpu_millis) *
+                std::chrono::duration<double>(duration).count();
+    }
+    this->demand[this->pool_of(job)].arrivals.add(work, now);
+}
+
+pool_load scheduler::impl::load_of(const std::string& pool, boot_time now) {
+    pool_load load{.arriving_cores = this->demand[pool].arrivals.expected_cores(now, this->timings.move_lead)};
+    for (const auto& [id, worker] : this->workers) {
+        if (worker.entry.pool != pool) {
+            continue;
+        }
+        load.vm_cores = std::max(load.vm_cores, static_cast<double>(worker.entry.capacity.cpu_millis));
+        for (const auto& [task, placed] : worker.tasks) {
+            (placed.lasts ? load.lasting_cores : load.running_cores) += static_cast<double>(placed.need.cpu_millis);
+        }
+    }
+    for (auto& [id, job] : this->jobs) {
+        if (is_final(job->state) || this->pool_of(*job) != pool) {
+            continue;
+        }
+        for (const auto& occurrence : job->occurrences) {
+            for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+                const auto& spec = job->spec.steps[step];
+                if (spec.fills || !job->is_released(occurrence, static_cast<std::int32_t>(step))) {
+                    continue;
+                }
+                load.waiting_cores += static_cast<double>(occurrence.steps[step].waiting) *
+                                      static_cast<double>(spec.need.cpu_millis);
+                if (spec.long_running) {
+                    load.lasting_vms = std::max(load.lasting_vms, spec.count);
+                }
+            }
+        }
+    }
+    return load;
+}
+
+std::int32_t scheduler::impl::smoothed_need(const std::string& pool, boot_time now) {
+    auto load = this->load_of(pool, now);
+    for (const auto& [name, vm] : this->vms) {
+        if (vm.pool == pool) {
+            load.vm_cores = std::max(load.vm_cores, static_cast<double>(vm.capacity.cpu_millis));
+        }
+    }
+    auto& needs = this->demand[pool].needs;
+    needs.emplace_back(now, needed_vms(load));
+    while (needs.front().first + this->timings.need_window < now) {
+        needs.pop_front();
+    }
+    return std::max_element(needs.begin(), needs.end(), [](const auto& first, const auto& second) {
+               return first.second < second.second;
+           })->second;
+}
+
+pool_need scheduler::impl::need_of(const worker_pool_config& pool, std::vector<movable_vm>& movable,
+                                   boot_time now) {
+    pool_need entry{.pool = pool.name, .spare = pool.spare};
+    entry.needed = pool.spare ? 0 : this->smoothed_need(pool.name, now);
+    entry.may_release = now > this->term_begin + this->timings.move_warmup;
+    for (const auto& [name, vm] : this->vms) {
+        const auto move = this->vm_moves.find(name);
+        if ((move == this->vm_moves.end() ? vm.pool : move->second.first) != pool.name) {
+            continue;
+        }
+        const auto worker = this->workers.find(vm.worker);
+        const bool known = worker != this->workers.end();
+        const bool usable = !this->zones_out.contains(vm.zone) && vm.condition != vm_condition::down &&
+                            vm.condition != vm_condition::maintenance &&
+                            !(known && worker->second.entry.draining);
+        entry.vms += usable ? 1 : 0;
+        const bool idle = pool.spare || (known && worker->second.tasks.empty() && worker->second.confirmed &&
+                                         !worker->second.in_doubt());
+        if (usable && idle && vm.condition == vm_condition::up && !this->is_vm_ordered(name)) {
+            movable.push_back({.id = name, .pool = pool.name, .idle = true});
+        }
+    }
+    return entry;
+}
+
+void scheduler::impl::plan_moves(boot_time now) {
+    if (now < this->last_move_plan + this->timings.move_interval || this->vm_list_seen == boot_time{}) {
+        return;
+    }
+    this->last_move_plan = now;
+    for (auto at = this->vm_moves.begin(); at != this->vm_moves.end();) {
+        const auto& [target, ordered] = at->second;
+        const auto vm = this->vms.find(at->first);
+        const bool arrived = vm != this->vms.end() && vm->second.pool == target && this->vm_list_seen > ordered &&
+                             vm->second.condition == vm_condition::up;
+        at = arrived || now > ordered + move_timeout ? this->vm_moves.erase(at) : std::next(at);
+    }
+    std::vector<pool_need> pools;
+    std::vector<movable_vm> movable;
+    for (const auto& pool : this->config->pools) {
+        pools.push_back(this->need_of(pool, movable, now));
+    }
+    for (const auto& move : plan_pool_moves(pools, movable, most_moves_per_plan)) {
+        this->vm_moves[move.vm] = {move.to_pool, now};
+        this->vm_orders[move.vm] = now;
+        write_log(severity::info, "move_ordered",
+                  {{"vm", move.vm}, {"from", this->vms[move.vm].pool}, {"to", move.to_pool}});
+        this->act(order_move{.order = {.vm = move.vm,
+                                       .pool = move.to_pool,
+                                       .holder = this->options.node_id,
+                                       .fence = this->term}});
+    }
+}
+
+} // namespace hornbeamrail
--- a/src/coordination/scheduler_vms.cpp
+++ b/src/coordination/scheduler_vms.cpp
@@ -36,7 +36,7 @@
 bool scheduler::impl::is_vm_ordered(const std::string& vm) const {
     const bool in_wave = std::any_of(this->waves.begin(), this->waves.end(),
                                      [&vm](const auto& item) { return item.second.away.contains(vm); });
-    return in_wave || this->vm_orders.contains(vm);
+    return in_wave || this->vm_orders.contains(vm) || this->vm_moves.contains(vm);
 }
 
 bool scheduler::impl::is_sound(const std::string& id) const {
@@ -141,7 +141,8 @@
             continue;
         }
         ++situation.left;
-        if (vm->second.condition != vm_condition::up || this->vm_orders.contains(name)) {
+        if (vm->second.condition != vm_condition::up || this->vm_orders.contains(name) ||
+            this->vm_moves.contains(name)) {
             continue;
         }
         wave_candidate candidate{.vm = name, .draining = wave.draining.contains(name)};
@@ -176,6 +177,11 @@
     const auto step = plan_wave_step(situation, std::move(candidates));
     wave.draining = std::set<std::string>(step.drain.begin(), step.drain.end());
     for (const auto& vm : step.maintain) {
+        // Earlier orders of this round count: they end tasks of the same steps.
+        const auto worker = this->workers.find(this->vms[vm].worker);
+        if (worker != this->workers.end() && !this->may_end_tasks_of(worker->second, now)) {
+            continue;
+        }
         wave.away[vm] = now;
         this->vm_orders[vm] = now;
         write_log(severity::info, "maintenance_ordered",
@@ -193,6 +199,9 @@
     auto& state = *this->self;
     state.vm_orders.erase(order.vm);
     const auto wave = state.waves.find(order.wave);
+    if (!order.pool.empty() && outcome != vm_order_outcome::done && outcome != vm_order_outcome::unknown) {
+        state.vm_moves.erase(order.vm);
+    }
     if (outcome != vm_order_outcome::done) {
         write_log(severity::info, "vm_order_not_done", {{"vm", order.vm}, {"outcome", to_string(outcome)}});
     }
--- a/src/coordination/scheduler_workers.cpp
+++ b/src/coordination/scheduler_workers.cpp
@@ -85,13 +85,15 @@
                    .changed = now,
                    .need = step.need,
                    .fills = step.fills,
-                   .serves = step.latency_target.count() > 0};
+                   .serves = step.latency_target.count() > 0,
+                   .lasts = step.long_running};
     if (made.fills) {
         made.need.cpu_millis = 0;
     }
     worker.used += made.need;
     worker.serving += made.serves ? 1 : 0;
     worker.filling += made.fills ? 1 : 0;
+    worker.lasting += made.lasts ? 1 : 0;
     if (!job.spec.account.empty()) {
         this->account_use[job.spec.account] += step.need;
     }
@@ -106,6 +108,7 @@
     worker.used -= found->second.need;
     worker.serving -= found->second.serves ? 1 : 0;
     worker.filling -= found->second.fills ? 1 : 0;
+    worker.lasting -= found->second.lasts ? 1 : 0;
     if (!account.empty()) {
         if (const auto* job = this->find_job(id.job)) {
             this->account_use[std::string(account)] -= job->spec.steps[static_cast<std::size_t>(id.step)].need;
@@ -276,10 +279,11 @@
     const bool doubt = std::any_of(this->workers.begin(), this->workers.end(), [](const auto& item) {
         return item.second.in_doubt() && !item.second.tasks.empty();
     });
+    const bool moves_open = !this->vm_moves.empty();
     const bool waves_open = std::any_of(this->waves.begin(), this->waves.end(),
                                         [](const auto& item) { return !item.second.completed; });
     const auto interval =
-        doubt || waves_open ? this->timings.vm_list_interval : this->timings.vm_list_idle;
+        doubt || waves_open || moves_open ? this->timings.vm_list_interval : this->timings.vm_list_idle;
     if (this->vm_list_in_flight || now < this->vm_list_asked + interval) {
         return;
     }
--- a/src/node/site_node_impl.hpp
+++ b/src/node/site_node_impl.hpp
@@ -722,7 +722,12 @@
     job->submitted = site_node_detail::time_of_day();
     later = true;
     this->store({.key = id, .value = boost::json::serialize(to_json(*job))}, call, reply, 200,
-                [this, noted = *job] { this->index.note_stored(noted); });
+                [this, noted = *job] {
+                    write_log(severity::info, "job_accepted",
+                              {{"job", noted.id}, {"queue", noted.queue}, {"account", noted.account},
+                               {"steps", noted.steps.size()}});
+                    this->index.note_stored(noted);
+                });
     return {};
 }
 
--- /dev/null
+++ b/src/policy/pool_moves.cpp
@@ -0,0 +1,120 @@
+#include "policy/pool_moves.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace hornbeamrail {
+
+namespace {
+
+constexpr double fast_window_s = 0.8;
+constexpr double slow_window_s = 2.4;
+constexpr double backlog_part = 0.4;
+/// Part of a VM that is planned to be used; the rest absorbs uneven sizes.
+constexpr double planned_use = 0.9;
+
+double seconds_of(boot_clock::duration value) {
+    return std::chrono::duration<double>(value).count();
+}
+
+/// Takes an idle VM of a pool out of the list.
+std::optional<std::string> take_idle(std::vector<movable_vm>& vms, const std::string& pool) {
+    const auto found = std::find_if(vms.begin(), vms.end(),
+                                    [&pool](const auto& vm) { return vm.idle && vm.pool == pool; });
+    if (found == vms.end()) {
+        return std::nullopt;
+    }
+    auto id = std::move(found->id);
+    vms.erase(found);
+    return id;
+}
+
+} // namespace
+
+void arrival_rate::average::decay(double seconds, double window_s) {
+    this->rate *= std::exp(-seconds / window_s);
+}
+
+void arrival_rate::add(double core_millis_seconds, boot_time now) {
+    const double elapsed = seconds_of(now - this->updated);
+    this->fast.decay(elapsed, fast_window_s);
+    this->slow.decay(elapsed, slow_window_s);
+    this->fast.rate += core_millis_seconds / fast_window_s;
+    this->slow.rate += core_millis_seconds / slow_window_s;
+    this->updated = now;
+}
+
+double arrival_rate::cores(boot_time now) const {
+    return this->fast.rate * std::exp(-seconds_of(now - this->updated) / fast_window_s);
+}
+
+double arrival_rate::expected_cores(boot_time now, std::chrono::milliseconds ahead) const {
+    const double elapsed = seconds_of(now - this->updated);
+    const double current = this->fast.rate * std::exp(-elapsed / fast_window_s);
+    const double earlier = this->slow.rate * std::exp(-elapsed / slow_window_s);
+    const double slope = (current - earlier) / (slow_window_s - fast_window_s);
+    return current + std::max(0.0, slope) * std::chrono::duration<double>(ahead).count();
+}
+
+std::int32_t needed_vms(const pool_load& load) {
+    if (load.vm_cores <= 0) {
+        return 0;
+    }
+    // A part of the backlog is gone before a VM that is ordered now arrives.
+    const double batch =
+        std::max(load.arriving_cores, load.running_cores + backlog_part * load.waiting_cores);
+    const auto by_cores = static_cast<std::int32_t>(
+        std::ceil((load.lasting_cores + batch) / (load.vm_cores * planned_use)));
+    return std::max(by_cores, load.lasting_vms) + 1;
+}
+
+std::vector<vm_move_plan> plan_pool_moves(const std::vector<pool_need>& pools,
+                                          const std::vector<movable_vm>& vms, std::size_t most_moves) {
+    std::vector<vm_move_plan> moves;
+    auto left = vms;
+    std::map<std::string, std::int32_t> surplus;
+    std::vector<const pool_need*> short_pools;
+    std::string spare_pool;
+    for (const auto& pool : pools) {
+        if (pool.spare) {
+            spare_pool = pool.pool;
+            continue;
+        }
+        surplus[pool.pool] = pool.vms - pool.needed;
+        if (pool.vms < pool.needed) {
+            short_pools.push_back(&pool);
+        }
+    }
+    std::sort(short_pools.begin(), short_pools.end(), [](const auto* first, const auto* second) {
+        return first->needed - first->vms > second->needed - second->vms;
+    });
+    for (const auto* pool : short_pools) {
+        for (auto missing = pool->needed - pool->vms; missing > 0 && moves.size() < most_moves; --missing) {
+            auto vm = spare_pool.empty() ? std::nullopt : take_idle(left, spare_pool);
+            for (auto giver = pools.begin(); !vm && giver != pools.end(); ++giver) {
+                if (!giver->spare && surplus[giver->pool] > 0) {
+                    vm = take_idle(left, giver->pool);
+                    surplus[giver->pool] -= vm ? 1 : 0;
+                }
+            }
+            if (!vm) {
+                break;
+            }
+            moves.push_back({.vm = std::move(*vm), .to_pool = pool->pool});
+        }
+    }
+    for (const auto& pool : pools) {
+        while (!spare_pool.empty() && !pool.spare && pool.may_release && surplus[pool.pool] > 0 &&
+               moves.size() < most_moves) {
+            auto vm = take_idle(left, pool.pool);
+            if (!vm) {
+                break;
+            }
+            --surplus[pool.pool];
+            moves.push_back({.vm = std::move(*vm), .to_pool = spare_pool});
+        }
+    }
+    return moves;
+}
+
+} // namespace hornbeamrail
--- /dev/null
+++ b/src/policy/pool_moves.hpp
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "protocol/platform.hpp"
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace hornbeamrail {
+
+/// Work that arrives for a pool, as the cores that it keeps busy on average.
+///
+/// Pattern: the demand of a pool jumps to several times its mean within a moment and falls as fast. The rate
+/// follows within a second; the need that is planned for falls slowly, so that VMs do not come and go.
+class arrival_rate {
+public:
+    /// @param core_millis_seconds work of a job: thousandths of a core times seconds
+    void add(double core_millis_seconds, boot_time now);
+
+    /// @return thousandths of a core
+    [[nodiscard]] double cores(boot_time now) const;
+
+    /// @return the rate after @p ahead if it goes on rising as it does; never below the rate
+    [[nodiscard]] double expected_cores(boot_time now, std::chrono::milliseconds ahead) const;
+
+private:
+    struct average {
+        double rate = 0;
+        void decay(double seconds, double window_s);
+    };
+    average fast;
+    average slow;
+    boot_time updated{};
+};
+
+/// What a pool is asked for at one moment.
+struct pool_load {
+    double lasting_cores = 0; ///< thousandths of a core, of tasks that run until their job is cancelled
+    double running_cores = 0; ///< of other tasks
+    double waiting_cores = 0; ///< of tasks that could start
+    double arriving_cores = 0; ///< expected when a VM that is ordered now has arrived
+    std::int32_t lasting_vms = 0; ///< VMs that the long-running tasks need to keep apart
+    double vm_cores = 0;          ///< thousandths of a core that a VM of the pool has
+};
+
+/// @return VMs that the pool needs
+std::int32_t needed_vms(const pool_load& load);
+
+/// A VM that could change its pool.
+struct movable_vm {
+    std::string id;
+    std::string pool;
+    bool idle = false; ///< nothing runs on it
+};
+
+struct pool_need {
+    std::string pool;
+    bool spare = false;
+    std::int32_t vms = 0;      ///< that take tasks, or are on their way in
+    std::int32_t needed = 0;   ///< now or soon
+    bool may_release = false;  ///< its need has been low for a while
+};
+
+struct vm_move_plan {
+    std::string vm;
+    std::string to_pool;
+};
+
+/// Chooses moves: pools that lack VMs get them from the spare pool first, then from pools that have more than
+/// they need; VMs that nobody needs go to the spare pool, where they are off.
+/// @param most_moves longest plan
+std::vector<vm_move_plan> plan_pool_moves(const std::vector<pool_need>& pools,
+                                          const std::vector<movable_vm>& vms, std::size_t most_moves);
+
+} // namespace hornbeamrail
--- a/src/policy/vm_plan.cpp
+++ b/src/policy/vm_plan.cpp
@@ -30,14 +30,10 @@
     const bool pressed = is_pressed(situation);
     auto free_places = situation.max_down - situation.down;
     std::int32_t drains = 0;
-    bool ends_serving = false;
     for (const auto& candidate : candidates) {
         const bool empty = candidate.batch_tasks == 0 || pressed;
-        // Ending serving tasks of two VMs at once could exceed a limit that each one alone keeps.
-        const bool alone = candidate.serving_tasks == 0 || !ends_serving;
-        if (free_places > 0 && candidate.may_end_tasks && empty && alone) {
+        if (free_places > 0 && candidate.may_end_tasks && empty) {
             step.maintain.push_back(candidate.vm);
-            ends_serving = ends_serving || candidate.serving_tasks > 0;
             --free_places;
         } else if (drains < situation.max_down) {
             step.drain.push_back(candidate.vm);
--- a/src/policy/worker_choice.cpp
+++ b/src/policy/worker_choice.cpp
@@ -23,8 +23,12 @@
 std::int64_t score(const worker_view& worker, const place_request& request) {
     constexpr std::int64_t rack_bonus = 100000;
     constexpr std::int64_t interference_cost = 10000;
-    constexpr std::int64_t spread_cost = 2000;
-    std::int64_t value = free_part(worker);
+    constexpr std::int64_t spread_cost = 20000;
+    constexpr std::int64_t lasting_bonus = 5000;
+    constexpr std::int64_t shared_bonus = 1000;
+    std::int64_t value = -free_part(worker);
+    value += request.spread && worker.lasting > 0 ? lasting_bonus : 0;
+    value += !request.spread && worker.lasting > 0 ? shared_bonus : 0;
     if (!request.data_rack.empty() && worker.rack == request.data_rack) {
         value += rack_bonus;
     }
--- a/src/policy/worker_choice.hpp
+++ b/src/policy/worker_choice.hpp
@@ -19,6 +19,7 @@
     resources capacity;
     std::int32_t serving = 0;    ///< tasks with a latency target
     std::int32_t filling = 0;    ///< tasks that use leftover capacity
+    std::int32_t lasting = 0;    ///< tasks that run until their job is cancelled
     std::int32_t same_step = 0;  ///< tasks of the step in question that are on it
     bool allowed = true;         ///< may run the step: label, advice, health
 };
@@ -35,8 +36,10 @@
     std::string_view preferred_rack;   ///< of a rack-sensitive step; empty: none
 };
 
-/// Pattern: many small tasks on few large workers that fail at any time. The task goes where the largest part
-/// of the worker is free, on the rack of its data if there is room. Filling tasks keep away from serving ones.
+/// Pattern: the demand of a pool rises and falls, and VMs that are idle can help another pool. Long-running
+/// tasks share a few workers, other tasks fill those first and then one worker after the other, so that the
+/// rest stays idle. A task goes to the rack of its data if there is room; filling tasks keep away from serving
+/// ones.
 /// @return index of the chosen worker, or nothing when none has room
 std::optional<std::size_t> choose_worker(const std::vector<worker_view>& workers, const place_request& request);
 
