--- /dev/null
+++ b/tests/scheduler_test.cpp
@@ -0,0 +1,179 @@
+#include "scheduler_site.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace hornbeamrail;
+using namespace hornbeamrail::test;
+
+BOOST_AUTO_TEST_CASE(steps_run_in_order_and_the_job_completes) {
+    scheduler_site site(1);
+    site.add_vms(3);
+    site.take_over();
+    auto job = batch_job(4);
+    job.steps.push_back(job.steps.front());
+    job.steps.back().after = {0};
+    const auto id = site.submit(job);
+    site.run(milliseconds(5000));
+    BOOST_TEST(site.state_of(id) == "completed");
+    BOOST_TEST(site.site.history().size() == 8);
+    boot_time first_step_end{};
+    boot_time second_step_begin = boot_time::max();
+    for (const auto& run : site.site.history()) {
+        if (run.task.step == 0) {
+            first_step_end = std::max(first_step_end, run.ended);
+        } else {
+            second_step_begin = std::min(second_step_begin, run.begun);
+        }
+    }
+    BOOST_TEST((second_step_begin >= first_step_end));
+}
+
+BOOST_AUTO_TEST_CASE(no_account_exceeds_its_cap) {
+    scheduler_site site(2);
+    site.add_vms(8);
+    site.take_over();
+    for (int job = 0; job < 20; ++job) {
+        site.submit(batch_job(6, 4000)); // the cap is 60 cores: 15 tasks
+    }
+    for (int round = 0; round < 100; ++round) {
+        site.run(milliseconds(100));
+        std::int64_t running = 0;
+        for (const auto& run : site.site.history()) {
+            running += run.ended == boot_time::max() ? 1 : 0;
+        }
+        BOOST_TEST(running <= 15);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(cancelled_job_is_gone_within_its_bound) {
+    scheduler_site site(3);
+    site.add_vms(6);
+    site.take_over();
+    const auto id = site.submit(lasting_job(5, 1));
+    site.run(milliseconds(2000));
+    BOOST_TEST(site.running_tasks(id) == 5);
+    site.cancel(id);
+    site.run(milliseconds(1000));
+    BOOST_TEST(site.running_tasks(id) == 0);
+    BOOST_TEST(site.state_of(id) == "cancelled");
+}
+
+BOOST_AUTO_TEST_CASE(cancellation_that_arrives_before_its_job_counts) {
+    scheduler_site site(4);
+    site.add_vms(2);
+    site.take_over();
+    site.cancel("0000000000000001");
+    site.run(milliseconds(100));
+    const auto id = site.submit(batch_job(2));
+    site.run(milliseconds(2000));
+    BOOST_TEST(site.site.history().empty());
+    BOOST_TEST(site.state_of(id) == "cancelled");
+}
+
+BOOST_AUTO_TEST_CASE(crashed_worker_loses_its_tasks_to_another) {
+    scheduler_site site(5);
+    site.add_vms(3);
+    site.site.set_duration(milliseconds(2000));
+    site.take_over();
+    const auto id = site.submit(batch_job(6));
+    site.run(milliseconds(500));
+    site.site.crash("m-pool-0", site.now);
+    site.site.crash("m-pool-1", site.now);
+    site.run(milliseconds(8000));
+    BOOST_TEST(site.state_of(id) == "completed");
+    BOOST_TEST(site.doubled_runs().empty());
+}
+
+BOOST_AUTO_TEST_CASE(successor_adopts_what_runs) {
+    scheduler_site site(6);
+    site.add_vms(4);
+    site.site.set_duration(milliseconds(1500));
+    site.take_over();
+    const auto id = site.submit(batch_job(8));
+    site.run(milliseconds(500));
+    site.take_over();
+    site.run(milliseconds(4000));
+    BOOST_TEST(site.state_of(id) == "completed");
+    BOOST_TEST(site.site.history().size() == 8);
+    BOOST_TEST(site.doubled_runs().empty());
+}
+
+BOOST_AUTO_TEST_CASE(maintenance_keeps_limits_and_ends) {
+    scheduler_site site(7);
+    site.add_vms(8);
+    site.take_over();
+    const auto id = site.submit(lasting_job(5, 1));
+    site.run(milliseconds(6000));
+    wave_request wave{.number = 1, .duration = milliseconds(60000), .max_down = 4};
+    for (int vm = 0; vm < 8; ++vm) {
+        wave.vms.push_back(fmt::format("m-pool-{}", vm));
+    }
+    site.request_wave(wave);
+    std::int64_t fewest = 5;
+    for (int round = 0; round < 3000 && (site.reports.empty() || !site.reports.back().second); ++round) {
+        site.run(milliseconds(20));
+        fewest = std::min(fewest, site.running_tasks(id));
+    }
+    BOOST_TEST(fewest >= 4);
+    BOOST_REQUIRE(!site.reports.empty());
+    BOOST_TEST(site.reports.back().second);
+}
+
+// A maintenance order for a VM that was maintained before is answered like the first one; the worker lives on.
+BOOST_AUTO_TEST_CASE(successor_does_not_take_a_repeated_maintenance_order_for_an_end) {
+    scheduler_site site(8);
+    site.add_vms(4);
+    site.site.set_duration(milliseconds(1000));
+    site.take_over();
+    site.request_wave({.number = 1, .vms = {"m-pool-0", "m-pool-1"}, .duration = milliseconds(30000), .max_down = 2});
+    site.run(milliseconds(7000));
+    for (int job = 0; job < 10; ++job) {
+        site.submit(batch_job(6));
+    }
+    site.run(milliseconds(300));
+    site.take_over();
+    site.run(milliseconds(6000));
+    BOOST_TEST(site.doubled_runs().empty());
+}
+
+BOOST_AUTO_TEST_CASE(idle_vms_go_to_the_pool_that_lacks_them) {
+    scheduler_site site(9);
+    site.add_vms(2);
+    site.add_vms(4, "spare");
+    site.take_over();
+    site.run(milliseconds(4000));
+    for (int job = 0; job < 30; ++job) {
+        auto spec = batch_job(6, 4000);
+        spec.account.clear();
+        site.submit(spec);
+    }
+    site.run(milliseconds(4000));
+    std::set<std::string> used;
+    for (const auto& run : site.site.history()) {
+        used.insert(run.worker);
+    }
+    BOOST_TEST(used.size() >= 5);
+}
+
+// Orders that are lost or carried out late, crashes and takeovers: no task runs twice at the same time, and
+// every job ends.
+BOOST_AUTO_TEST_CASE(no_task_runs_twice_under_faults) {
+    for (std::uint64_t seed = 100; seed < 112; ++seed) {
+        scheduler_site site(seed, {.lost_answer = 0.05, .late_order = 0.03, .crash = 0.4, .failover = 0.25});
+        site.add_vms(6);
+        site.take_over();
+        std::vector<std::string> ids;
+        for (int round = 0; round < 40; ++round) {
+            ids.push_back(site.submit(batch_job(4)));
+            site.run(milliseconds(250));
+        }
+        site.faults = {};
+        site.run(milliseconds(25000));
+        for (const auto& doubled : site.doubled_runs()) {
+            BOOST_ERROR(fmt::format("seed {}: {}", seed, doubled));
+        }
+        for (const auto& id : ids) {
+            BOOST_TEST_CONTEXT("seed " << seed << " job " << id) { BOOST_TEST(site.state_of(id) == "completed"); }
+        }
+    }
+}
