Refuse at once without the log; park VMs after long-running tasks are spread

Change: 503 at once when the log has been lost for 0.5 s, 504 after 1.2 s without an answer of the log, readiness follows; no release of VMs in the first 9 s of a site without jobs.

--- a/src/coordination/scheduler.cpp
+++ b/src/coordination/scheduler.cpp
@@ -135,6 +135,7 @@
     }
     state.loaded = true;
     state.dispatch_due = true;
+    state.release_from = now + (state.jobs.empty() ? state.timings.first_warmup : state.timings.move_warmup);
     write_log(severity::info, "schedule_loaded",
               {{"term", state.term}, {"jobs", state.jobs.size()}, {"final_jobs", state.finals.size()},
                {"runs_adopted", adopted}, {"workers", state.workers.size()}});
--- a/src/coordination/scheduler_impl.hpp
+++ b/src/coordination/scheduler_impl.hpp
@@ -38,6 +38,7 @@
     std::chrono::milliseconds move_interval{150};        ///< between two plans of VM moves
     std::chrono::milliseconds need_window{2500};         ///< a pool's need is its highest of so long
     std::chrono::milliseconds move_warmup{3000};         ///< of a term, without releases of VMs
+    std::chrono::milliseconds first_warmup{9000};        ///< the same where no job is known yet
     std::chrono::milliseconds move_lead{2200};           ///< from the order of a move to the first task
 };
 
@@ -281,6 +282,7 @@
     std::map<std::string, std::pair<std::string, boot_time>> vm_moves; ///< target pool and time of the order
     std::map<std::string, pool_demand_view> demand;                    ///< by pool
     boot_time last_move_plan{};
+    boot_time release_from{}; ///< VMs stay in their pools until then
 };
 
 } // namespace hornbeamrail
--- a/src/coordination/scheduler_moves.cpp
+++ b/src/coordination/scheduler_moves.cpp
@@ -84,7 +84,7 @@
                                    boot_time now) {
     pool_need entry{.pool = pool.name, .spare = pool.spare};
     entry.needed = pool.spare ? 0 : this->smoothed_need(pool.name, now);
-    entry.may_release = now > this->term_begin + this->timings.move_warmup;
+    entry.may_release = now > this->release_from;
     for (const auto& [name, vm] : this->vms) {
         const auto move = this->vm_moves.find(name);
         if ((move == this->vm_moves.end() ? vm.pool : move->second.first) != pool.name) {
--- a/src/node/site_node.hpp
+++ b/src/node/site_node.hpp
@@ -126,7 +126,7 @@
     bool appending = false;
     boot_time last_pump{};
     boot_time last_log_contact{};
-    bool log_lost = false;
+    std::optional<boot_time> log_lost_since; ///< first read that failed since the latest good one
     bool stopping = false;
     bool was_ready = false;
     outbox replies; ///< answers made under the lock
--- a/src/node/site_node_impl.hpp
+++ b/src/node/site_node_impl.hpp
@@ -8,6 +8,7 @@
 
 inline constexpr std::string_view scheduler_producer = "scheduler";
 inline constexpr std::chrono::milliseconds follower_wait{1200};
+inline constexpr std::chrono::milliseconds operators_wait{700};
 
 inline unix_time time_of_day() {
     return std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
@@ -43,7 +44,7 @@
         this->tails.emplace_back(tail);
         return &this->tails.back();
     };
-    this->operators_tail = add({.topic = log_topic::operators});
+    this->operators_tail = add({.topic = log_topic::operators, .wait = site_node_detail::operators_wait});
     this->leader_tail = add({.topic = log_topic::leader, .wait = std::chrono::milliseconds(600)});
     this->states_tail = add({.topic = log_topic::states,
                              .wait = site_node_detail::follower_wait,
@@ -215,10 +216,14 @@
     }
     if (good) {
         this->last_log_contact = std::max(this->last_log_contact, tail.asked());
-        if (std::exchange(this->log_lost, false)) {
-            write_log(severity::info, "log_regained", {});
+        if (this->log_lost_since) {
+            write_log(severity::info, "log_regained",
+                      {{"lost_ms", std::chrono::duration_cast<std::chrono::milliseconds>(
+                                       now - *this->log_lost_since).count()}});
+            this->log_lost_since.reset();
         }
-    } else if (!std::exchange(this->log_lost, true)) {
+    } else if (!this->log_lost_since) {
+        this->log_lost_since = now;
         write_log(severity::warning, "log_lost",
                   {{"topic", static_cast<int>(tail.settings().topic)}, {"reason", answer.reason}});
     }
@@ -632,7 +637,8 @@
                                    int done_status, std::function<void()> stored) {
     const auto& timings = this->options.timings;
     const auto patience = call.patience.value_or(timings.default_patience);
-    const auto deadline = clock::now() + std::max(patience - timings.answer_reserve, timings.answer_reserve);
+    const auto longest = std::min(patience - timings.answer_reserve, timings.longest_store);
+    const auto deadline = clock::now() + std::max(longest, timings.answer_reserve);
     this->submissions.add(std::move(record), deadline,
                           [this, reply, done_status, stored = std::move(stored)](store_outcome outcome) {
                               http_response response;
@@ -660,7 +666,9 @@
         const auto call = Codec::decode_call(request);
         const auto config = this->operators.config();
         const auto* queue = config->queue_of(call.host, call.path);
-        if (!this->operators.has_config() || !this->keys_are_fresh(now)) {
+        const bool log_is_lost = this->log_lost_since && now > *this->log_lost_since + this->options.timings.log_grace;
+        const bool stores = call.method == Codec::method::submit || call.method == Codec::method::cancel;
+        if (!this->operators.has_config() || !this->keys_are_fresh(now) || (stores && log_is_lost)) {
             answer = site_node_detail::retry_later("not_fresh", "this node has lost the log");
         } else if (queue == nullptr) {
             answer = make_error_response(404, "unknown_queue", "no queue takes jobs here",
--- a/src/node/site_node_options.hpp
+++ b/src/node/site_node_options.hpp
@@ -21,9 +21,12 @@
     std::chrono::milliseconds append_retry{60};
     std::chrono::milliseconds default_patience{3000}; ///< of a caller that states none
     std::chrono::milliseconds answer_reserve{100};    ///< a caller gets its answer so long before its deadline
+    /// A caller is not kept waiting longer for the log: another node may reach it.
+    std::chrono::milliseconds longest_store{1200};
+    std::chrono::milliseconds log_grace{500}; ///< requests are refused when the log has been lost for so long
     std::chrono::milliseconds key_margin{900};        ///< keys count as stale so long before their bound
     std::chrono::milliseconds job_age{2500};          ///< of the jobs, at a node that says which jobs exist
-    std::chrono::milliseconds ready_age{2400};        ///< of the configuration, at a node that reports itself ready
+    std::chrono::milliseconds ready_age{1700};        ///< of the configuration, at a node that reports itself ready
     std::chrono::milliseconds stop_idle_grace{700};
     std::chrono::milliseconds stop_rotation{2200}; ///< the load balancer takes a stopping node out within
 };
