--- a/src/transport/call_pool.hpp
+++ b/src/transport/call_pool.hpp
@@ -153,6 +153,7 @@
         // Guarded by the pool's mutex:
         steady::time_point deadline; ///< of the call, or of the idle connection
         bool busy = true;
+        bool connecting = true;          ///< a shutdown does not end the attempt, only a cancellation does
         std::shared_ptr<Call> next;      ///< call that an idle connection was given
         std::optional<io_resume> waiter; ///< coroutine of an idle connection; owns a reference to this object
     };
@@ -299,6 +300,10 @@
             own.all.insert(made.get());
         }
         co_await made->stream.socket.async_connect(remote, task_with(failure));
+        {
+            const std::lock_guard lock(this->mutex);
+            made->connecting = false; // from here on the sweep leaves the socket object alone
+        }
         if (!failure) {
             made->stream.socket.set_option(boost::asio::ip::tcp::no_delay(true), failure);
         }
@@ -328,7 +333,13 @@
             const auto now = coarse_now();
             for (auto& [target, own] : this->groups) {
                 for (auto* peer : own.all) {
-                    if (peer->busy && peer->deadline <= now) {
+                    if (!peer->busy || peer->deadline > now) {
+                        continue;
+                    }
+                    if (peer->connecting) {
+                        boost::system::error_code ignored;
+                        peer->stream.socket.cancel(ignored);
+                    } else {
                         peer->stream.interrupt(SHUT_RDWR); // its coroutine sees the end of the stream
                     }
                 }
