--- a/src/cli/serve_site.cpp
+++ b/src/cli/serve_site.cpp
@@ -95,6 +95,7 @@
         sigaddset(&signals, number);
     }
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    log_to_standard_output();
     error failure;
     if (!value_or_error([&] { return run(signals); }, failure)) {
         return print_error(failure);
--- a/src/coordination/scheduler_lease.cpp
+++ b/src/coordination/scheduler_lease.cpp
@@ -78,12 +78,13 @@
         return false;
     }
     if (this->holder_node.empty()) {
-        return now >= this->reads_good_since + this->rank * free_lease_stagger;
+        return now >= this->reads_good_since + this->rank * free_lease_stagger + this->options.handicap;
     }
     if (this->holder_node == this->options.node_id) {
         return true; // an earlier process of this node
     }
-    const auto silence = this->options.takeover_after + this->rank * this->options.stagger;
+    const auto silence =
+        this->options.takeover_after + this->rank * this->options.stagger + this->options.handicap;
     return now > this->last_record + silence && now > this->reads_good_since + silence &&
            this->last_read_asked > this->last_record;
 }
--- a/src/node/site_node_impl.hpp
+++ b/src/node/site_node_impl.hpp
@@ -29,10 +29,24 @@
 
 } // namespace site_node_detail
 
+/// A node too weak to schedule a large site claims the lease only when no stronger one does.
+inline std::chrono::milliseconds lease_handicap(const site_node_settings& settings) {
+    constexpr double strong_cores = 0.4;
+    constexpr double fair_cores = 0.2;
+    constexpr double fair_link_mbps = 50;
+    constexpr std::chrono::milliseconds fair_delay{100};
+    constexpr std::chrono::milliseconds weak_delay{1200};
+    if (settings.cores < fair_cores || settings.link_mbps < fair_link_mbps) {
+        return weak_delay;
+    }
+    return settings.cores < strong_cores ? fair_delay : std::chrono::milliseconds(0);
+}
+
 template <class Port, class Codec>
 site_node<Port, Codec>::site_node(io_threads& workers, site_node_options given)
     : threads(workers), options(std::move(given)), port(workers, this->options.settings),
-      lease({.node_id = this->options.settings.node_id, .incarnation = this->options.incarnation}),
+      lease({.node_id = this->options.settings.node_id, .incarnation = this->options.incarnation,
+             .handicap = lease_handicap(this->options.settings)}),
       schedule({.node_id = this->options.settings.node_id, .limits = this->options.settings.limits}),
       submissions(
           {.producer = this->options.settings.node_id + "-" + this->options.incarnation,
--- a/src/protocol/platform_port.hpp
+++ b/src/protocol/platform_port.hpp
@@ -275,6 +275,8 @@
     std::optional<endpoint> advice_address;
     site_limits limits;
     std::int64_t max_connections = 3000;
+    double cores = 1.0;      ///< processor share of the node
+    double link_mbps = 1000; ///< its network link
 };
 
 } // namespace hornbeamrail
