--- a/src/coordination/scheduler_dispatch.cpp
+++ b/src/coordination/scheduler_dispatch.cpp
@@ -175,6 +175,13 @@
                                      ? tasks_of_step(*controls[index], step_id) : 0;
         views[index].allowed = step.required_label.empty() || controls[index]->entry.has_label(step.required_label);
     }
+    const auto* queue = this->config->find_queue(job.spec.queue);
+    if (queue != nullptr && queue->advice) {
+        const auto* known = this->advice_of(job, step_id, controls, now);
+        for (auto& view : views) {
+            view.allowed = view.allowed && known != nullptr && known->tickets.contains(std::string(view.id));
+        }
+    }
     if (step.gang) {
         return this->place_gang(job, occurrence, number, views, controls, now);
     }
@@ -272,7 +279,13 @@
     task.placed_at = now;
     task.stop_sent = {};
     job.set_phase(id, task, run_phase::placed);
-    this->add_placement(worker, job, id, run, now);
+    auto* placed = this->add_placement(worker, job, id, run, now);
+    task_id step_id = id;
+    step_id.index = 0;
+    if (const auto known = this->advice.find(step_id); known != this->advice.end()) {
+        const auto ticket = known->second.tickets.find(worker.entry.id);
+        placed->ticket = ticket == known->second.tickets.end() ? std::string() : ticket->second;
+    }
     this->mark_dirty(job);
     this->next_batch.starts.emplace_back(worker.entry.id, id);
 }
@@ -302,6 +315,7 @@
                                    .run = placed.run,
                                    .payload = job->spec.payload,
                                    .saved = task->saved,
+                                   .ticket = placed.ticket,
                                    .lease_until = *until,
                                    .fence = placed.fence}});
 }
@@ -349,6 +363,11 @@
         state.send_start_order(worker, order.task, placed->second, now);
         return;
     }
+    if (answer.outcome == order_outcome::no_ticket) {
+        task_id step_id = order.task;
+        step_id.index = 0;
+        state.advice.erase(step_id);
+    }
     if (answer.outcome == order_outcome::unhealthy || answer.outcome == order_outcome::unsent ||
         answer.outcome == order_outcome::no_room) {
         worker.avoid_until = std::max(worker.avoid_until, now + state.timings.retry_after_refusal);
@@ -421,6 +440,4 @@
     }
 }
 
-void scheduler::on_advice(const advice_call&, const advice_answer&, boot_time) {}
-
 } // namespace hornbeamrail
--- a/src/coordination/scheduler_impl.hpp
+++ b/src/coordination/scheduler_impl.hpp
@@ -35,6 +35,8 @@
     std::chrono::milliseconds retry_after_refusal{150};
     std::chrono::milliseconds avoid_after_failure{2500}; ///< of a worker that fails what it starts
     std::chrono::milliseconds state_cleanup{1000};       ///< between drops of records that are not needed
+    std::chrono::milliseconds advice_retry{300};         ///< after advice that was refused or lost
+    std::chrono::milliseconds advice_reserve{300};       ///< a ticket is not used so shortly before its end
     std::chrono::milliseconds move_interval{150};        ///< between two plans of VM moves
     std::chrono::milliseconds need_window{2500};         ///< a pool's need is its highest of so long
     std::chrono::milliseconds move_warmup{3000};         ///< of a term, without releases of VMs
@@ -60,6 +62,7 @@
     start_stage stage = start_stage::recording;
     std::int64_t fence = 0;   ///< of the latest order
     boot_time changed{};      ///< when the stage was entered
+    std::string ticket;       ///< of the placement advice
     resources need;
     bool fills = false;
     bool serves = false;
@@ -122,6 +125,15 @@
     std::deque<std::pair<boot_time, std::int32_t>> needs; ///< VMs needed, over the last `need_window`
 };
 
+/// Tickets of the workers that may run a step, as the placement advice gave them.
+struct step_advice {
+    std::map<std::string, std::string> tickets; ///< by worker
+    boot_time asked{};
+    boot_time valid_until{};
+    bool in_flight = false;
+    std::set<std::string> refused; ///< workers that the advice left out; its answer does not change
+};
+
 /// One maintenance wave.
 struct wave_progress {
     wave_request request;
@@ -198,6 +210,12 @@
     void send_start_order(worker_control& worker, const task_id& id, placement& run, boot_time now);
     void pace_fillers(boot_time now);
 
+    // scheduler_advice.cpp: queues whose policy allows only some workers
+    /// @return the advice for the step, asked for if needed; null where none is valid now
+    const step_advice* advice_of(const job_progress& job, const task_id& step,
+                                 const std::vector<worker_control*>& workers, boot_time now);
+    void forget_advice(const std::string& job);
+
     // scheduler_moves.cpp: VMs between pools
     void note_arrival(const job_progress& job, boot_time now);
     void plan_moves(boot_time now);
@@ -247,6 +265,8 @@
     std::map<std::string, duration_estimate> durations; ///< by queue
 
     std::map<std::string, worker_control> workers;
+    std::map<task_id, step_advice> advice; ///< by step; the index of the task is 0
+    std::int32_t advice_in_flight = 0;
 
     std::set<std::string> dirty;
     commit_batch next_batch;
--- a/src/coordination/scheduler_jobs.cpp
+++ b/src/coordination/scheduler_jobs.cpp
@@ -143,6 +143,7 @@
                               .finished = now,
                               .cancelled = job.cancel_requested});
     this->finals.emplace(job.spec.id, job.partition);
+    this->forget_advice(job.spec.id);
     // The record is written from the job, which is dropped at the end of the commit.
     this->mark_dirty(job);
 }
--- a/src/node/log_tail.hpp
+++ b/src/node/log_tail.hpp
@@ -85,6 +85,7 @@
             this->loaded = true;
         }
         this->confirmed_at = this->asked_at;
+        this->complete_at = this->asked_at;
         return true;
     }
 
@@ -109,6 +110,9 @@
         }
         this->next = std::max(*this->next, answer.next);
         this->confirmed_at = this->asked_at;
+        // The log has waited before it said that there is nothing.
+        this->complete_at = answer.records.empty() ? std::min(now, this->asked_at + this->options.wait)
+                                                   : this->asked_at;
         this->not_before = now + this->options.pause;
         return true;
     }
@@ -117,6 +121,9 @@
 
     /// @return when the latest good read was sent: the tail knows everything up to then
     [[nodiscard]] boot_time confirmed() const noexcept { return this->confirmed_at; }
+
+    /// @return a time up to which the tail has every record, provided that waiting reads hear of them
+    [[nodiscard]] boot_time complete_until() const noexcept { return this->complete_at; }
     [[nodiscard]] boot_time asked() const noexcept { return this->asked_at; }
     [[nodiscard]] std::int64_t position() const noexcept { return this->next.value_or(0); }
     [[nodiscard]] std::uint64_t current_epoch() const noexcept { return this->epoch; }
@@ -132,6 +139,7 @@
     boot_time not_before{};
     boot_time asked_at{};
     boot_time confirmed_at{};
+    boot_time complete_at{};
 };
 
 } // namespace hornbeamrail
--- a/src/node/site_node_impl.hpp
+++ b/src/node/site_node_impl.hpp
@@ -621,7 +621,7 @@
 template <class Port, class Codec>
 bool site_node<Port, Codec>::jobs_are_fresh(boot_time now) const {
     const auto is_fresh = [&](const log_tail* tail) {
-        return tail->confirmed() != boot_time{} && now < tail->confirmed() + this->options.timings.job_age;
+        return tail->confirmed() != boot_time{} && now < tail->complete_until() + this->options.timings.job_age;
     };
     return is_fresh(this->states_tail) && std::all_of(this->job_tails.begin(), this->job_tails.end(), is_fresh);
 }
--- a/src/node/site_node_options.hpp
+++ b/src/node/site_node_options.hpp
@@ -25,7 +25,7 @@
     std::chrono::milliseconds longest_store{1200};
     std::chrono::milliseconds log_grace{500}; ///< requests are refused when the log has been lost for so long
     std::chrono::milliseconds key_margin{900};        ///< keys count as stale so long before their bound
-    std::chrono::milliseconds job_age{2500};          ///< of the jobs, at a node that says which jobs exist
+    std::chrono::milliseconds job_age{2200};          ///< of the jobs, at a node that says which jobs exist
     std::chrono::milliseconds ready_age{1700};        ///< of the configuration, at a node that reports itself ready
     std::chrono::milliseconds stop_idle_grace{700};
     std::chrono::milliseconds stop_rotation{2200}; ///< the load balancer takes a stopping node out within
--- /dev/null
+++ b/tests/job_policy_test.cpp
@@ -0,0 +1,139 @@
+#include "policy/job_order.hpp"
+#include "policy/pool_moves.hpp"
+#include "policy/vm_plan.hpp"
+#include "policy/worker_choice.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+
+using namespace hornbeamrail;
+using std::chrono::milliseconds;
+
+namespace {
+
+worker_view view(std::string_view id, std::int64_t room, std::string_view rack = "r1") {
+    return {.id = id,
+            .rack = rack,
+            .room = {.cpu_millis = room, .memory_mb = 64000},
+            .capacity = {.cpu_millis = 32000, .memory_mb = 64000}};
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(jobs_that_can_meet_their_objective_go_first) {
+    const unix_time now(milliseconds(10000));
+    const job_urgency urgent{.due = unix_time(milliseconds(9000)), .objective = milliseconds(2500),
+                             .remaining_chain = milliseconds(1000)};
+    auto missed = urgent;
+    missed.remaining_chain = milliseconds(2000);
+    auto relaxed = urgent;
+    relaxed.objective = milliseconds(5000);
+    BOOST_TEST((rank_job(urgent, now) < rank_job(relaxed, now)));
+    BOOST_TEST((rank_job(relaxed, now) < rank_job(missed, now)));
+    auto begun = relaxed;
+    begun.begun = true;
+    BOOST_TEST((rank_job(begun, now) < rank_job(urgent, now)));
+    BOOST_TEST((rank_job({.long_running = true}, now) < rank_job(begun, now)));
+}
+
+BOOST_AUTO_TEST_CASE(longest_chain_follows_the_steps) {
+    job_spec job;
+    job.steps = {{}, {.after = {0}}, {}, {.after = {1, 2}}};
+    const auto duration = [](std::size_t step) { return milliseconds(100 * (static_cast<int>(step) + 1)); };
+    BOOST_TEST(longest_chain(job, duration, [](std::size_t) { return false; }).count() == 700);
+    BOOST_TEST(longest_chain(job, duration, [](std::size_t step) { return step < 2; }).count() == 700);
+}
+
+// Long-running tasks share few workers and batch tasks fill one worker after the other, so that VMs stay idle
+// for pools that need them.
+BOOST_AUTO_TEST_CASE(batch_tasks_leave_whole_workers_idle) {
+    std::vector<worker_view> workers{view("a", 32000), view("b", 20000), view("c", 1000)};
+    BOOST_TEST(choose_worker(workers, {.need = {.cpu_millis = 2000}}).value() == 1);
+    workers[0].lasting = 1;
+    BOOST_TEST(choose_worker(workers, {.need = {.cpu_millis = 2000}}).value() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(place_keeps_every_constraint) {
+    std::vector<worker_view> workers{view("a", 20000, "r1"), view("b", 30000, "r2"), view("c", 32000, "r2")};
+    BOOST_TEST(choose_worker(workers, {.need = {.cpu_millis = 1000}, .data_rack = "r1"}).value() == 0);
+    workers[0].allowed = false;
+    BOOST_TEST(choose_worker(workers, {.need = {.cpu_millis = 1000}, .data_rack = "r1"}).value() != 0);
+    workers[1].same_step = 2;
+    BOOST_TEST(choose_worker(workers, {.need = {.cpu_millis = 1000}, .max_per_worker = 2}).value() == 2);
+    BOOST_TEST(choose_worker(workers, {.need = {.cpu_millis = 1000}, .avoided_worker = "b"}).value() == 2);
+    BOOST_TEST(!choose_worker(workers, {.need = {.cpu_millis = 33000}}).has_value());
+    BOOST_TEST(choose_rack(workers, {.cpu_millis = 10000, .memory_mb = 1}, 6) == "r2");
+    BOOST_TEST(choose_rack(workers, {.cpu_millis = 10000, .memory_mb = 1}, 7).empty());
+}
+
+BOOST_AUTO_TEST_CASE(arrivals_give_the_cores_that_they_keep_busy) {
+    arrival_rate rate;
+    boot_time now{milliseconds(5000)};
+    for (int step = 0; step < 500; ++step) { // 10 jobs a second of 2 core-seconds each
+        now += milliseconds(100);
+        rate.add(2000, now);
+    }
+    BOOST_TEST(rate.cores(now) > 17000);
+    BOOST_TEST(rate.cores(now) < 24000);
+    BOOST_TEST(rate.cores(now + milliseconds(5000)) < 500);
+    BOOST_TEST(rate.expected_cores(now, milliseconds(2000)) >= rate.cores(now));
+}
+
+BOOST_AUTO_TEST_CASE(rising_demand_is_met_ahead) {
+    arrival_rate rate;
+    boot_time now{milliseconds(5000)};
+    double work = 0;
+    for (int step = 0; step < 30; ++step) { // demand rises for 3 s
+        now += milliseconds(100);
+        rate.add(work += 200, now);
+    }
+    BOOST_TEST(rate.expected_cores(now, milliseconds(2200)) > 1.4 * rate.cores(now));
+}
+
+BOOST_AUTO_TEST_CASE(long_running_tasks_keep_their_vms) {
+    BOOST_TEST(needed_vms({.lasting_cores = 10000, .lasting_vms = 5, .vm_cores = 32000}) == 6);
+    BOOST_TEST(needed_vms({.running_cores = 100000, .waiting_cores = 100000, .vm_cores = 32000}) == 6);
+}
+
+// A pool in its surge gets VMs from the spare pool first, then from pools that have more than they need.
+BOOST_AUTO_TEST_CASE(vms_go_where_work_arrives) {
+    const std::vector<pool_need> pools{{.pool = "busy", .vms = 2, .needed = 5},
+                                       {.pool = "idle", .vms = 4, .needed = 2, .may_release = true},
+                                       {.pool = "spare", .spare = true, .vms = 1}};
+    const std::vector<movable_vm> vms{{.id = "i1", .pool = "idle", .idle = true},
+                                      {.id = "i2", .pool = "idle", .idle = true},
+                                      {.id = "i3", .pool = "idle", .idle = true},
+                                      {.id = "s1", .pool = "spare", .idle = true}};
+    const auto moves = plan_pool_moves(pools, vms, 10);
+    BOOST_REQUIRE(moves.size() == 3);
+    BOOST_TEST(moves[0].vm == "s1");
+    BOOST_TEST(std::all_of(moves.begin(), moves.end(), [](const auto& move) { return move.to_pool == "busy"; }));
+}
+
+BOOST_AUTO_TEST_CASE(unneeded_vms_are_switched_off) {
+    const std::vector<pool_need> pools{{.pool = "idle", .vms = 4, .needed = 2, .may_release = true},
+                                       {.pool = "spare", .spare = true}};
+    const std::vector<movable_vm> vms{{.id = "i1", .pool = "idle", .idle = true},
+                                      {.id = "i2", .pool = "idle", .idle = true},
+                                      {.id = "i3", .pool = "idle", .idle = true}};
+    BOOST_TEST(plan_pool_moves(pools, vms, 10).size() == 2);
+}
+
+BOOST_AUTO_TEST_CASE(waves_take_empty_vms_first) {
+    const wave_situation situation{.max_down = 2, .down = 1, .left = 3, .duration = milliseconds(60000),
+                                   .maintenance = milliseconds(2000)};
+    const auto step = plan_wave_step(situation, {{.vm = "busy", .batch_tasks = 3},
+                                                 {.vm = "empty"},
+                                                 {.vm = "blocked", .may_end_tasks = false}});
+    BOOST_TEST(step.maintain == (std::vector<std::string>{"empty"}), boost::test_tools::per_element());
+    BOOST_TEST((std::find(step.drain.begin(), step.drain.end(), "busy") != step.drain.end()));
+}
+
+BOOST_AUTO_TEST_CASE(late_waves_take_busy_vms_but_never_blocked_ones) {
+    const wave_situation situation{.max_down = 3, .left = 2, .elapsed = milliseconds(9000),
+                                   .duration = milliseconds(10000), .maintenance = milliseconds(2000)};
+    const auto step = plan_wave_step(situation, {{.vm = "busy", .batch_tasks = 3},
+                                                 {.vm = "blocked", .may_end_tasks = false}});
+    BOOST_TEST(step.maintain == (std::vector<std::string>{"busy"}), boost::test_tools::per_element());
+}
--- /dev/null
+++ b/tests/job_state_test.cpp
@@ -0,0 +1,120 @@
+#include "state/job_index.hpp"
+#include "state/job_progress.hpp"
+
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace hornbeamrail;
+using std::chrono::milliseconds;
+
+namespace {
+
+job_spec sample_job() {
+    return {.id = "00000000000000ab",
+            .queue = "q",
+            .account = "team",
+            .payload = "text",
+            .steps = {{.count = 2, .need = {.cpu_millis = 500, .memory_mb = 100}, .estimate = milliseconds(900),
+                       .gang = true, .data_rack = "r1"},
+                      {.count = 1, .need = {.cpu_millis = 100}, .after = {0}, .saves_progress = true}},
+            .submitted = unix_time(milliseconds(1234))};
+}
+
+template <class Result>
+bool fails(Result make) {
+    error failure;
+    return !value_or_error(make, failure).has_value();
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(job_survives_the_log) {
+    const auto job = sample_job();
+    error failure;
+    const auto read = value_or_error([&] { return parse_job(job.id, to_json(job)); }, failure);
+    BOOST_REQUIRE(read.has_value());
+    BOOST_TEST(boost::json::serialize(to_json(*read)) == boost::json::serialize(to_json(job)));
+    BOOST_TEST(read->steps[1].after == (std::vector<std::int32_t>{0}), boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(impossible_jobs_are_found) {
+    auto job = sample_job();
+    BOOST_TEST(!find_problem(job).has_value());
+    job.steps[0].after = {1};
+    BOOST_TEST(find_problem(job).has_value());
+    job = sample_job();
+    job.steps[1].count = 0;
+    BOOST_TEST(find_problem(job).has_value());
+    job = sample_job();
+    job.id = "short";
+    BOOST_TEST(find_problem(job).has_value());
+    BOOST_TEST(fails([] { return parse_job("00000000000000ab", boost::json::parse("[1]")); }));
+}
+
+BOOST_AUTO_TEST_CASE(progress_survives_the_log) {
+    job_progress job(sample_job());
+    auto& first = job.occurrence(0).steps[0].tasks[1];
+    const task_id name{.job = job.spec.id, .step = 0, .index = 1};
+    first.run = 3;
+    first.failures = 1;
+    first.worker = "w-1";
+    first.saved = "point";
+    job.set_phase(name, first, run_phase::running);
+    job.state = job_state::running;
+    job_progress read(sample_job());
+    error failure;
+    BOOST_REQUIRE(value_or_error(
+        [&]() -> result<bool> {
+            BOOST_LEAF_CHECK(read.decode(job.encode()));
+            return true;
+        },
+        failure));
+    const auto* task = read.find_task(name);
+    BOOST_REQUIRE(task != nullptr);
+    BOOST_TEST((task->phase == run_phase::placed)); // a successor asks the worker
+    BOOST_TEST(task->run == 3);
+    BOOST_TEST(task->failures == 1);
+    BOOST_TEST(task->worker == "w-1");
+    BOOST_TEST(task->saved == "point");
+    BOOST_TEST((read.state == job_state::running));
+    BOOST_TEST(read.active_tasks() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(foreign_progress_is_refused) {
+    for (const auto* text : {"", "[]", "{}", R"({"state":"odd","tasks":[]})",
+                             R"({"state":"running","tasks":[[0,7,0,1,1,0,"w",""]]})",
+                             R"({"state":"running","tasks":[[0,0,0,9,1,0,"w",""]]})",
+                             R"({"state":"running","tasks":[[0,0]]})"}) {
+        job_progress job(sample_job());
+        BOOST_TEST(fails([&]() -> result<bool> {
+            BOOST_LEAF_CHECK(job.decode(text));
+            return true;
+        }));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(index_counts_jobs_that_wait) {
+    job_index index;
+    auto job = sample_job();
+    const auto record = keyed_record{.key = job.id, .value = boost::json::serialize(to_json(job))};
+    index.apply_job(record);
+    index.apply_job(record); // repeated records are harmless
+    BOOST_TEST(index.waiting("q") == 1);
+    index.apply_state({.key = job.id, .value = "running"});
+    BOOST_TEST(index.waiting("q") == 0);
+    index.apply_state({.key = job.id, .value = "completed"});
+    index.apply_state({.key = job.id, .value = "running"}); // an older record never reverts a final state
+    BOOST_TEST((index.find(job.id)->state == job_state::completed));
+    index.apply_state({.key = job.id});
+    BOOST_TEST(index.find(job.id) == nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(index_takes_cancellations_before_their_job) {
+    job_index index;
+    auto job = sample_job();
+    index.apply_job({.key = job.id + std::string(cancel_suffix), .value = "1"});
+    index.apply_job({.key = job.id, .value = boost::json::serialize(to_json(job))});
+    BOOST_TEST(index.find(job.id)->cancel_requested);
+    BOOST_TEST(index.waiting("q") == 0);
+}
--- /dev/null
+++ b/tests/submission_queue_test.cpp
@@ -0,0 +1,134 @@
+#include "fakes/fake_site.hpp"
+#include "node/log_tail.hpp"
+#include "node/submission_queue.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <optional>
+
+using namespace hornbeamrail;
+using std::chrono::milliseconds;
+
+namespace {
+
+struct fixture {
+    void add(const std::string& key, milliseconds patience = milliseconds(1000)) {
+        this->queue.add({.key = key, .value = "v"}, this->now + patience,
+                        [this, key](store_outcome outcome) { this->answers[key] = outcome; });
+    }
+
+    std::optional<append_call> tick() {
+        this->now += milliseconds(100);
+        return this->queue.tick(this->now);
+    }
+
+    boot_time now{milliseconds(1000)};
+    submission_queue queue{{.producer = "node-1"}};
+    std::map<std::string, store_outcome> answers;
+    fake_keyed_log log;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(records_are_stored_in_groups, fixture) {
+    this->add("a");
+    this->add("b");
+    const auto call = this->tick();
+    BOOST_REQUIRE(call.has_value());
+    BOOST_TEST(call->records.size() == 2);
+    this->add("c");
+    BOOST_TEST(!this->tick().has_value()); // one append at a time
+    this->queue.on_append(this->log.append(*call), this->now);
+    BOOST_TEST((this->answers["a"] == store_outcome::stored));
+    BOOST_TEST((this->answers["b"] == store_outcome::stored));
+    BOOST_TEST(this->tick()->records.size() == 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(refusal_is_told_at_once_and_is_true, fixture) {
+    this->add("a");
+    this->tick();
+    this->queue.on_append({.outcome = append_outcome::refused}, this->now);
+    BOOST_TEST((this->answers["a"] == store_outcome::not_stored));
+}
+
+BOOST_FIXTURE_TEST_CASE(lost_answer_is_repeated_with_the_same_number, fixture) {
+    this->add("a");
+    const auto first = this->tick();
+    this->log.append(*first);
+    this->queue.on_append({.outcome = append_outcome::unknown}, this->now);
+    BOOST_TEST(!this->answers.contains("a"));
+    const auto second = this->tick();
+    BOOST_REQUIRE(second.has_value());
+    BOOST_TEST(second->producer->sequence == first->producer->sequence);
+    this->queue.on_append(this->log.append(*second), this->now);
+    BOOST_TEST((this->answers["a"] == store_outcome::stored));
+    BOOST_TEST(this->log.read({.topic = log_topic::jobs}).end == 1);
+}
+
+// A refusal after a try without an answer says nothing about that try.
+BOOST_FIXTURE_TEST_CASE(refusal_after_a_lost_answer_is_not_passed_on, fixture) {
+    this->add("a", milliseconds(350));
+    this->tick();
+    this->queue.on_append({.outcome = append_outcome::unknown}, this->now);
+    this->tick();
+    this->queue.on_append({.outcome = append_outcome::refused}, this->now);
+    BOOST_TEST(!this->answers.contains("a"));
+    this->now += milliseconds(500);
+    this->queue.tick(this->now);
+    BOOST_TEST((this->answers["a"] == store_outcome::unknown));
+}
+
+BOOST_FIXTURE_TEST_CASE(record_that_was_never_sent_is_not_stored, fixture) {
+    this->add("a");
+    this->tick();
+    this->add("b", milliseconds(50));
+    this->tick();
+    BOOST_TEST((this->answers["b"] == store_outcome::not_stored));
+}
+
+BOOST_AUTO_TEST_CASE(tail_reads_the_newest_then_every_record) {
+    fake_keyed_log log;
+    log.append({.topic = log_topic::jobs, .records = {{.key = "a", .value = "1"}, {.key = "a", .value = "2"}}});
+    log_tail tail({.topic = log_topic::jobs});
+    std::vector<std::string> seen;
+    const auto deliver = [&seen](const keyed_record& record) { seen.push_back(record.key + record.value); };
+    boot_time now{milliseconds(1000)};
+    const auto first = tail.tick(now);
+    BOOST_REQUIRE(first.has_value());
+    tail.on_newest(tail.current_epoch(), log.newest(std::get<newest_call>(*first)), now, deliver);
+    BOOST_TEST(tail.is_loaded());
+    log.append({.topic = log_topic::jobs, .records = {{.key = "b", .value = "3"}}});
+    const auto second = tail.tick(now);
+    tail.on_read(tail.current_epoch(), log.read(std::get<read_call>(*second)), now, deliver);
+    BOOST_TEST(seen == (std::vector<std::string>{"a2", "b3"}), boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(tail_starts_over_when_records_have_expired) {
+    fake_keyed_log log;
+    log_tail tail({.topic = log_topic::jobs});
+    std::vector<std::string> seen;
+    const auto deliver = [&seen](const keyed_record& record) { seen.push_back(record.key); };
+    boot_time now{milliseconds(1000)};
+    tail.on_newest(tail.current_epoch(), log.newest(std::get<newest_call>(*tail.tick(now))), now, deliver);
+    log.append({.topic = log_topic::jobs, .records = {{.key = "a", .value = "1"}}});
+    log.forget_history(log_topic::jobs, 0);
+    const auto read = std::get<read_call>(*tail.tick(now));
+    tail.on_read(tail.current_epoch(), log.read(read), now, deliver);
+    BOOST_TEST(!tail.is_loaded());
+    tail.on_newest(tail.current_epoch(), log.newest(std::get<newest_call>(*tail.tick(now))), now, deliver);
+    BOOST_TEST(seen == (std::vector<std::string>{"a"}), boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(tail_is_complete_up_to_the_end_of_an_empty_wait) {
+    fake_keyed_log log;
+    log_tail tail({.topic = log_topic::jobs, .wait = milliseconds(700)});
+    const auto ignore = [](const keyed_record&) {};
+    boot_time now{milliseconds(1000)};
+    tail.on_newest(tail.current_epoch(), log.newest(std::get<newest_call>(*tail.tick(now))), now, ignore);
+    const auto asked = now;
+    const auto read = std::get<read_call>(*tail.tick(now));
+    now += milliseconds(705);
+    tail.on_read(tail.current_epoch(), log.read(read), now, ignore);
+    BOOST_TEST((tail.complete_until() == asked + milliseconds(700)));
+    BOOST_TEST((tail.confirmed() == asked));
+}
