--- a/src/coordination/scheduler_dispatch.cpp
+++ b/src/coordination/scheduler_dispatch.cpp
@@ -39,9 +39,8 @@
 } // namespace
 
 const std::string& scheduler::impl::pool_of(const job_progress& job) const {
-    static const std::string none;
     const auto* queue = this->config->find_queue(job.spec.queue);
-    return queue == nullptr ? none : queue->pool;
+    return queue == nullptr ? job.spec.pool : queue->pool;
 }
 
 void scheduler::impl::open_occurrences(unix_time clock) {
--- a/src/coordination/scheduler_jobs.cpp
+++ b/src/coordination/scheduler_jobs.cpp
@@ -221,10 +221,10 @@
         const auto failed_on = task.worker;
         this->requeue(job, id, task, step.long_running ? now + long_running_backoff : now);
         task.worker = failed_on; // kept as the place to avoid
-        if (!step.long_running && queue != nullptr && task.failures >= queue->attempts &&
-            !is_final(job.state)) {
+        const auto attempts = queue == nullptr ? job.spec.attempts : queue->attempts;
+        if (!step.long_running && task.failures >= attempts && !is_final(job.state)) {
             write_log(severity::info, "job_failed",
-                      {{"job", id.job}, {"failures", task.failures}, {"attempts", queue->attempts}});
+                      {{"job", id.job}, {"failures", task.failures}, {"attempts", attempts}});
             this->finish_job(job, job_state::failed, now);
             return;
         }
--- a/src/node/admin_views.hpp
+++ b/src/node/admin_views.hpp
@@ -44,7 +44,7 @@
 };
 
 /// Conditions that an operator should look at now, the most urgent first.
-/// @return [{"alarm","subject","message","remedy"}]; docs/OPERATING.md explains each
+/// @return [{"alarm","subject","message","remedy"}]; docs/OPERATIONS.md explains each
 boost::json::array alarms_document(const fleet_view& view, const node_health& health,
                                    std::chrono::sys_seconds now);
 
--- a/src/node/site_node_impl.hpp
+++ b/src/node/site_node_impl.hpp
@@ -739,6 +739,8 @@
         return make_error_response(400, "bad_job", problem.message, problem.remedy, "not_run");
     }
     job->queue = queue.name;
+    job->pool = queue.pool;
+    job->attempts = queue.attempts;
     const auto* account = queue.open ? nullptr : this->operators.config()->account_of_key(call.key);
     job->account = account == nullptr ? std::string() : account->name;
     job->submitted = site_node_detail::time_of_day();
--- a/src/protocol/job.cpp
+++ b/src/protocol/job.cpp
@@ -146,6 +146,8 @@
     boost::json::object to;
     to["queue"] = job.queue;
     put_unless_default(to, "account", job.account);
+    put_unless_default(to, "pool", job.pool);
+    to["attempts"] = job.attempts;
     to["payload"] = job.payload;
     boost::json::array steps;
     for (const auto& step : job.steps) {
@@ -168,6 +170,8 @@
     job_spec job{.id = std::string(id),
                  .queue = reader.required_string("queue"),
                  .account = reader.optional_string("account", ""),
+                 .pool = reader.optional_string("pool", ""),
+                 .attempts = static_cast<std::int32_t>(reader.optional_integer("attempts", 1, 0, max_int32)),
                  .payload = reader.optional_string("payload", ""),
                  .occurrences =
                      static_cast<std::int32_t>(reader.optional_integer("occurrences", 0, 0, max_int32)),
--- a/src/protocol/job.hpp
+++ b/src/protocol/job.hpp
@@ -57,6 +57,8 @@
     std::string id;      ///< 16 hexadecimal digits, chosen by the submitter
     std::string queue;   ///< name of the queue that it was submitted to
     std::string account; ///< client account; empty on open queues
+    std::string pool;    ///< of the queue when the job was accepted, for queues that are removed later
+    std::int32_t attempts = 1; ///< of the queue when the job was accepted
     std::string payload; ///< passed on to every task
     std::vector<step_spec> steps;
     std::int32_t occurrences = 0; ///< 0: the steps run once, at once
--- a/tests/scheduler_site.hpp
+++ b/tests/scheduler_site.hpp
@@ -99,6 +99,14 @@
                           .records = {{.key = id + std::string(cancel_suffix), .value = "1"}}});
     }
 
+    /// Publishes a configuration without the queue.
+    void remove_queue(const std::string& name) {
+        auto changed = std::make_shared<site_config>(*this->config);
+        std::erase_if(changed->queues, [&name](const auto& queue) { return queue.name == name; });
+        this->config = changed;
+        this->schedule->set_config(this->config);
+    }
+
     void request_wave(wave_request wave) {
         this->waves.push_back(std::move(wave));
         this->schedule->set_waves(this->waves);
@@ -351,6 +359,8 @@
 inline job_spec batch_job(int tasks, std::int64_t cpu_millis = 2000) {
     return {.queue = "batch",
             .account = "team",
+            .pool = "pool",
+            .attempts = 2,
             .payload = "work",
             .steps = {{.count = tasks, .need = {.cpu_millis = cpu_millis, .memory_mb = 1000},
                        .estimate = milliseconds(1000)}}};
--- a/tests/scheduler_test.cpp
+++ b/tests/scheduler_test.cpp
@@ -177,3 +177,13 @@
         }
     }
 }
+
+BOOST_AUTO_TEST_CASE(job_of_a_removed_queue_runs_to_its_end) {
+    scheduler_site site(10);
+    site.add_vms(2);
+    site.take_over();
+    site.remove_queue("batch");
+    const auto id = site.submit(batch_job(3));
+    site.run(milliseconds(3000));
+    BOOST_TEST(site.state_of(id) == "completed");
+}
