Give VMs by current need, release them slowly

Change: a pool gives what it does not need now, and switches off what it has not needed lately, one VM a plan; a rise is extrapolated by at most 0.6 of the rate.

--- a/src/coordination/scheduler_impl.hpp
+++ b/src/coordination/scheduler_impl.hpp
@@ -220,7 +220,7 @@
     void note_arrival(const job_progress& job, boot_time now);
     void plan_moves(boot_time now);
     [[nodiscard]] pool_load load_of(const std::string& pool, boot_time now);
-    [[nodiscard]] std::int32_t smoothed_need(const std::string& pool, boot_time now);
+    void note_need(pool_need& entry, boot_time now);
     [[nodiscard]] pool_need need_of(const worker_pool_config& pool, std::vector<movable_vm>& movable,
                                     boot_time now);
 
@@ -302,6 +302,7 @@
     std::map<std::string, std::pair<std::string, boot_time>> vm_moves; ///< target pool and time of the order
     std::map<std::string, pool_demand_view> demand;                    ///< by pool
     boot_time last_move_plan{};
+    boot_time last_demand_line{};
     boot_time release_from{}; ///< VMs stay in their pools until then
 };
 
--- a/src/coordination/scheduler_moves.cpp
+++ b/src/coordination/scheduler_moves.cpp
@@ -12,6 +12,8 @@
 using std::chrono::milliseconds;
 
 constexpr std::size_t most_moves_per_plan = 8;
+constexpr std::size_t most_releases_per_plan = 1;
+constexpr milliseconds demand_line_interval{1000};
 /// An ordered move that no list shows within this time is forgotten.
 constexpr milliseconds move_timeout{4000};
 
@@ -63,27 +65,31 @@
     return load;
 }
 
-std::int32_t scheduler::impl::smoothed_need(const std::string& pool, boot_time now) {
+void scheduler::impl::note_need(pool_need& entry, boot_time now) {
+    const auto& pool = entry.pool;
     auto load = this->load_of(pool, now);
     for (const auto& [name, vm] : this->vms) {
         if (vm.pool == pool) {
             load.vm_cores = std::max(load.vm_cores, static_cast<double>(vm.capacity.cpu_millis));
         }
     }
+    entry.needed = needed_vms(load);
     auto& needs = this->demand[pool].needs;
-    needs.emplace_back(now, needed_vms(load));
+    needs.emplace_back(now, entry.needed);
     while (needs.front().first + this->timings.need_window < now) {
         needs.pop_front();
     }
-    return std::max_element(needs.begin(), needs.end(), [](const auto& first, const auto& second) {
-               return first.second < second.second;
-           })->second;
+    entry.needed_lately = std::max_element(needs.begin(), needs.end(), [](const auto& first, const auto& second) {
+                              return first.second < second.second;
+                          })->second;
 }
 
 pool_need scheduler::impl::need_of(const worker_pool_config& pool, std::vector<movable_vm>& movable,
                                    boot_time now) {
     pool_need entry{.pool = pool.name, .spare = pool.spare};
-    entry.needed = pool.spare ? 0 : this->smoothed_need(pool.name, now);
+    if (!pool.spare) {
+        this->note_need(entry, now);
+    }
     entry.may_release = now > this->release_from;
     for (const auto& [name, vm] : this->vms) {
         const auto move = this->vm_moves.find(name);
@@ -122,7 +128,19 @@
     for (const auto& pool : this->config->pools) {
         pools.push_back(this->need_of(pool, movable, now));
     }
-    for (const auto& move : plan_pool_moves(pools, movable, most_moves_per_plan)) {
+    if (now >= this->last_demand_line + demand_line_interval) {
+        this->last_demand_line = now;
+        for (const auto& pool : pools) {
+            const auto load = this->load_of(pool.pool, now);
+            write_log(severity::info, "pool_demand",
+                      {{"pool", pool.pool}, {"vms", pool.vms}, {"needed", pool.needed},
+                       {"lasting_cores", std::llround(load.lasting_cores / 1000)},
+                       {"running_cores", std::llround(load.running_cores / 1000)},
+                       {"waiting_cores", std::llround(load.waiting_cores / 1000)},
+                       {"arriving_cores", std::llround(load.arriving_cores / 1000)}});
+        }
+    }
+    for (const auto& move : plan_pool_moves(pools, movable, most_moves_per_plan, most_releases_per_plan)) {
         this->vm_moves[move.vm] = {move.to_pool, now};
         this->vm_orders[move.vm] = now;
         write_log(severity::info, "move_ordered",
--- a/src/policy/pool_moves.cpp
+++ b/src/policy/pool_moves.cpp
@@ -10,6 +10,7 @@
 constexpr double fast_window_s = 0.8;
 constexpr double slow_window_s = 2.4;
 constexpr double backlog_part = 0.4;
+constexpr double steepest_rise = 0.6;
 /// Part of a VM that is planned to be used; the rest absorbs uneven sizes.
 constexpr double planned_use = 0.9;
 
@@ -53,7 +54,9 @@
     const double current = this->fast.rate * std::exp(-elapsed / fast_window_s);
     const double earlier = this->slow.rate * std::exp(-elapsed / slow_window_s);
     const double slope = (current - earlier) / (slow_window_s - fast_window_s);
-    return current + std::max(0.0, slope) * std::chrono::duration<double>(ahead).count();
+    const double rise = std::max(0.0, slope) * std::chrono::duration<double>(ahead).count();
+    // A few large jobs look like a steep rise.
+    return current + std::min(rise, steepest_rise * std::max(current, earlier));
 }
 
 std::int32_t needed_vms(const pool_load& load) {
@@ -69,7 +72,8 @@
 }
 
 std::vector<vm_move_plan> plan_pool_moves(const std::vector<pool_need>& pools,
-                                          const std::vector<movable_vm>& vms, std::size_t most_moves) {
+                                          const std::vector<movable_vm>& vms, std::size_t most_moves,
+                                          std::size_t most_releases) {
     std::vector<vm_move_plan> moves;
     auto left = vms;
     std::map<std::string, std::int32_t> surplus;
@@ -103,14 +107,16 @@
             moves.push_back({.vm = std::move(*vm), .to_pool = pool->pool});
         }
     }
+    std::size_t releases = 0;
     for (const auto& pool : pools) {
-        while (!spare_pool.empty() && !pool.spare && pool.may_release && surplus[pool.pool] > 0 &&
-               moves.size() < most_moves) {
+        const auto unneeded = std::min(surplus[pool.pool], pool.vms - pool.needed_lately);
+        for (auto count = unneeded; !spare_pool.empty() && !pool.spare && pool.may_release && count > 0 &&
+                                    releases < most_releases && moves.size() < most_moves; --count) {
             auto vm = take_idle(left, pool.pool);
             if (!vm) {
                 break;
             }
-            --surplus[pool.pool];
+            ++releases;
             moves.push_back({.vm = std::move(*vm), .to_pool = spare_pool});
         }
     }
--- a/src/policy/pool_moves.hpp
+++ b/src/policy/pool_moves.hpp
@@ -61,7 +61,8 @@
     bool spare = false;
     std::int32_t vms = 0;      ///< that take tasks, or are on their way in
     std::int32_t needed = 0;   ///< now or soon
-    bool may_release = false;  ///< its need has been low for a while
+    std::int32_t needed_lately = 0; ///< highest need of the last seconds
+    bool may_release = false;  ///< VMs beyond `needed_lately` may be switched off
 };
 
 struct vm_move_plan {
@@ -70,9 +71,12 @@
 };
 
 /// Chooses moves: pools that lack VMs get them from the spare pool first, then from pools that have more than
-/// they need; VMs that nobody needs go to the spare pool, where they are off.
+/// they need now; VMs that their pool has not needed lately go to the spare pool, where they are off, a few at a
+/// time.
 /// @param most_moves longest plan
+/// @param most_releases moves to the spare pool in one plan
 std::vector<vm_move_plan> plan_pool_moves(const std::vector<pool_need>& pools,
-                                          const std::vector<movable_vm>& vms, std::size_t most_moves);
+                                          const std::vector<movable_vm>& vms, std::size_t most_moves,
+                                          std::size_t most_releases);
 
 } // namespace hornbeamrail
--- a/tests/job_policy_test.cpp
+++ b/tests/job_policy_test.cpp
@@ -99,25 +99,26 @@
 // A pool in its surge gets VMs from the spare pool first, then from pools that have more than they need.
 BOOST_AUTO_TEST_CASE(vms_go_where_work_arrives) {
     const std::vector<pool_need> pools{{.pool = "busy", .vms = 2, .needed = 5},
-                                       {.pool = "idle", .vms = 4, .needed = 2, .may_release = true},
+                                       {.pool = "idle", .vms = 4, .needed = 2, .needed_lately = 4, .may_release = true},
                                        {.pool = "spare", .spare = true, .vms = 1}};
     const std::vector<movable_vm> vms{{.id = "i1", .pool = "idle", .idle = true},
                                       {.id = "i2", .pool = "idle", .idle = true},
                                       {.id = "i3", .pool = "idle", .idle = true},
                                       {.id = "s1", .pool = "spare", .idle = true}};
-    const auto moves = plan_pool_moves(pools, vms, 10);
+    const auto moves = plan_pool_moves(pools, vms, 10, 10);
     BOOST_REQUIRE(moves.size() == 3);
     BOOST_TEST(moves[0].vm == "s1");
     BOOST_TEST(std::all_of(moves.begin(), moves.end(), [](const auto& move) { return move.to_pool == "busy"; }));
 }
 
 BOOST_AUTO_TEST_CASE(unneeded_vms_are_switched_off) {
-    const std::vector<pool_need> pools{{.pool = "idle", .vms = 4, .needed = 2, .may_release = true},
+    const std::vector<pool_need> pools{{.pool = "idle", .vms = 4, .needed = 1, .needed_lately = 2, .may_release = true},
                                        {.pool = "spare", .spare = true}};
     const std::vector<movable_vm> vms{{.id = "i1", .pool = "idle", .idle = true},
                                       {.id = "i2", .pool = "idle", .idle = true},
                                       {.id = "i3", .pool = "idle", .idle = true}};
-    BOOST_TEST(plan_pool_moves(pools, vms, 10).size() == 2);
+    BOOST_TEST(plan_pool_moves(pools, vms, 10, 10).size() == 2);
+    BOOST_TEST(plan_pool_moves(pools, vms, 10, 1).size() == 1);
 }
 
 BOOST_AUTO_TEST_CASE(waves_take_empty_vms_first) {
