--- a/src/cli/serve_site.cpp
+++ b/src/cli/serve_site.cpp
@@ -16,7 +16,8 @@
 #include <memory>
 #include <random>
 
-DEFINE_string(platform_settings, "", "settings file of the platform; empty: the file named in the environment");
+DEFINE_string(platform_settings, "",
+              "settings file of the platform; empty: the file named in the environment");
 
 namespace hornbeamrail::cli {
 
@@ -67,7 +68,8 @@
     BOOST_LEAF_AUTO(settings, read_settings());
     const auto grace = settings.limits.stop_grace - stop_reserve;
     io_threads threads(1);
-    BOOST_LEAF_AUTO(node, platform_node::make(threads, {.settings = settings, .incarnation = make_incarnation()}));
+    BOOST_LEAF_AUTO(node,
+                    platform_node::make(threads, {.settings = settings, .incarnation = make_incarnation()}));
     write_log(severity::info, "serving",
               {{"node", settings.node_id},
                {"zone", settings.zone},
--- a/src/coordination/scheduler.cpp
+++ b/src/coordination/scheduler.cpp
@@ -101,7 +101,8 @@
                     worker.entry.id = task.worker;
                     task.placed_at = now;
                     auto* placed = state.add_placement(worker, *job, name, task.run, now);
-                    placed->stage = start_stage::doubtful; // of an earlier term; any hold of this one settles it
+                    placed->stage =
+                        start_stage::doubtful; // of an earlier term; any hold of this one settles it
                     ++adopted;
                 }
             }
@@ -137,8 +138,11 @@
     state.dispatch_due = true;
     state.release_from = now + (state.jobs.empty() ? state.timings.first_warmup : state.timings.move_warmup);
     write_log(severity::info, "schedule_loaded",
-              {{"term", state.term}, {"jobs", state.jobs.size()}, {"final_jobs", state.finals.size()},
-               {"runs_adopted", adopted}, {"workers", state.workers.size()}});
+              {{"term", state.term},
+               {"jobs", state.jobs.size()},
+               {"final_jobs", state.finals.size()},
+               {"runs_adopted", adopted},
+               {"workers", state.workers.size()}});
 }
 
 void scheduler::on_job_record(std::int32_t partition, const keyed_record& record, boot_time now) {
--- a/src/coordination/scheduler.hpp
+++ b/src/coordination/scheduler.hpp
@@ -87,8 +87,8 @@
 /// Decides for the whole site which task runs where: order, placement, leases of workers, VM moves and
 /// maintenance. One node at a time has the scheduler's lease; its term fences every order and record.
 ///
-/// A start is recorded in the progress topic before the order is sent, so a successor knows every run that may
-/// exist. The end of a run is recorded before the worker may forget it.
+/// A start is recorded in the progress topic before the order is sent, so a successor knows every run that
+/// may exist. The end of a run is recorded before the worker may forget it.
 ///
 /// Does no I/O: inputs carry the time, `tick` returns what the driver has to do. Not thread-safe.
 class scheduler {
@@ -107,7 +107,8 @@
 
     [[nodiscard]] std::int64_t term() const noexcept;
 
-    /// Feeds what the log holds at the begin of a term, before `finish_load`. Jobs come before their progress.
+    /// Feeds what the log holds at the begin of a term, before `finish_load`. Jobs come before their
+    /// progress.
     void load_job(std::int32_t partition, const keyed_record& record);
     void load_progress(const keyed_record& record);
     void load_state(const keyed_record& record);
--- a/src/coordination/scheduler_dispatch.cpp
+++ b/src/coordination/scheduler_dispatch.cpp
@@ -28,7 +28,8 @@
     const task_id first{.job = step.job, .occurrence = step.occurrence, .step = step.step, .index = 0};
     std::int32_t count = 0;
     for (auto at = worker.tasks.lower_bound(first); at != worker.tasks.end(); ++at) {
-        if (at->first.job != step.job || at->first.occurrence != step.occurrence || at->first.step != step.step) {
+        if (at->first.job != step.job || at->first.occurrence != step.occurrence ||
+            at->first.step != step.step) {
             break;
         }
         ++count;
@@ -70,9 +71,9 @@
 }
 
 bool scheduler::impl::takes_new_tasks(const worker_control& worker, boot_time now) const {
-    return worker.listed && worker.confirmed && worker.clock && !worker.in_doubt() && !worker.entry.draining &&
-           now >= worker.avoid_until && !this->zones_out.contains(worker.entry.zone) &&
-           !this->is_reserved(worker.entry.id);
+    return worker.listed && worker.confirmed && worker.clock && !worker.in_doubt() &&
+           !worker.entry.draining && now >= worker.avoid_until &&
+           !this->zones_out.contains(worker.entry.zone) && !this->is_reserved(worker.entry.id);
 }
 
 job_rank scheduler::impl::rank_of(const job_progress& job, const occurrence_progress& occurrence,
@@ -83,8 +84,12 @@
         const auto stated = job.spec.steps[step].estimate;
         return learned == this->durations.end() ? stated : learned->second.expect(stated);
     };
-    const auto never = [](std::size_t) { return false; };
-    const auto is_over = [&](std::size_t step) { return occurrence.steps[step].is_done(); };
+    const auto never = [](std::size_t) {
+        return false;
+    };
+    const auto is_over = [&](std::size_t step) {
+        return occurrence.steps[step].is_done();
+    };
     const auto chain = longest_chain(job.spec, duration_of, never);
     const auto left = longest_chain(job.spec, duration_of, is_over);
     const double stretch = queue == nullptr ? 1.0 : queue->stretch;
@@ -92,14 +97,15 @@
     const bool begun = std::any_of(occurrence.steps.begin(), occurrence.steps.end(), [](const auto& step) {
         return step.waiting < static_cast<std::int32_t>(step.tasks.size());
     });
-    return rank_job({.long_running = job.is_long_running(),
-                     .begun = begun,
-                     .priority = queue == nullptr ? 0 : queue->priority,
-                     .due = job.spec.due(occurrence.number),
-                     .objective = milliseconds(static_cast<std::int64_t>(
-                                      stretch * static_cast<double>(chain.count()))) + slack,
-                     .remaining_chain = left},
-                    clock);
+    return rank_job(
+        {.long_running = job.is_long_running(),
+         .begun = begun,
+         .priority = queue == nullptr ? 0 : queue->priority,
+         .due = job.spec.due(occurrence.number),
+         .objective =
+             milliseconds(static_cast<std::int64_t>(stretch * static_cast<double>(chain.count()))) + slack,
+         .remaining_chain = left},
+        clock);
 }
 
 void scheduler::impl::dispatch(boot_time now, unix_time clock) {
@@ -165,14 +171,15 @@
 }
 
 bool scheduler::impl::place_step(job_progress& job, occurrence_progress& occurrence, std::int32_t number,
-                                 std::vector<worker_view>& views, const std::vector<worker_control*>& controls,
-                                 boot_time now) {
+                                 std::vector<worker_view>& views,
+                                 const std::vector<worker_control*>& controls, boot_time now) {
     const auto& step = job.spec.steps[static_cast<std::size_t>(number)];
     const task_id step_id{.job = job.spec.id, .occurrence = occurrence.number, .step = number};
     for (std::size_t index = 0; index < views.size(); ++index) {
-        views[index].same_step = step.max_per_worker > 0 || step.long_running
-                                     ? tasks_of_step(*controls[index], step_id) : 0;
-        views[index].allowed = step.required_label.empty() || controls[index]->entry.has_label(step.required_label);
+        views[index].same_step =
+            step.max_per_worker > 0 || step.long_running ? tasks_of_step(*controls[index], step_id) : 0;
+        views[index].allowed =
+            step.required_label.empty() || controls[index]->entry.has_label(step.required_label);
     }
     const auto* queue = this->config->find_queue(job.spec.queue);
     if (queue != nullptr && queue->advice) {
@@ -225,8 +232,8 @@
 }
 
 bool scheduler::impl::place_gang(job_progress& job, occurrence_progress& occurrence, std::int32_t number,
-                                 std::vector<worker_view>& views, const std::vector<worker_control*>& controls,
-                                 boot_time now) {
+                                 std::vector<worker_view>& views,
+                                 const std::vector<worker_control*>& controls, boot_time now) {
     const auto& step = job.spec.steps[static_cast<std::size_t>(number)];
     auto& tasks = occurrence.steps[static_cast<std::size_t>(number)].tasks;
     std::int64_t run = 0;
@@ -324,7 +331,7 @@
     auto& state = *this->self;
     const auto found = state.workers.find(target.id);
     const auto placed = found == state.workers.end() ? std::map<task_id, placement>::iterator()
-                                                    : found->second.tasks.find(order.task);
+                                                     : found->second.tasks.find(order.task);
     if (state.term == 0 || found == state.workers.end() || placed == found->second.tasks.end() ||
         placed->second.run != order.run || placed->second.stage != start_stage::sent) {
         return;
@@ -350,8 +357,12 @@
         return;
     }
     write_log(severity::info, "start_not_done",
-              {{"job", order.task.job}, {"step", order.task.step}, {"index", order.task.index},
-               {"run", order.run}, {"worker", target.id}, {"outcome", to_string(answer.outcome)},
+              {{"job", order.task.job},
+               {"step", order.task.step},
+               {"index", order.task.index},
+               {"run", order.run},
+               {"worker", target.id},
+               {"outcome", to_string(answer.outcome)},
                {"reason", answer.reason}});
     if (answer.outcome == order_outcome::unknown) {
         placed->second.stage = start_stage::doubtful;
@@ -388,8 +399,11 @@
     state.note_clock(found->second, answer.worker_clock, now);
     if (answer.outcome != order_outcome::done) {
         write_log(severity::info, "stop_not_done",
-                  {{"job", order.task.job}, {"run", order.run}, {"worker", target.id},
-                   {"outcome", to_string(answer.outcome)}, {"reason", answer.reason}});
+                  {{"job", order.task.job},
+                   {"run", order.run},
+                   {"worker", target.id},
+                   {"outcome", to_string(answer.outcome)},
+                   {"reason", answer.reason}});
     }
 }
 
@@ -425,8 +439,8 @@
     }
 }
 
-void scheduler::on_pace_answer(const worker_target& target, const pace_order& order, const order_answer& answer,
-                               boot_time now) {
+void scheduler::on_pace_answer(const worker_target& target, const pace_order& order,
+                               const order_answer& answer, boot_time now) {
     auto& state = *this->self;
     const auto found = state.workers.find(target.id);
     if (found == state.workers.end()) {
--- a/src/coordination/scheduler_impl.hpp
+++ b/src/coordination/scheduler_impl.hpp
@@ -20,15 +20,15 @@
 
 /// Timings of the scheduler.
 struct scheduler_timings {
-    std::chrono::milliseconds hold_wait{900};      ///< a worker waits so long for an end before it answers
-    std::chrono::milliseconds hold_pause{20};      ///< between an answer with ends and the next hold
-    std::chrono::milliseconds hold_retry{250};     ///< after a hold without answer
-    std::chrono::milliseconds start_lease{1500};   ///< an order that arrives later than this is not carried out
+    std::chrono::milliseconds hold_wait{900};    ///< a worker waits so long for an end before it answers
+    std::chrono::milliseconds hold_pause{20};    ///< between an answer with ends and the next hold
+    std::chrono::milliseconds hold_retry{250};   ///< after a hold without answer
+    std::chrono::milliseconds start_lease{1500}; ///< an order that arrives later than this is not carried out
     std::chrono::milliseconds commit_interval{10}; ///< between two appends of progress
     std::chrono::milliseconds dispatch_interval{15};
     std::chrono::milliseconds stop_retry{300};
-    std::chrono::milliseconds vm_list_interval{400};  ///< while a worker is in doubt or a VM is away
-    std::chrono::milliseconds vm_list_idle{3000};     ///< otherwise
+    std::chrono::milliseconds vm_list_interval{400}; ///< while a worker is in doubt or a VM is away
+    std::chrono::milliseconds vm_list_idle{3000};    ///< otherwise
     /// A scheduler that has lost the log goes on holding leases for so long. A successor waits it out for
     /// workers that it cannot reach.
     std::chrono::milliseconds hold_without_log{6000};
@@ -60,9 +60,9 @@
 struct placement {
     std::int64_t run = 0;
     start_stage stage = start_stage::recording;
-    std::int64_t fence = 0;   ///< of the latest order
-    boot_time changed{};      ///< when the stage was entered
-    std::string ticket;       ///< of the placement advice
+    std::int64_t fence = 0; ///< of the latest order
+    boot_time changed{};    ///< when the stage was entered
+    std::string ticket;     ///< of the placement advice
     resources need;
     bool fills = false;
     bool serves = false;
@@ -75,15 +75,15 @@
 /// What the scheduler knows of one life of a worker.
 struct worker_control {
     worker_entry entry;
-    bool listed = false;         ///< its entry is in the workers topic
-    boot_time listed_since{};    ///< when `listed` last changed
+    bool listed = false;          ///< its entry is in the workers topic
+    boot_time listed_since{};     ///< when `listed` last changed
     std::int32_t fence_bumps = 0; ///< raises of the fence within the term; settles orders without answer
-    bool confirmed = false;      ///< has answered a hold with the current fence
+    bool confirmed = false;       ///< has answered a hold with the current fence
     bool hold_in_flight = false;
     boot_time hold_sent{};
     boot_time next_hold{};
-    std::int64_t applied_end = 0;  ///< ends up to this number are in the tables
-    std::int64_t recorded_end = 0; ///< ends up to this number are in the log
+    std::int64_t applied_end = 0;                   ///< ends up to this number are in the tables
+    std::int64_t recorded_end = 0;                  ///< ends up to this number are in the log
     std::optional<std::chrono::milliseconds> clock; ///< its clock at `clock_at`
     boot_time clock_at{};
     boot_time lease_bound{};     ///< from then on every lease that was granted has lapsed
@@ -104,9 +104,9 @@
 struct commit_batch {
     std::int64_t sequence = 0;
     std::vector<keyed_record> records;
-    std::vector<std::pair<std::string, task_id>> starts;           ///< worker, task
-    std::map<std::string, std::int64_t> ends;                      ///< recorded end numbers by worker
-    std::vector<std::pair<std::string, job_state>> states;         ///< to publish
+    std::vector<std::pair<std::string, task_id>> starts;   ///< worker, task
+    std::map<std::string, std::int64_t> ends;              ///< recorded end numbers by worker
+    std::vector<std::pair<std::string, job_state>> states; ///< to publish
 };
 
 /// Durations of the tasks of a queue, learned from those that ended.
@@ -137,8 +137,8 @@
 /// One maintenance wave.
 struct wave_progress {
     wave_request request;
-    std::set<std::string> ordered;  ///< VMs whose maintenance has begun
-    std::set<std::string> draining; ///< VMs that get no new tasks, to be maintained next
+    std::set<std::string> ordered;         ///< VMs whose maintenance has begun
+    std::set<std::string> draining;        ///< VMs that get no new tasks, to be maintained next
     std::map<std::string, boot_time> away; ///< VMs that are down for it, with the time of the order
     boot_time begun{};
     bool completed = false;
@@ -171,11 +171,11 @@
 
     // scheduler_workers.cpp: leases, fences, loss of workers
     [[nodiscard]] std::int64_t fence_of(const worker_control& worker) const;
-    [[nodiscard]] std::optional<std::chrono::milliseconds> lease_end(const worker_control& worker,
-                                                                     std::chrono::milliseconds length,
-                                                                     boot_time now) const;
+    [[nodiscard]] std::optional<std::chrono::milliseconds>
+    lease_end(const worker_control& worker, std::chrono::milliseconds length, boot_time now) const;
     void note_lease(worker_control& worker, std::chrono::milliseconds length, boot_time now);
-    void note_clock(worker_control& worker, const std::optional<std::chrono::milliseconds>& clock, boot_time now);
+    void note_clock(worker_control& worker, const std::optional<std::chrono::milliseconds>& clock,
+                    boot_time now);
     void hold_workers(boot_time now);
     void accept_report(worker_control& worker, const hold_order& order, const hold_report& report,
                        boot_time now);
@@ -298,7 +298,7 @@
     boot_time vm_list_asked{};
     boot_time vm_list_seen{}; ///< when the list that is known was asked for
     std::map<std::int64_t, wave_progress> waves;
-    std::map<std::string, boot_time> vm_orders; ///< VMs with an order under way
+    std::map<std::string, boot_time> vm_orders;                        ///< VMs with an order under way
     std::map<std::string, std::pair<std::string, boot_time>> vm_moves; ///< target pool and time of the order
     std::map<std::string, pool_demand_view> demand;                    ///< by pool
     boot_time last_move_plan{};
--- a/src/coordination/scheduler_jobs.cpp
+++ b/src/coordination/scheduler_jobs.cpp
@@ -138,10 +138,8 @@
     if (job.active_tasks() > 0 || this->finals.contains(job.spec.id)) {
         return; // kept until its last run has ended
     }
-    this->finished.push_back({.id = job.spec.id,
-                              .partition = job.partition,
-                              .finished = now,
-                              .cancelled = job.cancel_requested});
+    this->finished.push_back(
+        {.id = job.spec.id, .partition = job.partition, .finished = now, .cancelled = job.cancel_requested});
     this->finals.emplace(job.spec.id, job.partition);
     this->forget_advice(job.spec.id);
     // The record is written from the job, which is dropped at the end of the commit.
@@ -170,7 +168,8 @@
                          (task->phase == run_phase::placed || task->phase == run_phase::running);
     if (current) {
         const auto placed = worker.tasks.find(ended.task);
-        if (placed != worker.tasks.end() && ended.how == task_end::done && placed->second.stage != start_stage::recording) {
+        if (placed != worker.tasks.end() && ended.how == task_end::done &&
+            placed->second.stage != start_stage::recording) {
             const auto& step = job->spec.steps[static_cast<std::size_t>(ended.task.step)];
             this->durations[job->spec.queue].learn(to_millis(now - task->placed_at), step.estimate);
         }
@@ -215,8 +214,12 @@
             this->note_failure(found->second, now);
         }
         write_log(severity::info, "run_failed",
-                  {{"job", id.job}, {"step", id.step}, {"index", id.index}, {"run", ended.run},
-                   {"worker", task.worker}, {"failures", task.failures}});
+                  {{"job", id.job},
+                   {"step", id.step},
+                   {"index", id.index},
+                   {"run", ended.run},
+                   {"worker", task.worker},
+                   {"failures", task.failures}});
         const auto* queue = this->config->find_queue(job.spec.queue);
         const auto failed_on = task.worker;
         this->requeue(job, id, task, step.long_running ? now + long_running_backoff : now);
@@ -272,8 +275,9 @@
 }
 
 void scheduler::impl::commit(boot_time now) {
-    const bool empty = this->dirty.empty() && this->next_batch.starts.empty() && this->next_batch.ends.empty() &&
-                       this->next_batch.states.empty() && this->next_batch.records.empty();
+    const bool empty = this->dirty.empty() && this->next_batch.starts.empty() &&
+                       this->next_batch.ends.empty() && this->next_batch.states.empty() &&
+                       this->next_batch.records.empty();
     if (this->batch_in_flight || empty || now < this->last_commit + this->timings.commit_interval) {
         return;
     }
@@ -338,7 +342,8 @@
     this->last_cleanup = now;
     std::map<std::int32_t, std::vector<keyed_record>> by_partition;
     std::size_t count = 0;
-    for (; this->finished_dropped < this->finished.size() && count < cleanup_batch; ++this->finished_dropped) {
+    for (; this->finished_dropped < this->finished.size() && count < cleanup_batch;
+         ++this->finished_dropped) {
         const auto& job = this->finished[this->finished_dropped];
         if (job.records_dropped) {
             continue;
--- a/src/coordination/scheduler_lease.cpp
+++ b/src/coordination/scheduler_lease.cpp
@@ -48,8 +48,9 @@
     this->known_end = record.offset + 1;
     const bool own = this->holder_incarnation == this->options.incarnation;
     if (this->held && (!own || this->holder_term != this->own_term)) {
-        write_log(severity::warning, "lease_lost",
-                  {{"term", this->own_term}, {"holder", this->holder_node}, {"holder_term", this->holder_term}});
+        write_log(
+            severity::warning, "lease_lost",
+            {{"term", this->own_term}, {"holder", this->holder_node}, {"holder_term", this->holder_term}});
         this->held = false;
     } else if (!this->held && own && !this->holder_node.empty() && !this->stopping &&
                this->holder_term > this->own_term) {
--- a/src/coordination/scheduler_lease.hpp
+++ b/src/coordination/scheduler_lease.hpp
@@ -64,7 +64,7 @@
     std::string holder_incarnation;
     std::int64_t holder_term = 0;
     boot_time last_record{};
-    boot_time last_read{};       ///< answer of the latest good read
+    boot_time last_read{}; ///< answer of the latest good read
     boot_time last_read_asked{};
     boot_time reads_good_since{};
     bool held = false;
--- a/src/coordination/scheduler_moves.cpp
+++ b/src/coordination/scheduler_moves.cpp
@@ -26,7 +26,8 @@
     const auto learned = this->durations.find(job.spec.queue);
     double work = 0;
     for (const auto& step : job.spec.steps) {
-        const auto duration = learned == this->durations.end() ? step.estimate : learned->second.expect(step.estimate);
+        const auto duration =
+            learned == this->durations.end() ? step.estimate : learned->second.expect(step.estimate);
         work += static_cast<double>(step.count) * static_cast<double>(step.need.cpu_millis) *
                 std::chrono::duration<double>(duration).count();
     }
@@ -34,14 +35,16 @@
 }
 
 pool_load scheduler::impl::load_of(const std::string& pool, boot_time now) {
-    pool_load load{.arriving_cores = this->demand[pool].arrivals.expected_cores(now, this->timings.move_lead)};
+    pool_load load{.arriving_cores =
+                       this->demand[pool].arrivals.expected_cores(now, this->timings.move_lead)};
     for (const auto& [id, worker] : this->workers) {
         if (worker.entry.pool != pool) {
             continue;
         }
         load.vm_cores = std::max(load.vm_cores, static_cast<double>(worker.entry.capacity.cpu_millis));
         for (const auto& [task, placed] : worker.tasks) {
-            (placed.lasts ? load.lasting_cores : load.running_cores) += static_cast<double>(placed.need.cpu_millis);
+            (placed.lasts ? load.lasting_cores : load.running_cores) +=
+                static_cast<double>(placed.need.cpu_millis);
         }
     }
     for (auto& [id, job] : this->jobs) {
@@ -79,9 +82,10 @@
     while (needs.front().first + this->timings.need_window < now) {
         needs.pop_front();
     }
-    entry.needed_lately = std::max_element(needs.begin(), needs.end(), [](const auto& first, const auto& second) {
-                              return first.second < second.second;
-                          })->second;
+    entry.needed_lately =
+        std::max_element(needs.begin(), needs.end(), [](const auto& first, const auto& second) {
+            return first.second < second.second;
+        })->second;
 }
 
 pool_need scheduler::impl::need_of(const worker_pool_config& pool, std::vector<movable_vm>& movable,
@@ -119,8 +123,8 @@
     for (auto at = this->vm_moves.begin(); at != this->vm_moves.end();) {
         const auto& [target, ordered] = at->second;
         const auto vm = this->vms.find(at->first);
-        const bool arrived = vm != this->vms.end() && vm->second.pool == target && this->vm_list_seen > ordered &&
-                             vm->second.condition == vm_condition::up;
+        const bool arrived = vm != this->vms.end() && vm->second.pool == target &&
+                             this->vm_list_seen > ordered && vm->second.condition == vm_condition::up;
         at = arrived || now > ordered + move_timeout ? this->vm_moves.erase(at) : std::next(at);
     }
     std::vector<pool_need> pools;
@@ -133,7 +137,9 @@
         for (const auto& pool : pools) {
             const auto load = this->load_of(pool.pool, now);
             write_log(severity::info, "pool_demand",
-                      {{"pool", pool.pool}, {"vms", pool.vms}, {"needed", pool.needed},
+                      {{"pool", pool.pool},
+                       {"vms", pool.vms},
+                       {"needed", pool.needed},
                        {"lasting_cores", std::llround(load.lasting_cores / 1000)},
                        {"running_cores", std::llround(load.running_cores / 1000)},
                        {"waiting_cores", std::llround(load.waiting_cores / 1000)},
@@ -145,10 +151,9 @@
         this->vm_orders[move.vm] = now;
         write_log(severity::info, "move_ordered",
                   {{"vm", move.vm}, {"from", this->vms[move.vm].pool}, {"to", move.to_pool}});
-        this->act(order_move{.order = {.vm = move.vm,
-                                       .pool = move.to_pool,
-                                       .holder = this->options.node_id,
-                                       .fence = this->term}});
+        this->act(order_move{
+            .order = {
+                .vm = move.vm, .pool = move.to_pool, .holder = this->options.node_id, .fence = this->term}});
     }
 }
 
--- a/src/coordination/scheduler_vms.cpp
+++ b/src/coordination/scheduler_vms.cpp
@@ -72,7 +72,8 @@
         }
         // All tasks of the step on this worker would be away together.
         std::int32_t at_work_here = 0;
-        for (const auto& task : job->occurrence(id.occurrence).steps[static_cast<std::size_t>(id.step)].tasks) {
+        for (const auto& task :
+             job->occurrence(id.occurrence).steps[static_cast<std::size_t>(id.step)].tasks) {
             const bool here = task.worker == worker.entry.id && task.phase == run_phase::running;
             at_work_here += here && now > task.placed_at + this->options.limits.availability_notice ? 1 : 0;
         }
@@ -155,7 +156,8 @@
             }
             for (const auto& [id, placed] : worker->second.tasks) {
                 const auto* job = this->find_job(id.job);
-                const bool lasting = job != nullptr && job->spec.steps[static_cast<std::size_t>(id.step)].long_running;
+                const bool lasting =
+                    job != nullptr && job->spec.steps[static_cast<std::size_t>(id.step)].long_running;
                 candidate.serving_tasks += lasting ? 1 : 0;
                 candidate.batch_tasks += lasting ? 0 : 1;
             }
@@ -185,9 +187,12 @@
         wave.away[vm] = now;
         this->vm_orders[vm] = now;
         write_log(severity::info, "maintenance_ordered",
-                  {{"vm", vm}, {"worker", this->vms[vm].worker}, {"wave", wave.request.number},
+                  {{"vm", vm},
+                   {"worker", this->vms[vm].worker},
+                   {"wave", wave.request.number},
                    {"down", wave.away.size()},
-                   {"max_down", wave.request.max_down}, {"left", situation.left}});
+                   {"max_down", wave.request.max_down},
+                   {"left", situation.left}});
         this->act(order_maintenance{.order = {.vm = vm,
                                               .wave = wave.request.number,
                                               .holder = this->options.node_id,
--- a/src/coordination/scheduler_workers.cpp
+++ b/src/coordination/scheduler_workers.cpp
@@ -34,8 +34,9 @@
 }
 
 void scheduler::impl::note_lease(worker_control& worker, milliseconds length, boot_time now) {
-    const auto longest = milliseconds(static_cast<std::int64_t>(
-                             static_cast<double>(length.count()) * slow_clock_factor)) + lease_margin;
+    const auto longest =
+        milliseconds(static_cast<std::int64_t>(static_cast<double>(length.count()) * slow_clock_factor)) +
+        lease_margin;
     worker.lease_bound = std::max(worker.lease_bound, now + longest);
 }
 
@@ -111,7 +112,8 @@
     worker.lasting -= found->second.lasts ? 1 : 0;
     if (!account.empty()) {
         if (const auto* job = this->find_job(id.job)) {
-            this->account_use[std::string(account)] -= job->spec.steps[static_cast<std::size_t>(id.step)].need;
+            this->account_use[std::string(account)] -=
+                job->spec.steps[static_cast<std::size_t>(id.step)].need;
         }
     }
     worker.tasks.erase(found);
@@ -121,7 +123,8 @@
 void scheduler::impl::note_failure(worker_control& worker, boot_time now) {
     ++worker.recent_failures;
     if (worker.recent_failures >= 2) {
-        worker.avoid_until = now + this->timings.avoid_after_failure * std::min(worker.recent_failures - 1, 4);
+        worker.avoid_until =
+            now + this->timings.avoid_after_failure * std::min(worker.recent_failures - 1, 4);
         write_log(severity::info, "worker_avoided",
                   {{"worker", worker.entry.id}, {"recent_failures", worker.recent_failures}});
     }
@@ -132,8 +135,8 @@
                         .order = {.task = task, .run = run, .fence = this->fence_of(worker)}});
 }
 
-void scheduler::impl::accept_report(worker_control& worker, const hold_order& order, const hold_report& report,
-                                    boot_time now) {
+void scheduler::impl::accept_report(worker_control& worker, const hold_order& order,
+                                    const hold_report& report, boot_time now) {
     worker.unanswered = 0;
     this->note_clock(worker, report.worker_clock, now);
     if (order.fence == this->fence_of(worker)) {
@@ -164,7 +167,8 @@
         auto* job = this->find_job(running.task.job);
         auto* task = job == nullptr ? nullptr : job->find_task(running.task);
         const auto placed = worker.tasks.find(running.task);
-        const bool known = task != nullptr && placed != worker.tasks.end() && placed->second.run == running.run;
+        const bool known =
+            task != nullptr && placed != worker.tasks.end() && placed->second.run == running.run;
         if (!known) {
             write_log(severity::info, "unknown_run_stopped",
                       {{"job", running.task.job}, {"run", running.run}, {"worker", worker.entry.id}});
@@ -208,7 +212,10 @@
         this->remove_placement(worker, id, job == nullptr ? "" : job->spec.account);
         if (task != nullptr) {
             write_log(severity::info, "run_missing",
-                      {{"job", id.job}, {"step", id.step}, {"index", id.index}, {"run", task->run},
+                      {{"job", id.job},
+                       {"step", id.step},
+                       {"index", id.index},
+                       {"run", task->run},
                        {"worker", worker.entry.id}});
             this->requeue(*job, id, *task, now);
             this->after_progress(*job, now);
@@ -348,8 +355,8 @@
     }
 }
 
-void scheduler::on_hold_report(const worker_target& target, const hold_order& order, const hold_report& report,
-                               boot_time now) {
+void scheduler::on_hold_report(const worker_target& target, const hold_order& order,
+                               const hold_report& report, boot_time now) {
     auto& state = *this->self;
     const auto found = state.workers.find(target.id);
     if (state.term == 0 || found == state.workers.end()) {
@@ -383,8 +390,9 @@
     default:
         if (worker.unanswered++ == 0) {
             worker.unanswered_since = now;
-            write_log(severity::info, "worker_doubted",
-                      {{"worker", target.id}, {"outcome", to_string(report.outcome)}, {"reason", report.reason}});
+            write_log(
+                severity::info, "worker_doubted",
+                {{"worker", target.id}, {"outcome", to_string(report.outcome)}, {"reason", report.reason}});
         }
         worker.next_hold = now + state.timings.hold_retry * std::min(worker.unanswered, 4);
         return;
@@ -413,8 +421,8 @@
         if (vm == this->vms.end() || !this->workers.contains(worker)) {
             continue;
         }
-        const bool away = vm->second.condition == vm_condition::moving ||
-                          vm->second.condition == vm_condition::maintenance;
+        const bool away =
+            vm->second.condition == vm_condition::moving || vm->second.condition == vm_condition::maintenance;
         const bool replaced = !vm->second.worker.empty() && vm->second.worker != worker;
         if (away || replaced) {
             this->lose_worker(worker, away ? "its VM is away" : "its VM runs another worker", now);
--- a/src/fakes/fake_site.cpp
+++ b/src/fakes/fake_site.cpp
@@ -170,7 +170,8 @@
     if (!fits(need, room)) {
         return {.outcome = order_outcome::no_room, .worker_clock = clock};
     }
-    worker->lease = std::max(worker->lease, worker->born + std::min(order.lease_until, clock + this->limits.longest_lease));
+    worker->lease = std::max(worker->lease,
+                             worker->born + std::min(order.lease_until, clock + this->limits.longest_lease));
     worker->used += need;
     const bool lasts = this->long_running.contains(order.task.job);
     worker->tasks[order.task] = {.run = order.run,
@@ -218,7 +219,8 @@
     }
     for (auto& observed : this->runs) {
         const auto listed = std::any_of(worker->ended.begin(), worker->ended.end(), [&](const auto& end) {
-            return end.number <= order.acknowledged_end && end.task == observed.task && end.run == observed.run;
+            return end.number <= order.acknowledged_end && end.task == observed.task &&
+                   end.run == observed.run;
         });
         observed.acknowledged = observed.acknowledged || (observed.worker == target.id && listed);
     }
--- a/src/fakes/fake_site.hpp
+++ b/src/fakes/fake_site.hpp
@@ -63,8 +63,8 @@
     explicit fake_site(options settings) : limits(settings) {}
 
     /// Adds a VM whose worker is up.
-    void add_vm(const std::string& vm, const std::string& pool, const std::string& zone, const std::string& rack,
-                resources capacity, boot_time now);
+    void add_vm(const std::string& vm, const std::string& pool, const std::string& zone,
+                const std::string& rack, resources capacity, boot_time now);
 
     /// How long a task of the step runs and how it ends.
     void set_duration(std::chrono::milliseconds duration) { this->task_duration = duration; }
--- a/src/node/log_tail.hpp
+++ b/src/node/log_tail.hpp
@@ -17,10 +17,10 @@
 struct log_tail_options {
     log_topic topic = log_topic::jobs;
     std::int32_t partition = 0;
-    std::chrono::milliseconds wait{1000};      ///< how long one read may wait for a record
-    std::chrono::milliseconds pause{0};        ///< between two reads
-    std::chrono::milliseconds timeout{900};    ///< of an answer, beyond `wait`
-    std::chrono::milliseconds retry{150};      ///< after a read that failed
+    std::chrono::milliseconds wait{1000};   ///< how long one read may wait for a record
+    std::chrono::milliseconds pause{0};     ///< between two reads
+    std::chrono::milliseconds timeout{900}; ///< of an answer, beyond `wait`
+    std::chrono::milliseconds retry{150};   ///< after a read that failed
 };
 
 /// Follows one partition of the log: first the newest record of each key, then every record as it comes. When
@@ -111,8 +111,8 @@
         this->next = std::max(*this->next, answer.next);
         this->confirmed_at = this->asked_at;
         // The log has waited before it said that there is nothing.
-        this->complete_at = answer.records.empty() ? std::min(now, this->asked_at + this->options.wait)
-                                                   : this->asked_at;
+        this->complete_at =
+            answer.records.empty() ? std::min(now, this->asked_at + this->options.wait) : this->asked_at;
         this->not_before = now + this->options.pause;
         return true;
     }
--- a/src/node/operator_view.cpp
+++ b/src/node/operator_view.cpp
@@ -38,7 +38,8 @@
 
 void operator_view::end_reload() {
     this->zones = this->zones_seen;
-    std::erase_if(this->wave_requests, [this](const auto& item) { return !this->waves_seen.contains(item.first); });
+    std::erase_if(this->wave_requests,
+                  [this](const auto& item) { return !this->waves_seen.contains(item.first); });
 }
 
 std::vector<wave_request> operator_view::waves() const {
--- a/src/node/site_node.hpp
+++ b/src/node/site_node.hpp
@@ -25,7 +25,8 @@
 namespace hornbeamrail {
 
 /// An entry node on a platform: takes callers' jobs, follows the log, and is the scheduler while it holds the
-/// lease. `Port` carries the calls to the platform, `Codec` translates the documents of callers and operators.
+/// lease. `Port` carries the calls to the platform, `Codec` translates the documents of callers and
+/// operators.
 ///
 /// One mutex guards everything but the sockets. Calls and answers are sent after it is released, as both may
 /// come back at once.
@@ -86,10 +87,11 @@
 
     // Callers.
     void on_caller(http_request request, http_reply reply);
-    http_response answer_now(const typename Codec::call& call, const queue_config& queue, const std::string& id,
-                             const http_request& request, const http_reply& reply, bool& later, boot_time now);
-    void store(keyed_record record, const typename Codec::call& call, const http_reply& reply, int done_status,
-               std::function<void()> stored);
+    http_response answer_now(const typename Codec::call& call, const queue_config& queue,
+                             const std::string& id, const http_request& request, const http_reply& reply,
+                             bool& later, boot_time now);
+    void store(keyed_record record, const typename Codec::call& call, const http_reply& reply,
+               int done_status, std::function<void()> stored);
     [[nodiscard]] bool is_ready(boot_time now) const;
     [[nodiscard]] bool keys_are_fresh(boot_time now) const;
     [[nodiscard]] bool jobs_are_fresh(boot_time now) const;
--- a/src/node/site_node_impl.hpp
+++ b/src/node/site_node_impl.hpp
@@ -45,14 +45,14 @@
 template <class Port, class Codec>
 site_node<Port, Codec>::site_node(io_threads& workers, site_node_options given)
     : threads(workers), options(std::move(given)), port(workers, this->options.settings),
-      lease({.node_id = this->options.settings.node_id, .incarnation = this->options.incarnation,
+      lease({.node_id = this->options.settings.node_id,
+             .incarnation = this->options.incarnation,
              .handicap = lease_handicap(this->options.settings)}),
       schedule({.node_id = this->options.settings.node_id, .limits = this->options.settings.limits}),
-      submissions(
-          {.producer = this->options.settings.node_id + "-" + this->options.incarnation,
-           .partition = static_cast<std::int32_t>(std::hash<std::string>()(this->options.settings.node_id) %
-                                                  static_cast<std::size_t>(
-                                                      this->options.settings.limits.job_partitions))}) {
+      submissions({.producer = this->options.settings.node_id + "-" + this->options.incarnation,
+                   .partition = static_cast<std::int32_t>(
+                       std::hash<std::string>()(this->options.settings.node_id) %
+                       static_cast<std::size_t>(this->options.settings.limits.job_partitions))}) {
     const auto& timings = this->options.timings;
     const auto add = [this](log_tail_options tail) {
         this->tails.emplace_back(tail);
@@ -114,7 +114,8 @@
                                             [weak](http_request request, const http_reply& reply) {
                                                 const auto self = weak.lock();
                                                 if (self && request.target == "/metrics") {
-                                                    reply.send(http_response{.body = self->counters.to_text()});
+                                                    reply.send(
+                                                        http_response{.body = self->counters.to_text()});
                                                 } else if (self) {
                                                     reply.send(site_node_detail::json_answer(
                                                         200, boost::json::serialize(self->dump())));
@@ -165,7 +166,8 @@
                 this->was_ready = ready;
                 write_log(severity::info, ready ? "ready" : "not_ready",
                           {{"config_age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(
-                                                 now - this->operators_tail->confirmed()).count()}});
+                                                 now - this->operators_tail->confirmed())
+                                                 .count()}});
             }
         }
     }
@@ -176,7 +178,8 @@
 void site_node<Port, Codec>::tick_tails(boot_time now, outbox& out) {
     for (auto& tail : this->tails) {
         const bool scheduler_only = &tail == this->workers_tail || &tail == this->progress_tail;
-        const bool wanted = !scheduler_only || (this->phase != term_phase::none && this->phase != term_phase::fencing);
+        const bool wanted =
+            !scheduler_only || (this->phase != term_phase::none && this->phase != term_phase::fencing);
         const bool finished = &tail == this->progress_tail && tail.is_loaded();
         if (wanted && !finished) {
             this->read_tail(tail, now, out);
@@ -200,9 +203,10 @@
             this->listed_workers.clear();
         }
         out.push_back([self, &tail, epoch, call = *newest] {
-            self->port.newest(call, self->options.timings.newest_timeout, [self, &tail, epoch](newest_answer answer) {
-                self->locked([&](boot_time) { self->finish_read(tail, epoch, answer); });
-            });
+            self->port.newest(call, self->options.timings.newest_timeout,
+                              [self, &tail, epoch](newest_answer answer) {
+                                  self->locked([&](boot_time) { self->finish_read(tail, epoch, answer); });
+                              });
         });
         return;
     }
@@ -221,7 +225,9 @@
         return;
     }
     const bool was_loaded = tail.is_loaded();
-    const auto deliver_record = [&](const keyed_record& record) { this->deliver(tail, record, now); };
+    const auto deliver_record = [&](const keyed_record& record) {
+        this->deliver(tail, record, now);
+    };
     bool good = false;
     if constexpr (std::is_same_v<Answer, newest_answer>) {
         good = tail.on_newest(epoch, answer, now, deliver_record);
@@ -232,8 +238,9 @@
         this->last_log_contact = std::max(this->last_log_contact, tail.asked());
         if (this->log_lost_since) {
             write_log(severity::info, "log_regained",
-                      {{"lost_ms", std::chrono::duration_cast<std::chrono::milliseconds>(
-                                       now - *this->log_lost_since).count()}});
+                      {{"lost_ms",
+                        std::chrono::duration_cast<std::chrono::milliseconds>(now - *this->log_lost_since)
+                            .count()}});
             this->log_lost_since.reset();
         }
     } else if (!this->log_lost_since) {
@@ -310,17 +317,21 @@
                 BOOST_LEAF_AUTO(config, Codec::config(record.value));
                 const auto version = config.version;
                 if (this->operators.set_config(std::move(config))) {
-                    write_log(severity::info, "config_in_force", {{"version", version}, {"offset", record.offset}});
+                    write_log(severity::info, "config_in_force",
+                              {{"version", version}, {"offset", record.offset}});
                     this->schedule.set_config(this->operators.config());
                 }
             } else if (key.kind == Codec::key_kind::zone_out) {
-                write_log(severity::info, "zone_change", {{"zone", key.name}, {"out", !record.value.empty()}});
+                write_log(severity::info, "zone_change",
+                          {{"zone", key.name}, {"out", !record.value.empty()}});
                 this->operators.set_zone(key.name, !record.value.empty());
                 this->schedule.set_zones_out(this->operators.zones_out());
             } else if (key.kind == Codec::key_kind::wave && !record.value.empty()) {
                 BOOST_LEAF_AUTO(wave, Codec::wave(record.value));
                 write_log(severity::info, "wave_requested",
-                          {{"wave", wave.number}, {"vms", wave.vms.size()}, {"max_down", wave.max_down},
+                          {{"wave", wave.number},
+                           {"vms", wave.vms.size()},
+                           {"max_down", wave.max_down},
                            {"duration_ms", wave.duration.count()}});
                 this->operators.set_wave(std::move(wave));
                 this->schedule.set_waves(this->operators.waves());
@@ -452,8 +463,8 @@
     if (this->phase == term_phase::none || call.producer->epoch != this->schedule.term()) {
         return; // of an earlier term
     }
-    const bool repeated = answer.outcome == append_outcome::wrong_sequence &&
-                          answer.expected_sequence == sequence + 1;
+    const bool repeated =
+        answer.outcome == append_outcome::wrong_sequence && answer.expected_sequence == sequence + 1;
     if (answer.outcome == append_outcome::appended || repeated) {
         this->last_log_contact = std::max(this->last_log_contact, now - call.timeout);
         if (call.records.empty()) {
@@ -497,9 +508,8 @@
         this->append_scheduled({.topic = log_topic::states, .records = std::move(states->records)},
                                states->sequence, out);
     } else if (auto* drop = std::get_if<drop_job_records>(&action)) {
-        append_call call{.topic = log_topic::jobs,
-                         .partition = drop->partition,
-                         .records = std::move(drop->records)};
+        append_call call{
+            .topic = log_topic::jobs, .partition = drop->partition, .records = std::move(drop->records)};
         out.push_back([self, call = std::move(call)] {
             self->port.append(call, [](const append_answer& answer) {
                 if (answer.outcome != append_outcome::appended) {
@@ -621,9 +631,11 @@
 template <class Port, class Codec>
 bool site_node<Port, Codec>::jobs_are_fresh(boot_time now) const {
     const auto is_fresh = [&](const log_tail* tail) {
-        return tail->confirmed() != boot_time{} && now < tail->complete_until() + this->options.timings.job_age;
+        return tail->confirmed() != boot_time{} &&
+               now < tail->complete_until() + this->options.timings.job_age;
     };
-    return is_fresh(this->states_tail) && std::all_of(this->job_tails.begin(), this->job_tails.end(), is_fresh);
+    return is_fresh(this->states_tail) &&
+           std::all_of(this->job_tails.begin(), this->job_tails.end(), is_fresh);
 }
 
 template <class Port, class Codec>
@@ -647,28 +659,28 @@
 }
 
 template <class Port, class Codec>
-void site_node<Port, Codec>::store(keyed_record record, const typename Codec::call& call, const http_reply& reply,
-                                   int done_status, std::function<void()> stored) {
+void site_node<Port, Codec>::store(keyed_record record, const typename Codec::call& call,
+                                   const http_reply& reply, int done_status, std::function<void()> stored) {
     const auto& timings = this->options.timings;
     const auto patience = call.patience.value_or(timings.default_patience);
     const auto longest = std::min(patience - timings.answer_reserve, timings.longest_store);
     const auto deadline = clock::now() + std::max(longest, timings.answer_reserve);
-    this->submissions.add(std::move(record), deadline,
-                          [this, reply, done_status, stored = std::move(stored)](store_outcome outcome) {
-                              http_response response;
-                              if (outcome == store_outcome::stored) {
-                                  stored();
-                                  response = site_node_detail::json_answer(done_status, "{}");
-                              } else if (outcome == store_outcome::not_stored) {
-                                  response = site_node_detail::retry_later("log_unavailable",
-                                                                           "the log does not take the request");
-                              } else {
-                                  response = make_error_response(504, "log_silent", "the log has not answered",
-                                                                 "repeat the request with the same id", "unknown");
-                              }
-                              this->replies.push_back(
-                                  [reply, response = std::move(response)] { reply.send(response); });
-                          });
+    this->submissions.add(
+        std::move(record), deadline,
+        [this, reply, done_status, stored = std::move(stored)](store_outcome outcome) {
+            http_response response;
+            if (outcome == store_outcome::stored) {
+                stored();
+                response = site_node_detail::json_answer(done_status, "{}");
+            } else if (outcome == store_outcome::not_stored) {
+                response =
+                    site_node_detail::retry_later("log_unavailable", "the log does not take the request");
+            } else {
+                response = make_error_response(504, "log_silent", "the log has not answered",
+                                               "repeat the request with the same id", "unknown");
+            }
+            this->replies.push_back([reply, response = std::move(response)] { reply.send(response); });
+        });
 }
 
 template <class Port, class Codec>
@@ -680,7 +692,8 @@
         const auto call = Codec::decode_call(request);
         const auto config = this->operators.config();
         const auto* queue = config->queue_of(call.host, call.path);
-        const bool log_is_lost = this->log_lost_since && now > *this->log_lost_since + this->options.timings.log_grace;
+        const bool log_is_lost =
+            this->log_lost_since && now > *this->log_lost_since + this->options.timings.log_grace;
         const bool stores = call.method == Codec::method::submit || call.method == Codec::method::cancel;
         if (!this->operators.has_config() || !this->keys_are_fresh(now) || (stores && log_is_lost)) {
             answer = site_node_detail::retry_later("not_fresh", "this node has lost the log");
@@ -717,17 +730,19 @@
     if (call.method == method::ask) {
         if (known == nullptr) {
             return this->jobs_are_fresh(now)
-                       ? make_error_response(410, "unknown_job", "no such job is known", "submit the job", "not_run")
+                       ? make_error_response(410, "unknown_job", "no such job is known", "submit the job",
+                                             "not_run")
                        : site_node_detail::retry_later("not_fresh", "this node does not know all jobs yet");
         }
         const bool cancelled = known->cancel_requested && !is_final(known->state);
-        return site_node_detail::json_answer(200, Codec::state(cancelled ? job_state::cancelled : known->state));
+        return site_node_detail::json_answer(200,
+                                             Codec::state(cancelled ? job_state::cancelled : known->state));
     }
     if (call.method == method::cancel) {
         later = true;
         // Stored even if the job is not known here yet: its record may be on its way.
-        this->store({.key = id + std::string(cancel_suffix), .value = "1"}, call, reply, known == nullptr ? 410 : 200,
-                    [this, id] { this->index.note_cancelled(id); });
+        this->store({.key = id + std::string(cancel_suffix), .value = "1"}, call, reply,
+                    known == nullptr ? 410 : 200, [this, id] { this->index.note_cancelled(id); });
         return {};
     }
     if (known != nullptr && !known->queue.empty()) {
@@ -748,7 +763,9 @@
     this->store({.key = id, .value = boost::json::serialize(to_json(*job))}, call, reply, 200,
                 [this, noted = *job] {
                     write_log(severity::info, "job_accepted",
-                              {{"job", noted.id}, {"queue", noted.queue}, {"account", noted.account},
+                              {{"job", noted.id},
+                               {"queue", noted.queue},
+                               {"account", noted.account},
                                {"steps", noted.steps.size()}});
                     this->index.note_stored(noted);
                 });
--- a/src/node/site_node_options.hpp
+++ b/src/node/site_node_options.hpp
@@ -9,24 +9,24 @@
 /// Timings of a node on a platform.
 struct site_node_timings {
     std::chrono::milliseconds tick{20};
-    std::chrono::milliseconds shortest_pump{4};      ///< between two rounds of decisions
-    std::chrono::milliseconds follower_pause{400};   ///< between reads of jobs and states on other nodes
-    std::chrono::milliseconds scheduler_pause{15};   ///< between reads of jobs on the scheduler
-    std::chrono::milliseconds workers_pause{250};    ///< between reads of the workers topic
+    std::chrono::milliseconds shortest_pump{4};    ///< between two rounds of decisions
+    std::chrono::milliseconds follower_pause{400}; ///< between reads of jobs and states on other nodes
+    std::chrono::milliseconds scheduler_pause{15}; ///< between reads of jobs on the scheduler
+    std::chrono::milliseconds workers_pause{250};  ///< between reads of the workers topic
     std::chrono::milliseconds start_timeout{900};
-    std::chrono::milliseconds hold_timeout{600};     ///< beyond the time that the worker waits
+    std::chrono::milliseconds hold_timeout{600}; ///< beyond the time that the worker waits
     std::chrono::milliseconds stop_timeout{900};
     std::chrono::milliseconds vm_timeout{1500};
     std::chrono::milliseconds newest_timeout{2000};
     std::chrono::milliseconds append_retry{60};
     std::chrono::milliseconds default_patience{3000}; ///< of a caller that states none
-    std::chrono::milliseconds answer_reserve{100};    ///< a caller gets its answer so long before its deadline
+    std::chrono::milliseconds answer_reserve{100}; ///< a caller gets its answer so long before its deadline
     /// A caller is not kept waiting longer for the log: another node may reach it.
     std::chrono::milliseconds longest_store{1200};
     std::chrono::milliseconds log_grace{500}; ///< requests are refused when the log has been lost for so long
-    std::chrono::milliseconds key_margin{900};        ///< keys count as stale so long before their bound
-    std::chrono::milliseconds job_age{2200};          ///< of the jobs, at a node that says which jobs exist
-    std::chrono::milliseconds ready_age{1700};        ///< of the configuration, at a node that reports itself ready
+    std::chrono::milliseconds key_margin{900}; ///< keys count as stale so long before their bound
+    std::chrono::milliseconds job_age{2200};   ///< of the jobs, at a node that says which jobs exist
+    std::chrono::milliseconds ready_age{1700}; ///< of the configuration, at a node that reports itself ready
     std::chrono::milliseconds stop_idle_grace{700};
     std::chrono::milliseconds stop_rotation{2200}; ///< the load balancer takes a stopping node out within
 };
--- a/src/node/submission_queue.cpp
+++ b/src/node/submission_queue.cpp
@@ -13,12 +13,12 @@
 }
 
 append_call submission_queue::make_append() const {
-    append_call call{.topic = log_topic::jobs,
-                     .partition = this->options.partition,
-                     .producer = append_producer{.name = this->options.producer,
-                                                 .epoch = this->epoch,
-                                                 .sequence = this->sequence},
-                     .timeout = this->options.timeout};
+    append_call call{
+        .topic = log_topic::jobs,
+        .partition = this->options.partition,
+        .producer =
+            append_producer{.name = this->options.producer, .epoch = this->epoch, .sequence = this->sequence},
+        .timeout = this->options.timeout};
     for (const auto& entry : this->batch) {
         call.records.push_back(entry.record);
     }
@@ -47,7 +47,8 @@
         const auto count = std::min(this->waiting.size(), this->options.longest_batch);
         std::move(this->waiting.begin(), this->waiting.begin() + static_cast<std::ptrdiff_t>(count),
                   std::back_inserter(this->batch));
-        this->waiting.erase(this->waiting.begin(), this->waiting.begin() + static_cast<std::ptrdiff_t>(count));
+        this->waiting.erase(this->waiting.begin(),
+                            this->waiting.begin() + static_cast<std::ptrdiff_t>(count));
         ++this->sequence;
         this->uncertain = false;
     }
@@ -74,7 +75,8 @@
         return;
     case append_outcome::refused:
         if (!this->uncertain) {
-            write_log(severity::info, "store_refused", {{"records", this->batch.size()}, {"reason", answer.reason}});
+            write_log(severity::info, "store_refused",
+                      {{"records", this->batch.size()}, {"reason", answer.reason}});
             --this->sequence;
             this->answer_batch(store_outcome::not_stored);
             return;
--- a/src/node/submission_queue.hpp
+++ b/src/node/submission_queue.hpp
@@ -23,8 +23,8 @@
 struct submission_queue_options {
     std::string producer; ///< unique to this process
     std::int32_t partition = 0;
-    std::chrono::milliseconds interval{6};  ///< between two appends, to gather records
-    std::chrono::milliseconds retry{60};    ///< after an append without answer
+    std::chrono::milliseconds interval{6}; ///< between two appends, to gather records
+    std::chrono::milliseconds retry{60};   ///< after an append without answer
     std::chrono::milliseconds timeout{1000};
     std::size_t longest_batch = 400;
 };
--- a/src/policy/job_order.hpp
+++ b/src/policy/job_order.hpp
@@ -24,8 +24,8 @@
     bool long_running = false;
     bool begun = false;
     std::int32_t priority = 0;
-    unix_time due{};                           ///< from when its time counts
-    std::chrono::milliseconds objective{0};    ///< allowed from `due` to its end
+    unix_time due{};                              ///< from when its time counts
+    std::chrono::milliseconds objective{0};       ///< allowed from `due` to its end
     std::chrono::milliseconds remaining_chain{0}; ///< longest chain of work that is left
 };
 
--- a/src/policy/pool_moves.cpp
+++ b/src/policy/pool_moves.cpp
@@ -20,8 +20,8 @@
 
 /// Takes an idle VM of a pool out of the list.
 std::optional<std::string> take_idle(std::vector<movable_vm>& vms, const std::string& pool) {
-    const auto found = std::find_if(vms.begin(), vms.end(),
-                                    [&pool](const auto& vm) { return vm.idle && vm.pool == pool; });
+    const auto found =
+        std::find_if(vms.begin(), vms.end(), [&pool](const auto& vm) { return vm.idle && vm.pool == pool; });
     if (found == vms.end()) {
         return std::nullopt;
     }
@@ -66,8 +66,8 @@
     // A part of the backlog is gone before a VM that is ordered now arrives.
     const double batch =
         std::max(load.arriving_cores, load.running_cores + backlog_part * load.waiting_cores);
-    const auto by_cores = static_cast<std::int32_t>(
-        std::ceil((load.lasting_cores + batch) / (load.vm_cores * planned_use)));
+    const auto by_cores =
+        static_cast<std::int32_t>(std::ceil((load.lasting_cores + batch) / (load.vm_cores * planned_use)));
     return std::max(by_cores, load.lasting_vms) + 1;
 }
 
@@ -111,7 +111,8 @@
     for (const auto& pool : pools) {
         const auto unneeded = std::min(surplus[pool.pool], pool.vms - pool.needed_lately);
         for (auto count = unneeded; !spare_pool.empty() && !pool.spare && pool.may_release && count > 0 &&
-                                    releases < most_releases && moves.size() < most_moves; --count) {
+                                    releases < most_releases && moves.size() < most_moves;
+             --count) {
             auto vm = take_idle(left, pool.pool);
             if (!vm) {
                 break;
--- a/src/policy/pool_moves.hpp
+++ b/src/policy/pool_moves.hpp
@@ -38,10 +38,10 @@
 
 /// What a pool is asked for at one moment.
 struct pool_load {
-    double lasting_cores = 0; ///< thousandths of a core, of tasks that run until their job is cancelled
-    double running_cores = 0; ///< of other tasks
-    double waiting_cores = 0; ///< of tasks that could start
-    double arriving_cores = 0; ///< expected when a VM that is ordered now has arrived
+    double lasting_cores = 0;     ///< thousandths of a core, of tasks that run until their job is cancelled
+    double running_cores = 0;     ///< of other tasks
+    double waiting_cores = 0;     ///< of tasks that could start
+    double arriving_cores = 0;    ///< expected when a VM that is ordered now has arrived
     std::int32_t lasting_vms = 0; ///< VMs that the long-running tasks need to keep apart
     double vm_cores = 0;          ///< thousandths of a core that a VM of the pool has
 };
@@ -59,10 +59,10 @@
 struct pool_need {
     std::string pool;
     bool spare = false;
-    std::int32_t vms = 0;      ///< that take tasks, or are on their way in
-    std::int32_t needed = 0;   ///< now or soon
+    std::int32_t vms = 0;           ///< that take tasks, or are on their way in
+    std::int32_t needed = 0;        ///< now or soon
     std::int32_t needed_lately = 0; ///< highest need of the last seconds
-    bool may_release = false;  ///< VMs beyond `needed_lately` may be switched off
+    bool may_release = false;       ///< VMs beyond `needed_lately` may be switched off
 };
 
 struct vm_move_plan {
@@ -71,8 +71,8 @@
 };
 
 /// Chooses moves: pools that lack VMs get them from the spare pool first, then from pools that have more than
-/// they need now; VMs that their pool has not needed lately go to the spare pool, where they are off, a few at a
-/// time.
+/// they need now; VMs that their pool has not needed lately go to the spare pool, where they are off, a few
+/// at a time.
 /// @param most_moves longest plan
 /// @param most_releases moves to the spare pool in one plan
 std::vector<vm_move_plan> plan_pool_moves(const std::vector<pool_need>& pools,
--- a/src/policy/vm_plan.cpp
+++ b/src/policy/vm_plan.cpp
@@ -23,8 +23,10 @@
 
 wave_step plan_wave_step(const wave_situation& situation, std::vector<wave_candidate> candidates) {
     std::sort(candidates.begin(), candidates.end(), [](const auto& left, const auto& right) {
-        return std::tuple(!left.may_end_tasks, left.batch_tasks, !left.draining, left.serving_tasks, left.used_cpu, left.vm) <
-               std::tuple(!right.may_end_tasks, right.batch_tasks, !right.draining, right.serving_tasks, right.used_cpu, right.vm);
+        return std::tuple(!left.may_end_tasks, left.batch_tasks, !left.draining, left.serving_tasks,
+                          left.used_cpu, left.vm) < std::tuple(!right.may_end_tasks, right.batch_tasks,
+                                                               !right.draining, right.serving_tasks,
+                                                               right.used_cpu, right.vm);
     });
     wave_step step;
     const bool pressed = is_pressed(situation);
--- a/src/policy/vm_plan.hpp
+++ b/src/policy/vm_plan.hpp
@@ -12,8 +12,8 @@
 /// A VM of a maintenance wave that is up and still to be maintained.
 struct wave_candidate {
     std::string vm;
-    bool draining = false;       ///< gets no new tasks already
-    bool may_end_tasks = true;   ///< ending what runs on it keeps every availability limit
+    bool draining = false;        ///< gets no new tasks already
+    bool may_end_tasks = true;    ///< ending what runs on it keeps every availability limit
     std::int32_t batch_tasks = 0; ///< tasks whose work would be lost
     std::int32_t serving_tasks = 0;
     std::int64_t used_cpu = 0; ///< thousandths of a core in use
--- a/src/policy/worker_choice.hpp
+++ b/src/policy/worker_choice.hpp
@@ -15,33 +15,34 @@
 struct worker_view {
     std::string_view id;
     std::string_view rack;
-    resources room;              ///< free
+    resources room; ///< free
     resources capacity;
-    std::int32_t serving = 0;    ///< tasks with a latency target
-    std::int32_t filling = 0;    ///< tasks that use leftover capacity
-    std::int32_t lasting = 0;    ///< tasks that run until their job is cancelled
-    std::int32_t same_step = 0;  ///< tasks of the step in question that are on it
-    bool allowed = true;         ///< may run the step: label, advice, health
+    std::int32_t serving = 0;   ///< tasks with a latency target
+    std::int32_t filling = 0;   ///< tasks that use leftover capacity
+    std::int32_t lasting = 0;   ///< tasks that run until their job is cancelled
+    std::int32_t same_step = 0; ///< tasks of the step in question that are on it
+    bool allowed = true;        ///< may run the step: label, advice, health
 };
 
 /// What a task asks of its place.
 struct place_request {
     resources need;
-    std::string_view data_rack;        ///< preferred; empty: none
-    std::string_view avoided_worker;   ///< where its last run failed
-    std::int32_t max_per_worker = 0;   ///< 0: no limit
+    std::string_view data_rack;      ///< preferred; empty: none
+    std::string_view avoided_worker; ///< where its last run failed
+    std::int32_t max_per_worker = 0; ///< 0: no limit
     bool fills = false;
     bool serves = false;
-    bool spread = false; ///< on as many workers as possible
-    std::string_view preferred_rack;   ///< of a rack-sensitive step; empty: none
+    bool spread = false;             ///< on as many workers as possible
+    std::string_view preferred_rack; ///< of a rack-sensitive step; empty: none
 };
 
 /// Pattern: the demand of a pool rises and falls, and VMs that are idle can help another pool. Long-running
 /// tasks share a few workers, other tasks fill those first and then one worker after the other, so that the
-/// rest stays idle. A task goes to the rack of its data if there is room; filling tasks keep away from serving
-/// ones.
+/// rest stays idle. A task goes to the rack of its data if there is room; filling tasks keep away from
+/// serving ones.
 /// @return index of the chosen worker, or nothing when none has room
-std::optional<std::size_t> choose_worker(const std::vector<worker_view>& workers, const place_request& request);
+std::optional<std::size_t> choose_worker(const std::vector<worker_view>& workers,
+                                         const place_request& request);
 
 /// @return rack with the most room for tasks of @p need, empty when no rack holds @p count of them
 std::string_view choose_rack(const std::vector<worker_view>& workers, const resources& need,
--- a/src/protocol/job.cpp
+++ b/src/protocol/job.cpp
@@ -167,18 +167,17 @@
     const auto time_of = [&reader](std::string_view name) {
         return unix_time(std::chrono::milliseconds(reader.optional_integer(name, 0, -max_int64, max_int64)));
     };
-    job_spec job{.id = std::string(id),
-                 .queue = reader.required_string("queue"),
-                 .account = reader.optional_string("account", ""),
-                 .pool = reader.optional_string("pool", ""),
-                 .attempts = static_cast<std::int32_t>(reader.optional_integer("attempts", 1, 0, max_int32)),
-                 .payload = reader.optional_string("payload", ""),
-                 .occurrences =
-                     static_cast<std::int32_t>(reader.optional_integer("occurrences", 0, 0, max_int32)),
-                 .first_due = time_of("first_due_ms"),
-                 .interval =
-                     std::chrono::milliseconds(reader.optional_integer("interval_ms", 0, 0, max_int64)),
-                 .submitted = time_of("submitted_ms")};
+    job_spec job{
+        .id = std::string(id),
+        .queue = reader.required_string("queue"),
+        .account = reader.optional_string("account", ""),
+        .pool = reader.optional_string("pool", ""),
+        .attempts = static_cast<std::int32_t>(reader.optional_integer("attempts", 1, 0, max_int32)),
+        .payload = reader.optional_string("payload", ""),
+        .occurrences = static_cast<std::int32_t>(reader.optional_integer("occurrences", 0, 0, max_int32)),
+        .first_due = time_of("first_due_ms"),
+        .interval = std::chrono::milliseconds(reader.optional_integer("interval_ms", 0, 0, max_int64)),
+        .submitted = time_of("submitted_ms")};
     const auto& steps = reader.array("steps", true);
     for (std::size_t index = 0; index < steps.size(); ++index) {
         job.steps.push_back(read_step(steps[index], indexed_path("$.steps", index), findings));
--- a/src/protocol/job.hpp
+++ b/src/protocol/job.hpp
@@ -34,8 +34,8 @@
 
 /// One step of a job: tasks of the same size that may run side by side.
 struct step_spec {
-    std::int32_t count = 1; ///< number of tasks
-    resources need;         ///< of each task
+    std::int32_t count = 1;                ///< number of tasks
+    resources need;                        ///< of each task
     std::chrono::milliseconds estimate{0}; ///< rough duration of a task, as the submitter states it
     std::vector<std::int32_t> after;       ///< numbers of earlier steps that must be done first
     bool gang = false;                     ///< all tasks run at the same time or none
@@ -43,9 +43,9 @@
     bool speculative = false;              ///< several runs of one task may be active at the same time
     bool long_running = false;             ///< the tasks run until the job is cancelled
     bool saves_progress = false;
-    bool fills = false;            ///< takes only capacity that the other tasks leave unused
-    std::string required_label;    ///< label that the worker must have; empty: any worker
-    std::string data_rack;         ///< rack where the tasks run at full speed; empty: any
+    bool fills = false;              ///< takes only capacity that the other tasks leave unused
+    std::string required_label;      ///< label that the worker must have; empty: any worker
+    std::string data_rack;           ///< rack where the tasks run at full speed; empty: any
     std::int32_t max_per_worker = 0; ///< tasks of one occurrence on one worker; 0: no limit
     std::string image;
     std::chrono::milliseconds latency_target{0}; ///< of the users of long-running tasks; 0: none
@@ -54,12 +54,12 @@
 
 /// A job as its submitter gave it.
 struct job_spec {
-    std::string id;      ///< 16 hexadecimal digits, chosen by the submitter
-    std::string queue;   ///< name of the queue that it was submitted to
-    std::string account; ///< client account; empty on open queues
-    std::string pool;    ///< of the queue when the job was accepted, for queues that are removed later
+    std::string id;            ///< 16 hexadecimal digits, chosen by the submitter
+    std::string queue;         ///< name of the queue that it was submitted to
+    std::string account;       ///< client account; empty on open queues
+    std::string pool;          ///< of the queue when the job was accepted, for queues that are removed later
     std::int32_t attempts = 1; ///< of the queue when the job was accepted
-    std::string payload; ///< passed on to every task
+    std::string payload;       ///< passed on to every task
     std::vector<step_spec> steps;
     std::int32_t occurrences = 0; ///< 0: the steps run once, at once
     unix_time first_due{};        ///< due time of occurrence 0
--- a/src/protocol/json_log.hpp
+++ b/src/protocol/json_log.hpp
@@ -12,8 +12,8 @@
 /// Sets the lowest severity that is written. The default is `info`.
 void set_log_threshold(severity lowest) noexcept;
 
-/// Lines of one event that are written in a second; further ones are counted, and the next line that is written
-/// says how many were left out.
+/// Lines of one event that are written in a second; further ones are counted, and the next line that is
+/// written says how many were left out.
 inline constexpr std::int64_t max_lines_per_second = 60;
 
 /// Sends the lines to standard output; the default is standard error, which leaves the output to commands.
--- a/src/protocol/platform_port.cpp
+++ b/src/protocol/platform_port.cpp
@@ -6,9 +6,9 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 11> order_names{"done",      "fenced",       "stale_run", "late",
-                                                       "no_room",   "no_ticket",    "unhealthy", "other_worker",
-                                                       "rejected",  "unsent",       "unknown"};
+constexpr std::array<std::string_view, 11> order_names{"done",     "fenced",    "stale_run", "late",
+                                                       "no_room",  "no_ticket", "unhealthy", "other_worker",
+                                                       "rejected", "unsent",    "unknown"};
 constexpr std::array<std::string_view, 6> end_names{"done", "failed", "stopped", "lapsed", "broken", "alone"};
 constexpr std::array<std::string_view, 7> vm_order_names{"done",     "fenced",     "busy",   "wrong_wave",
                                                          "rejected", "overloaded", "unknown"};
--- a/src/protocol/platform_port.hpp
+++ b/src/protocol/platform_port.hpp
@@ -120,8 +120,8 @@
     task_id task;
     std::int64_t run = 0;
     std::string payload;
-    std::string saved;  ///< progress to resume from; empty: none
-    std::string ticket; ///< of the pool's advice; empty: none
+    std::string saved;                        ///< progress to resume from; empty: none
+    std::string ticket;                       ///< of the pool's advice; empty: none
     std::chrono::milliseconds lease_until{0}; ///< on the worker's clock
     std::int64_t fence = 0;
 };
@@ -165,9 +165,9 @@
 /// Extends the lease of everything on a worker and asks what runs there.
 struct hold_order {
     std::int64_t fence = 0;
-    std::int64_t acknowledged_end = 0;                       ///< ends up to this number may be forgotten
+    std::int64_t acknowledged_end = 0;                    ///< ends up to this number may be forgotten
     std::optional<std::chrono::milliseconds> lease_until; ///< on the worker's clock
-    std::chrono::milliseconds wait{0};                       ///< for an end
+    std::chrono::milliseconds wait{0};                    ///< for an end
 };
 
 struct running_task {
@@ -248,14 +248,14 @@
 /// Limits and timings that the platform states for a site.
 struct site_limits {
     std::chrono::milliseconds longest_lease{6000};
-    std::chrono::milliseconds key_revocation{5000};  ///< a withdrawn key stops working within
-    std::chrono::milliseconds stop_time{200};        ///< a worker takes to stop a task
-    std::chrono::milliseconds gang_wait{3000};       ///< a member waits for the others
+    std::chrono::milliseconds key_revocation{5000};      ///< a withdrawn key stops working within
+    std::chrono::milliseconds stop_time{200};            ///< a worker takes to stop a task
+    std::chrono::milliseconds gang_wait{3000};           ///< a member waits for the others
     std::chrono::milliseconds availability_notice{4500}; ///< a task counts as away for so long after a start
-    std::chrono::milliseconds status_kept{120000};   ///< state of a final job can be asked for
-    std::chrono::milliseconds restore_time{100};     ///< to resume from saved progress
-    std::chrono::milliseconds harm_time{4000};       ///< a serving task may be over its latency target
-    std::chrono::milliseconds stop_grace{6000};      ///< between SIGTERM and SIGKILL
+    std::chrono::milliseconds status_kept{120000};       ///< state of a final job can be asked for
+    std::chrono::milliseconds restore_time{100};         ///< to resume from saved progress
+    std::chrono::milliseconds harm_time{4000};           ///< a serving task may be over its latency target
+    std::chrono::milliseconds stop_grace{6000};          ///< between SIGTERM and SIGKILL
     std::chrono::milliseconds vm_move{1500};
     std::chrono::milliseconds vm_maintenance{2000};
     double far_factor = 1.5; ///< slowdown away from the data or on several racks
--- a/src/protocol/site_document.cpp
+++ b/src/protocol/site_document.cpp
@@ -8,8 +8,8 @@
 
 template <class Item>
 const Item* find_by_name(const std::vector<Item>& items, std::string_view name) noexcept {
-    const auto found = std::find_if(items.begin(), items.end(),
-                                    [name](const Item& item) { return item.name == name; });
+    const auto found =
+        std::find_if(items.begin(), items.end(), [name](const Item& item) { return item.name == name; });
     return found == items.end() ? nullptr : &*found;
 }
 
--- a/src/protocol/site_document.hpp
+++ b/src/protocol/site_document.hpp
@@ -27,9 +27,9 @@
     std::string host;
     std::string path_prefix;
     std::string pool;
-    std::int32_t priority = 0; ///< 0 comes first
-    std::int32_t attempts = 1; ///< runs of a task that may end as failed
-    double stretch = 1.0;      ///< objective as a multiple of the longest chain of work
+    std::int32_t priority = 0;                    ///< 0 comes first
+    std::int32_t attempts = 1;                    ///< runs of a task that may end as failed
+    double stretch = 1.0;                         ///< objective as a multiple of the longest chain of work
     std::chrono::milliseconds objective_slack{0}; ///< added to the objective
     bool open = false;                            ///< needs no key
     std::optional<advice_config> advice;
--- a/src/state/job_index.cpp
+++ b/src/state/job_index.cpp
@@ -35,7 +35,8 @@
     const auto parsed = value_or_error(
         [&]() -> result<job_spec> {
             if (failure) {
-                return make_error(errc::parse_failed, failure.message(), "look for other writers of the topic");
+                return make_error(errc::parse_failed, failure.message(),
+                                  "look for other writers of the topic");
             }
             return parse_job(key, document);
         },
--- a/src/state/job_progress.cpp
+++ b/src/state/job_progress.cpp
@@ -14,7 +14,8 @@
 constexpr std::size_t task_fields = 8;
 
 boost::leaf::error_id unreadable(std::string message) {
-    return make_error(errc::parse_failed, std::move(message), "only records that this product wrote can be read");
+    return make_error(errc::parse_failed, std::move(message),
+                      "only records that this product wrote can be read");
 }
 
 bool is_untouched(const task_progress& task) {
@@ -112,22 +113,25 @@
                 const bool active = task.phase == run_phase::placed || task.phase == run_phase::running;
                 // A successor asks the worker itself whether a placed task runs.
                 tasks.push_back(boost::json::array{
-                    occurrence.number, step, index,
-                    static_cast<int>(active ? run_phase::placed : task.phase), task.run, task.failures,
-                    active ? task.worker : std::string(), task.phase == run_phase::done ? "" : task.saved});
+                    occurrence.number, step, index, static_cast<int>(active ? run_phase::placed : task.phase),
+                    task.run, task.failures, active ? task.worker : std::string(),
+                    task.phase == run_phase::done ? "" : task.saved});
             }
         }
     }
-    return boost::json::serialize(boost::json::object{
-        {"state", to_string(this->state)}, {"finished", this->finished_occurrences}, {"tasks", std::move(tasks)}});
+    return boost::json::serialize(boost::json::object{{"state", to_string(this->state)},
+                                                      {"finished", this->finished_occurrences},
+                                                      {"tasks", std::move(tasks)}});
 }
 
 result<void> job_progress::decode(std::string_view text) {
     boost::system::error_code failure;
     const auto document = boost::json::parse(text, failure);
     const auto* object = failure ? nullptr : document.if_object();
-    const auto* rows = object == nullptr || !object->contains("tasks") ? nullptr : object->at("tasks").if_array();
-    const auto* state_text = object == nullptr || !object->contains("state") ? nullptr : object->at("state").if_string();
+    const auto* rows =
+        object == nullptr || !object->contains("tasks") ? nullptr : object->at("tasks").if_array();
+    const auto* state_text =
+        object == nullptr || !object->contains("state") ? nullptr : object->at("state").if_string();
     const auto parsed_state = state_text == nullptr ? std::nullopt : parse_job_state(*state_text);
     if (rows == nullptr || !parsed_state) {
         return unreadable("the progress record is not a JSON object with state and tasks");
@@ -138,7 +142,8 @@
     }
     for (const auto& value : *rows) {
         const auto* row = value.if_array();
-        if (row == nullptr || row->size() != task_fields || !row->at(6).is_string() || !row->at(7).is_string()) {
+        if (row == nullptr || row->size() != task_fields || !row->at(6).is_string() ||
+            !row->at(7).is_string()) {
             return unreadable("a task of the progress record has other fields");
         }
         for (std::size_t field = 0; field < 6; ++field) {
@@ -146,8 +151,11 @@
                 return unreadable("a number of the progress record is missing");
             }
         }
-        const auto number_at = [row](std::size_t field) { return static_cast<std::int32_t>(row->at(field).as_int64()); };
-        const task_id id{.job = this->spec.id, .occurrence = number_at(0), .step = number_at(1), .index = number_at(2)};
+        const auto number_at = [row](std::size_t field) {
+            return static_cast<std::int32_t>(row->at(field).as_int64());
+        };
+        const task_id id{
+            .job = this->spec.id, .occurrence = number_at(0), .step = number_at(1), .index = number_at(2)};
         this->occurrence(id.occurrence);
         auto* task = this->find_task(id);
         if (task == nullptr || number_at(3) < 0 || number_at(3) > static_cast<int>(run_phase::done)) {
--- a/tests/job_policy_test.cpp
+++ b/tests/job_policy_test.cpp
@@ -23,7 +23,8 @@
 
 BOOST_AUTO_TEST_CASE(jobs_that_can_meet_their_objective_go_first) {
     const unix_time now(milliseconds(10000));
-    const job_urgency urgent{.due = unix_time(milliseconds(9000)), .objective = milliseconds(2500),
+    const job_urgency urgent{.due = unix_time(milliseconds(9000)),
+                             .objective = milliseconds(2500),
                              .remaining_chain = milliseconds(1000)};
     auto missed = urgent;
     missed.remaining_chain = milliseconds(2000);
@@ -40,7 +41,9 @@
 BOOST_AUTO_TEST_CASE(longest_chain_follows_the_steps) {
     job_spec job;
     job.steps = {{}, {.after = {0}}, {}, {.after = {1, 2}}};
-    const auto duration = [](std::size_t step) { return milliseconds(100 * (static_cast<int>(step) + 1)); };
+    const auto duration = [](std::size_t step) {
+        return milliseconds(100 * (static_cast<int>(step) + 1));
+    };
     BOOST_TEST(longest_chain(job, duration, [](std::size_t) { return false; }).count() == 700);
     BOOST_TEST(longest_chain(job, duration, [](std::size_t step) { return step < 2; }).count() == 700);
 }
@@ -98,9 +101,10 @@
 
 // A pool in its surge gets VMs from the spare pool first, then from pools that have more than they need.
 BOOST_AUTO_TEST_CASE(vms_go_where_work_arrives) {
-    const std::vector<pool_need> pools{{.pool = "busy", .vms = 2, .needed = 5},
-                                       {.pool = "idle", .vms = 4, .needed = 2, .needed_lately = 4, .may_release = true},
-                                       {.pool = "spare", .spare = true, .vms = 1}};
+    const std::vector<pool_need> pools{
+        {.pool = "busy", .vms = 2, .needed = 5},
+        {.pool = "idle", .vms = 4, .needed = 2, .needed_lately = 4, .may_release = true},
+        {.pool = "spare", .spare = true, .vms = 1}};
     const std::vector<movable_vm> vms{{.id = "i1", .pool = "idle", .idle = true},
                                       {.id = "i2", .pool = "idle", .idle = true},
                                       {.id = "i3", .pool = "idle", .idle = true},
@@ -108,12 +112,14 @@
     const auto moves = plan_pool_moves(pools, vms, 10, 10);
     BOOST_REQUIRE(moves.size() == 3);
     BOOST_TEST(moves[0].vm == "s1");
-    BOOST_TEST(std::all_of(moves.begin(), moves.end(), [](const auto& move) { return move.to_pool == "busy"; }));
+    BOOST_TEST(
+        std::all_of(moves.begin(), moves.end(), [](const auto& move) { return move.to_pool == "busy"; }));
 }
 
 BOOST_AUTO_TEST_CASE(unneeded_vms_are_switched_off) {
-    const std::vector<pool_need> pools{{.pool = "idle", .vms = 4, .needed = 1, .needed_lately = 2, .may_release = true},
-                                       {.pool = "spare", .spare = true}};
+    const std::vector<pool_need> pools{
+        {.pool = "idle", .vms = 4, .needed = 1, .needed_lately = 2, .may_release = true},
+        {.pool = "spare", .spare = true}};
     const std::vector<movable_vm> vms{{.id = "i1", .pool = "idle", .idle = true},
                                       {.id = "i2", .pool = "idle", .idle = true},
                                       {.id = "i3", .pool = "idle", .idle = true}};
@@ -122,19 +128,25 @@
 }
 
 BOOST_AUTO_TEST_CASE(waves_take_empty_vms_first) {
-    const wave_situation situation{.max_down = 2, .down = 1, .left = 3, .duration = milliseconds(60000),
+    const wave_situation situation{.max_down = 2,
+                                   .down = 1,
+                                   .left = 3,
+                                   .duration = milliseconds(60000),
                                    .maintenance = milliseconds(2000)};
-    const auto step = plan_wave_step(situation, {{.vm = "busy", .batch_tasks = 3},
-                                                 {.vm = "empty"},
-                                                 {.vm = "blocked", .may_end_tasks = false}});
+    const auto step = plan_wave_step(
+        situation,
+        {{.vm = "busy", .batch_tasks = 3}, {.vm = "empty"}, {.vm = "blocked", .may_end_tasks = false}});
     BOOST_TEST(step.maintain == (std::vector<std::string>{"empty"}), boost::test_tools::per_element());
     BOOST_TEST((std::find(step.drain.begin(), step.drain.end(), "busy") != step.drain.end()));
 }
 
 BOOST_AUTO_TEST_CASE(late_waves_take_busy_vms_but_never_blocked_ones) {
-    const wave_situation situation{.max_down = 3, .left = 2, .elapsed = milliseconds(9000),
-                                   .duration = milliseconds(10000), .maintenance = milliseconds(2000)};
-    const auto step = plan_wave_step(situation, {{.vm = "busy", .batch_tasks = 3},
-                                                 {.vm = "blocked", .may_end_tasks = false}});
+    const wave_situation situation{.max_down = 3,
+                                   .left = 2,
+                                   .elapsed = milliseconds(9000),
+                                   .duration = milliseconds(10000),
+                                   .maintenance = milliseconds(2000)};
+    const auto step = plan_wave_step(
+        situation, {{.vm = "busy", .batch_tasks = 3}, {.vm = "blocked", .may_end_tasks = false}});
     BOOST_TEST(step.maintain == (std::vector<std::string>{"busy"}), boost::test_tools::per_element());
 }
--- a/tests/job_state_test.cpp
+++ b/tests/job_state_test.cpp
@@ -15,8 +15,11 @@
             .queue = "q",
             .account = "team",
             .payload = "text",
-            .steps = {{.count = 2, .need = {.cpu_millis = 500, .memory_mb = 100}, .estimate = milliseconds(900),
-                       .gang = true, .data_rack = "r1"},
+            .steps = {{.count = 2,
+                       .need = {.cpu_millis = 500, .memory_mb = 100},
+                       .estimate = milliseconds(900),
+                       .gang = true,
+                       .data_rack = "r1"},
                       {.count = 1, .need = {.cpu_millis = 100}, .after = {0}, .saves_progress = true}},
             .submitted = unix_time(milliseconds(1234))};
 }
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -34,7 +34,8 @@
 
 BOOST_AUTO_TEST_CASE(settings_are_translated) {
     const auto settings = value([] {
-        return platform::parse_settings(R"({"Node":"n1","Zone":"z","Listen":{"Front":"10.0.0.1:80","Ready":"10.0.0.1:81"},
+        return platform::parse_settings(
+            R"({"Node":"n1","Zone":"z","Listen":{"Front":"10.0.0.1:80","Ready":"10.0.0.1:81"},
             "platform":{"Address":"10.0.0.9:90","parts":2},"Limits":{"CpuShare":0.5,"Cores":2,"MaxFds":4100},
             "Bounds":{"HoldMaxMs":5000,"status_s":60},"Cloud":{"Address":"10.0.0.8:91"},"Unknown":1})");
     });
@@ -55,18 +56,20 @@
     const auto entry = value([&] { return platform::decode_worker("w", good); });
     BOOST_TEST(entry.born_ms == 7);
     BOOST_TEST(entry.rack() == "r1");
-    for (const auto* text : {"", "\x01\x02", "[]", "{}",
-                             R"({"Service":1,"Address":"10.0.0.1:8","Zone":"z","State":"ready","Capacity":{},"Labels":[]})",
-                             R"({"Service":"s","Address":"host","Zone":"z","State":"ready","Capacity":{},"Labels":[]})",
-                             R"({"Service":"s","Address":"10.0.0.1:8","Zone":"z","State":"odd","Capacity":{},"Labels":[]})"}) {
+    for (const auto* text :
+         {"", "\x01\x02", "[]", "{}",
+          R"({"Service":1,"Address":"10.0.0.1:8","Zone":"z","State":"ready","Capacity":{},"Labels":[]})",
+          R"({"Service":"s","Address":"host","Zone":"z","State":"ready","Capacity":{},"Labels":[]})",
+          R"({"Service":"s","Address":"10.0.0.1:8","Zone":"z","State":"odd","Capacity":{},"Labels":[]})"}) {
         BOOST_TEST(fails([text] { return platform::decode_worker("w", text); }));
     }
 }
 
 BOOST_AUTO_TEST_CASE(jobs_are_translated_with_their_defaults) {
     const auto job = value([] {
-        return platform::decode_job("5c0e7a21d94b36f8",
-                                    R"({"Spec":"x","Steps":[{"Count":4,"Cpu":500,"AntiAffinity":2},{"Count":1,"After":[0],"Gang":true}]})");
+        return platform::decode_job(
+            "5c0e7a21d94b36f8",
+            R"({"Spec":"x","Steps":[{"Count":4,"Cpu":500,"AntiAffinity":2},{"Count":1,"After":[0],"Gang":true}]})");
     });
     BOOST_TEST(job.steps.size() == 2);
     BOOST_TEST(job.steps[0].max_per_worker == 2);
@@ -90,7 +93,8 @@
     BOOST_TEST(platform::decode_append(answered(200, R"({"Offset":3,"End":5})")).end == 5);
     BOOST_TEST((platform::decode_append(answered(412, R"({"End":5})")).outcome == wrong_end));
     BOOST_TEST((platform::decode_append(answered(409, R"({"Reason":"fenced"})")).outcome == fenced));
-    BOOST_TEST((platform::decode_append(answered(409, R"({"Reason":"seq","Seq":4})")).outcome == wrong_sequence));
+    BOOST_TEST(
+        (platform::decode_append(answered(409, R"({"Reason":"seq","Seq":4})")).outcome == wrong_sequence));
     BOOST_TEST((platform::decode_append(answered(503, "")).outcome == refused));
     BOOST_TEST((platform::decode_append(answered(507, "")).outcome == refused));
     BOOST_TEST((platform::decode_append(answered(429, "")).outcome == refused));
@@ -112,7 +116,8 @@
     BOOST_TEST(read.records[1].value.empty());
     BOOST_TEST(read.records[1].offset == 5);
     BOOST_TEST(read.next == 6);
-    BOOST_TEST((platform::decode_read({}, answered(410, R"({"First":9})")).outcome == read_outcome_kind::expired));
+    BOOST_TEST(
+        (platform::decode_read({}, answered(410, R"({"First":9})")).outcome == read_outcome_kind::expired));
     BOOST_TEST((platform::decode_read({}, answered(503, "")).outcome == read_outcome_kind::unavailable));
     // A body that is cut short gives the records that are whole.
     const auto cut = platform::decode_read({.from = 4}, answered(200, header + request.body.substr(0, 14)));
@@ -164,7 +169,8 @@
 BOOST_AUTO_TEST_CASE(vm_orders_carry_their_fence) {
     const auto request = platform::encode_maintenance({.vm = "m", .wave = 2, .holder = "n", .fence = 7});
     BOOST_TEST(*request.headers.find("X-Fencing-Token") == "7");
-    BOOST_TEST((platform::decode_vm_order(answered(409, R"({"Reason":"wave"})")) == vm_order_outcome::wrong_wave));
+    BOOST_TEST(
+        (platform::decode_vm_order(answered(409, R"({"Reason":"wave"})")) == vm_order_outcome::wrong_wave));
     BOOST_TEST((platform::decode_vm_order(answered(409, R"({"Reason":"busy"})")) == vm_order_outcome::busy));
     BOOST_TEST((platform::decode_vm_order(answered(429, "")) == vm_order_outcome::overloaded));
     const auto page = platform::decode_list_vms(answered(
@@ -175,7 +181,8 @@
 
 BOOST_AUTO_TEST_CASE(operators_documents_are_translated) {
     const auto config = value([] {
-        return platform::decode_config(R"({"Version":3,"Routes":[{"Name":"r","Host":"h","PathPrefix":"/a/","Service":"s",
+        return platform::decode_config(
+            R"({"Version":3,"Routes":[{"Name":"r","Host":"h","PathPrefix":"/a/","Service":"s",
             "Attempts":2,"Stretch":1.6,"TargetDurationMs":600,"Advice":{"DecideMs":5,"EachMs":1,"ValidMs":3000}}],
             "Services":[{"Name":"s","RejectsOverload":true}],"Tenants":[{"Name":"t","ApiKeys":["k"],"Cap":{"Cpu":5}}]})");
     });
--- a/tests/scheduler_site.hpp
+++ b/tests/scheduler_site.hpp
@@ -32,12 +32,22 @@
 
 class scheduler_site {
 public:
-    explicit scheduler_site(std::uint64_t seed, site_faults given = {}) : random(seed), faults(given), site({}) {
+    explicit scheduler_site(std::uint64_t seed, site_faults given = {})
+        : random(seed), faults(given), site({}) {
         auto settings = std::make_shared<site_config>();
         settings->version = 1;
-        settings->queues = {{.name = "batch", .host = "h", .path_prefix = "/b/", .pool = "pool", .attempts = 2,
-                             .stretch = 1.6, .objective_slack = milliseconds(600)},
-                            {.name = "lasting", .host = "h", .path_prefix = "/l/", .pool = "pool", .attempts = 3,
+        settings->queues = {{.name = "batch",
+                             .host = "h",
+                             .path_prefix = "/b/",
+                             .pool = "pool",
+                             .attempts = 2,
+                             .stretch = 1.6,
+                             .objective_slack = milliseconds(600)},
+                            {.name = "lasting",
+                             .host = "h",
+                             .path_prefix = "/l/",
+                             .pool = "pool",
+                             .attempts = 3,
                              .open = true}};
         settings->pools = {{.name = "pool"}, {.name = "spare", .spare = true}};
         settings->accounts = {{.name = "team", .keys = {"key"}, .cap = {.cpu_millis = 60000}}};
@@ -47,16 +57,17 @@
     void add_vms(int count, const std::string& pool = "pool") {
         for (int number = 0; number < count; ++number) {
             const auto name = fmt::format("m-{}-{}", pool, number);
-            this->site.add_vm(name, pool, number % 2 == 0 ? "zone-a" : "zone-b", fmt::format("r{}", number % 3),
-                              {.cpu_millis = 32000, .memory_mb = 65536}, this->now);
+            this->site.add_vm(name, pool, number % 2 == 0 ? "zone-a" : "zone-b",
+                              fmt::format("r{}", number % 3), {.cpu_millis = 32000, .memory_mb = 65536},
+                              this->now);
             this->vm_names.push_back(name);
         }
     }
 
     /// Starts the scheduler, or replaces it by a successor that knows only the log.
     void take_over() {
-        this->schedule = std::make_unique<scheduler>(
-            scheduler_options{.node_id = fmt::format("node-{}", this->term + 1)});
+        this->schedule =
+            std::make_unique<scheduler>(scheduler_options{.node_id = fmt::format("node-{}", this->term + 1)});
         ++this->term;
         this->schedule->set_config(this->config);
         this->schedule->set_waves(this->waves);
@@ -95,8 +106,8 @@
     }
 
     void cancel(const std::string& id) {
-        this->log.append({.topic = log_topic::jobs,
-                          .records = {{.key = id + std::string(cancel_suffix), .value = "1"}}});
+        this->log.append(
+            {.topic = log_topic::jobs, .records = {{.key = id + std::string(cancel_suffix), .value = "1"}}});
     }
 
     /// Publishes a configuration without the queue.
@@ -164,8 +175,8 @@
                 const bool overlap = later.begun < earlier.ended;
                 const bool repeated = earlier.how == task_end::done && earlier.acknowledged;
                 if (overlap || repeated) {
-                    found.push_back(fmt::format("{} runs {} on {} and {} on {}{}", earlier.task.job, earlier.run,
-                                                earlier.worker, later.run, later.worker,
+                    found.push_back(fmt::format("{} runs {} on {} and {} on {}{}", earlier.task.job,
+                                                earlier.run, earlier.worker, later.run, later.worker,
                                                 overlap ? " at the same time" : " after its end"));
                 }
             }
@@ -280,17 +291,21 @@
 
     void carry_out(scheduler_action& action) {
         if (auto* commit = std::get_if<commit_progress>(&action)) {
-            this->append(log_topic::progress, commit->sequence, commit->records,
-                         [this](std::int64_t sequence) { this->schedule->on_committed(sequence, this->now); });
+            this->append(
+                log_topic::progress, commit->sequence, commit->records,
+                [this](std::int64_t sequence) { this->schedule->on_committed(sequence, this->now); });
         } else if (auto* states = std::get_if<publish_states>(&action)) {
-            this->append(log_topic::states, states->sequence, states->records,
-                         [this](std::int64_t sequence) { this->schedule->on_published(sequence, this->now); });
+            this->append(log_topic::states, states->sequence, states->records, [this](std::int64_t sequence) {
+                this->schedule->on_published(sequence, this->now);
+            });
         } else if (auto* drop = std::get_if<drop_job_records>(&action)) {
             this->log.append({.topic = log_topic::jobs, .records = drop->records});
         } else if (auto* start = std::get_if<send_start>(&action)) {
             ++this->starts;
-            const auto need = this->needs[start->order.task.job][static_cast<std::size_t>(start->order.task.step)].need;
-            this->order([this, sent = *start, need] { return this->site.start(sent.worker, sent.order, need, this->now); },
+            const auto need =
+                this->needs[start->order.task.job][static_cast<std::size_t>(start->order.task.step)].need;
+            this->order([this, sent = *start,
+                         need] { return this->site.start(sent.worker, sent.order, need, this->now); },
                         [this, sent = *start](const order_answer& answer) {
                             this->schedule->on_start_answer(sent.worker, sent.order, answer, this->now);
                         },
@@ -362,7 +377,8 @@
             .pool = "pool",
             .attempts = 2,
             .payload = "work",
-            .steps = {{.count = tasks, .need = {.cpu_millis = cpu_millis, .memory_mb = 1000},
+            .steps = {{.count = tasks,
+                       .need = {.cpu_millis = cpu_millis, .memory_mb = 1000},
                        .estimate = milliseconds(1000)}}};
 }
 
@@ -370,8 +386,11 @@
 inline job_spec lasting_job(int tasks, int max_unavailable) {
     return {.queue = "lasting",
             .payload = "serve",
-            .steps = {{.count = tasks, .need = {.cpu_millis = 2000, .memory_mb = 1000}, .long_running = true,
-                       .max_per_worker = 1, .max_unavailable = max_unavailable}}};
+            .steps = {{.count = tasks,
+                       .need = {.cpu_millis = 2000, .memory_mb = 1000},
+                       .long_running = true,
+                       .max_per_worker = 1,
+                       .max_unavailable = max_unavailable}}};
 }
 
 } // namespace hornbeamrail::test
--- a/tests/scheduler_test.cpp
+++ b/tests/scheduler_test.cpp
@@ -119,13 +119,15 @@
     BOOST_TEST(site.reports.back().second);
 }
 
-// A maintenance order for a VM that was maintained before is answered like the first one; the worker lives on.
+// A maintenance order for a VM that was maintained before is answered like the first one; the worker lives
+// on.
 BOOST_AUTO_TEST_CASE(successor_does_not_take_a_repeated_maintenance_order_for_an_end) {
     scheduler_site site(8);
     site.add_vms(4);
     site.site.set_duration(milliseconds(1000));
     site.take_over();
-    site.request_wave({.number = 1, .vms = {"m-pool-0", "m-pool-1"}, .duration = milliseconds(30000), .max_down = 2});
+    site.request_wave(
+        {.number = 1, .vms = {"m-pool-0", "m-pool-1"}, .duration = milliseconds(30000), .max_down = 2});
     site.run(milliseconds(7000));
     for (int job = 0; job < 10; ++job) {
         site.submit(batch_job(6));
@@ -173,7 +175,9 @@
             BOOST_ERROR(fmt::format("seed {}: {}", seed, doubled));
         }
         for (const auto& id : ids) {
-            BOOST_TEST_CONTEXT("seed " << seed << " job " << id) { BOOST_TEST(site.state_of(id) == "completed"); }
+            BOOST_TEST_CONTEXT("seed " << seed << " job " << id) {
+                BOOST_TEST(site.state_of(id) == "completed");
+            }
         }
     }
 }
--- a/tests/submission_queue_test.cpp
+++ b/tests/submission_queue_test.cpp
@@ -88,10 +88,13 @@
 
 BOOST_AUTO_TEST_CASE(tail_reads_the_newest_then_every_record) {
     fake_keyed_log log;
-    log.append({.topic = log_topic::jobs, .records = {{.key = "a", .value = "1"}, {.key = "a", .value = "2"}}});
+    log.append(
+        {.topic = log_topic::jobs, .records = {{.key = "a", .value = "1"}, {.key = "a", .value = "2"}}});
     log_tail tail({.topic = log_topic::jobs});
     std::vector<std::string> seen;
-    const auto deliver = [&seen](const keyed_record& record) { seen.push_back(record.key + record.value); };
+    const auto deliver = [&seen](const keyed_record& record) {
+        seen.push_back(record.key + record.value);
+    };
     boot_time now{milliseconds(1000)};
     const auto first = tail.tick(now);
     BOOST_REQUIRE(first.has_value());
@@ -107,7 +110,9 @@
     fake_keyed_log log;
     log_tail tail({.topic = log_topic::jobs});
     std::vector<std::string> seen;
-    const auto deliver = [&seen](const keyed_record& record) { seen.push_back(record.key); };
+    const auto deliver = [&seen](const keyed_record& record) {
+        seen.push_back(record.key);
+    };
     boot_time now{milliseconds(1000)};
     tail.on_newest(tail.current_epoch(), log.newest(std::get<newest_call>(*tail.tick(now))), now, deliver);
     log.append({.topic = log_topic::jobs, .records = {{.key = "a", .value = "1"}}});
@@ -122,7 +127,8 @@
 BOOST_AUTO_TEST_CASE(tail_is_complete_up_to_the_end_of_an_empty_wait) {
     fake_keyed_log log;
     log_tail tail({.topic = log_topic::jobs, .wait = milliseconds(700)});
-    const auto ignore = [](const keyed_record&) {};
+    const auto ignore = [](const keyed_record&) {
+    };
     boot_time now{milliseconds(1000)};
     tail.on_newest(tail.current_epoch(), log.newest(std::get<newest_call>(*tail.tick(now))), now, ignore);
     const auto asked = now;
