Counters, latencies and refusals of the site node

Cause: an engineer on call had no figures and no line for a refused call. Change: metrics on the second free port (orders, answers, store, start and commit latencies, ages), a line for each refusal with the configuration's version and age.

--- a/src/node/site_node.hpp
+++ b/src/node/site_node.hpp
@@ -96,6 +96,11 @@
     [[nodiscard]] bool keys_are_fresh(boot_time now) const;
     [[nodiscard]] bool jobs_are_fresh(boot_time now) const;
 
+    // Counters.
+    void count_answer(std::string_view call, int status);
+    void count_order(std::string_view kind, std::string_view outcome);
+    void count_levels();
+
     template <class Function>
     void locked(Function function) {
         {
@@ -133,6 +138,9 @@
     bool was_ready = false;
     outbox replies; ///< answers made under the lock
     counter_registry counters;
+    latency_histogram& store_latency;
+    latency_histogram& start_latency;
+    latency_histogram& commit_latency;
     std::unique_ptr<http_server> caller_server;
     std::unique_ptr<http_server> ready_server;
     std::unique_ptr<http_server> admin_server;
--- a/src/node/site_node_impl.hpp
+++ b/src/node/site_node_impl.hpp
@@ -52,7 +52,10 @@
       submissions({.producer = this->options.settings.node_id + "-" + this->options.incarnation,
                    .partition = static_cast<std::int32_t>(
                        std::hash<std::string>()(this->options.settings.node_id) %
-                       static_cast<std::size_t>(this->options.settings.limits.job_partitions))}) {
+                       static_cast<std::size_t>(this->options.settings.limits.job_partitions))}),
+      store_latency(this->counters.latency_of("submission_store_seconds")),
+      start_latency(this->counters.latency_of("start_order_seconds")),
+      commit_latency(this->counters.latency_of("progress_commit_seconds")) {
     const auto& timings = this->options.timings;
     const auto add = [this](log_tail_options tail) {
         this->tails.emplace_back(tail);
@@ -114,6 +117,7 @@
                                             [weak](http_request request, const http_reply& reply) {
                                                 const auto self = weak.lock();
                                                 if (self && request.target == "/metrics") {
+                                                    self->count_levels();
                                                     reply.send(
                                                         http_response{.body = self->counters.to_text()});
                                                 } else if (self) {
@@ -125,6 +129,36 @@
     return {};
 }
 
+template <class Port, class Codec>
+void site_node<Port, Codec>::count_answer(std::string_view call, int status) {
+    this->counters
+        .counter_of("answers_total", {{"call", std::string(call)}, {"status", std::to_string(status)}})
+        .add();
+}
+
+template <class Port, class Codec>
+void site_node<Port, Codec>::count_order(std::string_view kind, std::string_view outcome) {
+    this->counters
+        .counter_of("orders_total", {{"kind", std::string(kind)}, {"outcome", std::string(outcome)}})
+        .add();
+}
+
+template <class Port, class Codec>
+void site_node<Port, Codec>::count_levels() {
+    const std::lock_guard lock(this->mutex);
+    const auto now = clock::now();
+    const auto age_ms = [now](boot_time since) {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(now - since).count();
+    };
+    this->counters.counter_of("scheduler_term").set(this->schedule.term());
+    this->counters.counter_of("jobs_known").set(static_cast<std::int64_t>(this->index.size()));
+    this->counters.counter_of("submissions_waiting").set(static_cast<std::int64_t>(this->submissions.size()));
+    this->counters.counter_of("config_version").set(this->operators.config()->version);
+    this->counters.counter_of("config_age_ms").set(age_ms(this->operators_tail->confirmed()));
+    this->counters.counter_of("states_age_ms").set(age_ms(this->states_tail->complete_until()));
+    this->counters.counter_of("ready").set(this->is_ready(now) ? 1 : 0);
+}
+
 template <class Port, class Codec>
 void site_node<Port, Codec>::start_timer() {
     const auto weak = this->weak_from_this();
@@ -451,7 +485,8 @@
 template <class Port, class Codec>
 void site_node<Port, Codec>::send_append(append_call call, std::int64_t sequence) {
     const auto self = this->shared_from_this();
-    this->port.append(call, [self, call, sequence](append_answer answer) {
+    this->port.append(call, [self, call, sequence, asked = clock::now()](append_answer answer) {
+        self->commit_latency.record(clock::now() - asked);
         self->locked([&](boot_time) { self->on_scheduled(call, sequence, answer); });
     });
 }
@@ -540,7 +575,10 @@
     if (auto* start = std::get_if<send_start>(&action)) {
         out.push_back([self, order = std::move(*start), &timings] {
             self->port.start(order.worker, order.order, timings.start_timeout,
-                             [self, worker = order.worker, sent = order.order](const order_answer& answer) {
+                             [self, worker = order.worker, sent = order.order,
+                              asked = clock::now()](const order_answer& answer) {
+                                 self->start_latency.record(clock::now() - asked);
+                                 self->count_order("start", to_string(answer.outcome));
                                  self->locked([&](boot_time now) {
                                      self->schedule.on_start_answer(worker, sent, answer, now);
                                  });
@@ -550,6 +588,7 @@
         out.push_back([self, order = std::move(*stop), &timings] {
             self->port.stop(order.worker, order.order, timings.stop_timeout,
                             [self, order](const order_answer& answer) {
+                                self->count_order("stop", to_string(answer.outcome));
                                 self->locked([&](boot_time now) {
                                     self->schedule.on_stop_answer(order.worker, order.order, answer, now);
                                 });
@@ -568,6 +607,7 @@
         out.push_back([self, order = std::move(*hold), &timings] {
             self->port.hold(order.worker, order.order, order.order.wait + timings.hold_timeout,
                             [self, order](const hold_report& report) {
+                                self->count_order("hold", to_string(report.outcome));
                                 self->locked([&](boot_time now) {
                                     self->schedule.on_hold_report(order.worker, order.order, report, now);
                                 });
@@ -664,10 +704,12 @@
     const auto& timings = this->options.timings;
     const auto patience = call.patience.value_or(timings.default_patience);
     const auto longest = std::min(patience - timings.answer_reserve, timings.longest_store);
-    const auto deadline = clock::now() + std::max(longest, timings.answer_reserve);
+    const auto asked = clock::now();
+    const auto deadline = asked + std::max(longest, timings.answer_reserve);
+    const auto key = record.key;
     this->submissions.add(
         std::move(record), deadline,
-        [this, reply, done_status, stored = std::move(stored)](store_outcome outcome) {
+        [this, reply, done_status, asked, key, stored = std::move(stored)](store_outcome outcome) {
             http_response response;
             if (outcome == store_outcome::stored) {
                 stored();
@@ -679,6 +721,14 @@
                 response = make_error_response(504, "log_silent", "the log has not answered",
                                                "repeat the request with the same id", "unknown");
             }
+            this->store_latency.record(clock::now() - asked);
+            this->count_answer("store", response.status);
+            if (outcome != store_outcome::stored) {
+                write_log(severity::info, "call_refused",
+                          {{"key", key},
+                           {"status", response.status},
+                           {"reason", outcome == store_outcome::unknown ? "log_silent" : "log_unavailable"}});
+            }
             this->replies.push_back([reply, response = std::move(response)] { reply.send(response); });
         });
 }
@@ -711,6 +761,19 @@
                 answer = std::move(made);
             }
         }
+        if (answer) {
+            this->count_answer("direct", answer->status);
+            if (answer->status >= 400) {
+                write_log(severity::info, "call_refused",
+                          {{"path", call.path},
+                           {"host", call.host},
+                           {"status", answer->status},
+                           {"config_version", config->version},
+                           {"config_age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(
+                                                 now - this->operators_tail->confirmed())
+                                                 .count()}});
+            }
+        }
     }
     if (answer) {
         reply.send(std::move(*answer));
