--- /dev/null
+++ b/tests/site_node_test.cpp
@@ -0,0 +1,245 @@
+#include "fakes/fake_site.hpp"
+#include "node/site_node.hpp"
+#include "platform/codec.hpp"
+#include "transport/http_client_pool.hpp"
+#include "transport/io_types.hpp"
+
+#include <boost/test/unit_test.hpp>
+#include <fmt/format.h>
+
+#include <future>
+#include <mutex>
+
+using namespace hornbeamrail;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// The stand-ins of log and workers, shared by the nodes of a test.
+struct shared_site {
+    std::mutex mutex;
+    fake_keyed_log log;
+    fake_site site{{}};
+    bool log_is_down = false;
+};
+
+shared_site* current_site = nullptr;
+
+/// A port to the stand-ins in this process. Answers come from the node's own worker.
+class standin_port {
+public:
+    standin_port(io_threads& workers, const site_node_settings&) : threads(workers) {}
+
+    template <class Answer, class Ask>
+    void answer(std::function<void(Answer)> done, milliseconds delay, Ask ask) {
+        this->threads.run_after(delay, [done = std::move(done), ask = std::move(ask)] {
+            Answer made;
+            {
+                const std::lock_guard lock(current_site->mutex);
+                made = ask();
+            }
+            done(std::move(made));
+        });
+    }
+
+    void append(const append_call& call, std::function<void(append_answer)> done) {
+        this->answer<append_answer>(std::move(done), milliseconds(2), [call] {
+            return current_site->log_is_down ? append_answer{.outcome = append_outcome::refused}
+                                             : current_site->log.append(call);
+        });
+    }
+    void read(const read_call& call, milliseconds, std::function<void(read_answer)> done) {
+        this->answer<read_answer>(std::move(done), milliseconds(20), [call] {
+            return current_site->log_is_down ? read_answer{} : current_site->log.read(call);
+        });
+    }
+    void newest(const newest_call& call, milliseconds, std::function<void(newest_answer)> done) {
+        this->answer<newest_answer>(std::move(done), milliseconds(2), [call] {
+            return current_site->log_is_down ? newest_answer{} : current_site->log.newest(call);
+        });
+    }
+    void start(const worker_target& worker, const start_order& order, milliseconds,
+               std::function<void(order_answer)> done) {
+        this->answer<order_answer>(std::move(done), milliseconds(1), [worker, order] {
+            return current_site->site.start(worker, order, {.cpu_millis = 1000}, boot_clock::now());
+        });
+    }
+    void stop(const worker_target& worker, const stop_order& order, milliseconds,
+              std::function<void(order_answer)> done) {
+        this->answer<order_answer>(std::move(done), milliseconds(1), [worker, order] {
+            return current_site->site.stop(worker, order, boot_clock::now());
+        });
+    }
+    void pace(const worker_target&, const pace_order&, milliseconds, std::function<void(order_answer)> done) {
+        this->answer<order_answer>(std::move(done), milliseconds(1), [] { return order_answer{}; });
+    }
+    void hold(const worker_target& worker, const hold_order& order, milliseconds,
+              std::function<void(hold_report)> done) {
+        this->answer<hold_report>(std::move(done), milliseconds(30), [worker, order] {
+            return current_site->site.hold(worker, order, boot_clock::now());
+        });
+    }
+    void list_vms(const std::string&, milliseconds, std::function<void(vm_page)> done) {
+        this->answer<vm_page>(std::move(done), milliseconds(2), [] {
+            return vm_page{.done = true, .vms = current_site->site.vms()};
+        });
+    }
+    void move_vm(const vm_order& order, milliseconds, std::function<void(vm_order_outcome)> done) {
+        this->answer<vm_order_outcome>(std::move(done), milliseconds(2), [order] {
+            return current_site->site.move(order, boot_clock::now());
+        });
+    }
+    void maintain_vm(const vm_order& order, milliseconds, std::function<void(vm_order_outcome)> done) {
+        this->answer<vm_order_outcome>(std::move(done), milliseconds(2), [order] {
+            return current_site->site.maintain(order, boot_clock::now());
+        });
+    }
+    void advise(const advice_call&, milliseconds, std::function<void(advice_answer)> done) {
+        this->answer<advice_answer>(std::move(done), milliseconds(2), [] { return advice_answer{}; });
+    }
+
+private:
+    io_threads& threads;
+};
+
+using test_node = site_node<standin_port, platform::codec>;
+
+constexpr std::string_view config_text = R"({"Version":1,
+    "Routes":[{"Name":"r","Host":"127.0.0.1","PathPrefix":"/q/","Service":"pool","Attempts":2,"Stretch":1.6}],
+    "Services":[{"Name":"pool","RejectsOverload":true}],"Tenants":[{"Name":"t","ApiKeys":["key"]}]})";
+constexpr std::string_view job_body = R"({"Spec":"text","Steps":[{"Count":3,"Cpu":1000,"MemMb":100,"EstimateMs":200}]})";
+
+struct fixture {
+    fixture() {
+        current_site = &this->shared;
+        this->shared.site.set_duration(milliseconds(200));
+        for (int vm = 0; vm < 2; ++vm) {
+            this->shared.site.add_vm(fmt::format("m{}", vm), "pool", "z", "r1",
+                                     {.cpu_millis = 32000, .memory_mb = 64000}, boot_clock::now());
+        }
+        this->shared.log.append({.topic = log_topic::operators,
+                                 .records = {{.key = "config", .value = std::string(config_text)}}});
+        for (const auto& worker : this->shared.site.workers()) {
+            this->shared.log.append(
+                {.topic = log_topic::workers,
+                 .records = {{.key = worker.id,
+                              .value = fmt::format(
+                                  R"({{"Service":"pool","Address":"127.0.0.1:1","Zone":"z","State":"ready",)"
+                                  R"("Capacity":{{"Cpu":32000,"MemMb":64000}},"Labels":["a","r1"],"born":{}}})",
+                                  worker.born_ms)}}});
+        }
+        for (int number = 0; number < 2; ++number) {
+            const auto address = endpoint{.address = "127.0.0.1", .port = free_port()};
+            site_node_settings settings{.node_id = fmt::format("n{}", number),
+                                        .zone = "z",
+                                        .caller_address = address,
+                                        .ready_address = {.address = "127.0.0.1", .port = free_port()}};
+            settings.limits.job_partitions = 2;
+            error failure;
+            auto node = value_or_error(
+                [&] {
+                    return test_node::make(this->threads, {.settings = settings,
+                                                           .incarnation = fmt::format("i{}", number)});
+                },
+                failure);
+            BOOST_REQUIRE_MESSAGE(node.has_value(), failure.message);
+            this->nodes.push_back(*node);
+            this->addresses.push_back(address);
+            this->ready_addresses.push_back(settings.ready_address);
+        }
+    }
+
+    ~fixture() { this->threads.stop(); }
+
+    static std::uint16_t free_port() {
+        boost::asio::io_context context;
+        boost::asio::ip::tcp::acceptor probe(context, {boost::asio::ip::make_address("127.0.0.1"), 0});
+        return probe.local_endpoint().port();
+    }
+
+    http_call_result call(const endpoint& target, std::string method, std::string path, std::string body = {}) {
+        http_request request{.method = std::move(method), .target = std::move(path), .body = std::move(body)};
+        request.headers.add("X-Api-Key", this->key);
+        std::promise<http_call_result> result;
+        this->client.call({.target = target, .request = std::move(request), .timeout = milliseconds(4000)},
+                          [&result](http_call_result value) { result.set_value(std::move(value)); });
+        return result.get_future().get();
+    }
+
+    /// Repeats @p attempt until it returns true.
+    template <class Attempt>
+    bool eventually(Attempt attempt) {
+        const auto give_up = std::chrono::steady_clock::now() + std::chrono::seconds(20);
+        while (std::chrono::steady_clock::now() < give_up) {
+            if (attempt()) {
+                return true;
+            }
+            std::promise<void> pause;
+            this->threads.run_after(milliseconds(50), [&pause] { pause.set_value(); });
+            pause.get_future().get();
+        }
+        return false;
+    }
+
+    bool becomes_ready(std::size_t node) {
+        return this->eventually(
+            [&] { return this->call(this->ready_addresses[node], "GET", "/").response.status == 200; });
+    }
+
+    shared_site shared;
+    io_threads threads{2};
+    http_client_pool client{threads, {}};
+    std::vector<std::shared_ptr<test_node>> nodes;
+    std::vector<endpoint> addresses;
+    std::vector<endpoint> ready_addresses;
+    std::string key = "key";
+};
+
+const std::string job_path = "/q/00000000000000aa";
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(job_handed_in_at_one_node_completes_at_every_node, fixture) {
+    BOOST_REQUIRE(this->becomes_ready(0) && this->becomes_ready(1));
+    BOOST_TEST(this->call(this->addresses[1], "GET", job_path).response.status == 410);
+    BOOST_TEST(this->call(this->addresses[0], "POST", job_path, std::string(job_body)).response.status == 200);
+    BOOST_TEST(this->call(this->addresses[0], "POST", job_path, std::string(job_body)).response.status == 200);
+    for (const auto& address : this->addresses) {
+        BOOST_TEST(this->eventually([&] {
+            return this->call(address, "GET", job_path).response.body.find("completed") != std::string::npos;
+        }));
+    }
+    const std::lock_guard lock(this->shared.mutex);
+    BOOST_TEST(this->shared.site.history().size() == 3);
+}
+
+BOOST_FIXTURE_TEST_CASE(cancelled_job_never_starts_again, fixture) {
+    BOOST_REQUIRE(this->becomes_ready(0) && this->becomes_ready(1));
+    this->call(this->addresses[0], "POST", job_path, std::string(job_body));
+    BOOST_TEST(this->call(this->addresses[0], "DELETE", job_path).response.status == 200);
+    BOOST_TEST(this->eventually([&] {
+        return this->call(this->addresses[1], "GET", job_path).response.body.find("cancelled") != std::string::npos;
+    }));
+}
+
+BOOST_FIXTURE_TEST_CASE(calls_outside_the_configuration_are_refused, fixture) {
+    BOOST_REQUIRE(this->becomes_ready(0));
+    BOOST_TEST(this->call(this->addresses[0], "POST", "/other/00000000000000aa").response.status == 404);
+    BOOST_TEST(this->call(this->addresses[0], "POST", job_path, "no job").response.status == 400);
+    BOOST_TEST(this->call(this->addresses[0], "GET", "/q/").response.body == R"({"Waiting":0})");
+    this->key = "withdrawn";
+    BOOST_TEST(this->call(this->addresses[0], "POST", job_path, std::string(job_body)).response.status == 401);
+}
+
+BOOST_FIXTURE_TEST_CASE(node_without_the_log_is_not_ready_and_refuses_at_once, fixture) {
+    BOOST_REQUIRE(this->becomes_ready(0));
+    {
+        const std::lock_guard lock(this->shared.mutex);
+        this->shared.log_is_down = true;
+    }
+    BOOST_TEST(this->eventually(
+        [&] { return this->call(this->ready_addresses[0], "GET", "/").response.status == 503; }));
+    const auto refused = this->call(this->addresses[0], "POST", job_path, std::string(job_body));
+    BOOST_TEST(refused.response.status == 503);
+    BOOST_TEST(refused.response.headers.value_or("Retry-After", "") == "1");
+}
