--- a/src/coordination/scheduler_impl.hpp
+++ b/src/coordination/scheduler_impl.hpp
@@ -81,6 +81,7 @@
     bool confirmed = false;       ///< has answered a hold with the current fence
     bool hold_in_flight = false;
     boot_time hold_sent{};
+    std::int64_t hold_fence = 0; ///< of the hold in flight
     boot_time next_hold{};
     std::int64_t applied_end = 0;                   ///< ends up to this number are in the tables
     std::int64_t recorded_end = 0;                  ///< ends up to this number are in the log
--- a/src/coordination/scheduler_workers.cpp
+++ b/src/coordination/scheduler_workers.cpp
@@ -67,6 +67,7 @@
         }
         worker.hold_in_flight = true;
         worker.hold_sent = now;
+        worker.hold_fence = order.fence;
         this->act(send_hold{.worker = {.id = id, .address = worker.entry.address}, .order = order});
     }
 }
@@ -76,6 +77,8 @@
         ++worker.fence_bumps;
     }
     worker.confirmed = false;
+    // A hold that waits for an end would settle nothing; its answer is ignored.
+    worker.hold_in_flight = false;
     worker.next_hold = now;
 }
 
@@ -363,6 +366,9 @@
         return;
     }
     auto& worker = found->second;
+    if (order.fence != worker.hold_fence || !worker.hold_in_flight) {
+        return; // replaced by a hold with a higher fence
+    }
     worker.hold_in_flight = false;
     switch (report.outcome) {
     case order_outcome::done:
@@ -394,7 +400,8 @@
                 severity::info, "worker_doubted",
                 {{"worker", target.id}, {"outcome", to_string(report.outcome)}, {"reason", report.reason}});
         }
-        worker.next_hold = now + state.timings.hold_retry * std::min(worker.unanswered, 4);
+        // The first silence may be one lost answer.
+        worker.next_hold = now + state.timings.hold_retry * std::min(worker.unanswered - 1, 4);
         return;
     }
 }
--- a/src/node/site_node_options.hpp
+++ b/src/node/site_node_options.hpp
@@ -13,8 +13,8 @@
     std::chrono::milliseconds follower_pause{400}; ///< between reads of jobs and states on other nodes
     std::chrono::milliseconds scheduler_pause{15}; ///< between reads of jobs on the scheduler
     std::chrono::milliseconds workers_pause{250};  ///< between reads of the workers topic
-    std::chrono::milliseconds start_timeout{900};
-    std::chrono::milliseconds hold_timeout{600}; ///< beyond the time that the worker waits
+    std::chrono::milliseconds start_timeout{600};
+    std::chrono::milliseconds hold_timeout{500}; ///< beyond the time that the worker waits
     std::chrono::milliseconds stop_timeout{900};
     std::chrono::milliseconds vm_timeout{1500};
     std::chrono::milliseconds newest_timeout{2000};
--- a/tests/site_node_test.cpp
+++ b/tests/site_node_test.cpp
@@ -80,14 +80,12 @@
         });
     }
     void list_vms(const std::string&, milliseconds, std::function<void(vm_page)> done) {
-        this->answer<vm_page>(std::move(done), milliseconds(2), [] {
-            return vm_page{.done = true, .vms = current_site->site.vms()};
-        });
+        this->answer<vm_page>(std::move(done), milliseconds(2),
+                              [] { return vm_page{.done = true, .vms = current_site->site.vms()}; });
     }
     void move_vm(const vm_order& order, milliseconds, std::function<void(vm_order_outcome)> done) {
-        this->answer<vm_order_outcome>(std::move(done), milliseconds(2), [order] {
-            return current_site->site.move(order, boot_clock::now());
-        });
+        this->answer<vm_order_outcome>(std::move(done), milliseconds(2),
+                                       [order] { return current_site->site.move(order, boot_clock::now()); });
     }
     void maintain_vm(const vm_order& order, milliseconds, std::function<void(vm_order_outcome)> done) {
         this->answer<vm_order_outcome>(std::move(done), milliseconds(2), [order] {
@@ -107,7 +105,8 @@
 constexpr std::string_view config_text = R"({"Version":1,
     "Routes":[{"Name":"r","Host":"127.0.0.1","PathPrefix":"/q/","Service":"pool","Attempts":2,"Stretch":1.6}],
     "Services":[{"Name":"pool","RejectsOverload":true}],"Tenants":[{"Name":"t","ApiKeys":["key"]}]})";
-constexpr std::string_view job_body = R"({"Spec":"text","Steps":[{"Count":3,"Cpu":1000,"MemMb":100,"EstimateMs":200}]})";
+constexpr std::string_view job_body =
+    R"({"Spec":"text","Steps":[{"Count":3,"Cpu":1000,"MemMb":100,"EstimateMs":200}]})";
 
 struct fixture {
     fixture() {
@@ -122,11 +121,12 @@
         for (const auto& worker : this->shared.site.workers()) {
             this->shared.log.append(
                 {.topic = log_topic::workers,
-                 .records = {{.key = worker.id,
-                              .value = fmt::format(
-                                  R"({{"Service":"pool","Address":"127.0.0.1:1","Zone":"z","State":"ready",)"
-                                  R"("Capacity":{{"Cpu":32000,"MemMb":64000}},"Labels":["a","r1"],"born":{}}})",
-                                  worker.born_ms)}}});
+                 .records = {
+                     {.key = worker.id,
+                      .value = fmt::format(
+                          R"({{"Service":"pool","Address":"127.0.0.1:1","Zone":"z","State":"ready",)"
+                          R"("Capacity":{{"Cpu":32000,"MemMb":64000}},"Labels":["a","r1"],"born":{}}})",
+                          worker.born_ms)}}});
         }
         for (int number = 0; number < 2; ++number) {
             const auto address = endpoint{.address = "127.0.0.1", .port = free_port()};
@@ -138,8 +138,8 @@
             error failure;
             auto node = value_or_error(
                 [&] {
-                    return test_node::make(this->threads, {.settings = settings,
-                                                           .incarnation = fmt::format("i{}", number)});
+                    return test_node::make(this->threads,
+                                           {.settings = settings, .incarnation = fmt::format("i{}", number)});
                 },
                 failure);
             BOOST_REQUIRE_MESSAGE(node.has_value(), failure.message);
@@ -157,7 +157,8 @@
         return probe.local_endpoint().port();
     }
 
-    http_call_result call(const endpoint& target, std::string method, std::string path, std::string body = {}) {
+    http_call_result call(const endpoint& target, std::string method, std::string path,
+                          std::string body = {}) {
         http_request request{.method = std::move(method), .target = std::move(path), .body = std::move(body)};
         request.headers.add("X-Api-Key", this->key);
         std::promise<http_call_result> result;
@@ -202,8 +203,10 @@
 BOOST_FIXTURE_TEST_CASE(job_handed_in_at_one_node_completes_at_every_node, fixture) {
     BOOST_REQUIRE(this->becomes_ready(0) && this->becomes_ready(1));
     BOOST_TEST(this->call(this->addresses[1], "GET", job_path).response.status == 410);
-    BOOST_TEST(this->call(this->addresses[0], "POST", job_path, std::string(job_body)).response.status == 200);
-    BOOST_TEST(this->call(this->addresses[0], "POST", job_path, std::string(job_body)).response.status == 200);
+    BOOST_TEST(this->call(this->addresses[0], "POST", job_path, std::string(job_body)).response.status ==
+               200);
+    BOOST_TEST(this->call(this->addresses[0], "POST", job_path, std::string(job_body)).response.status ==
+               200);
     for (const auto& address : this->addresses) {
         BOOST_TEST(this->eventually([&] {
             return this->call(address, "GET", job_path).response.body.find("completed") != std::string::npos;
@@ -218,7 +221,8 @@
     this->call(this->addresses[0], "POST", job_path, std::string(job_body));
     BOOST_TEST(this->call(this->addresses[0], "DELETE", job_path).response.status == 200);
     BOOST_TEST(this->eventually([&] {
-        return this->call(this->addresses[1], "GET", job_path).response.body.find("cancelled") != std::string::npos;
+        return this->call(this->addresses[1], "GET", job_path).response.body.find("cancelled") !=
+               std::string::npos;
     }));
 }
 
@@ -228,7 +232,8 @@
     BOOST_TEST(this->call(this->addresses[0], "POST", job_path, "no job").response.status == 400);
     BOOST_TEST(this->call(this->addresses[0], "GET", "/q/").response.body == R"({"Waiting":0})");
     this->key = "withdrawn";
-    BOOST_TEST(this->call(this->addresses[0], "POST", job_path, std::string(job_body)).response.status == 401);
+    BOOST_TEST(this->call(this->addresses[0], "POST", job_path, std::string(job_body)).response.status ==
+               401);
 }
 
 BOOST_FIXTURE_TEST_CASE(node_without_the_log_is_not_ready_and_refuses_at_once, fixture) {
