--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -1,6 +1,7 @@
 #include "cli/serve.hpp"
 
 #include "cli/command.hpp"
+#include "cli/stop_signals.hpp"
 #include "node/entry_node.hpp"
 #include "protocol/json_log.hpp"
 
@@ -65,13 +66,7 @@
     if (!expect_arguments(argc, argv, 0, "no arguments besides --config FILE")) {
         return exit_invalid;
     }
-    // Blocked before the workers start, so that only sigwait receives them.
-    sigset_t signals{};
-    sigemptyset(&signals);
-    for (const int number : {SIGTERM, SIGINT, SIGHUP}) {
-        sigaddset(&signals, number);
-    }
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    const auto signals = block_stop_signals();
     error failure;
     if (!value_or_error([&] { return run(signals); }, failure)) {
         return print_error(failure);
--- a/src/cli/serve_site.cpp
+++ b/src/cli/serve_site.cpp
@@ -1,6 +1,7 @@
 #include "cli/serve_site.hpp"
 
 #include "cli/command.hpp"
+#include "cli/stop_signals.hpp"
 #include "node/site_node.hpp"
 #include "platform/adapter.hpp"
 #include "platform/codec.hpp"
@@ -90,13 +91,7 @@
     if (!expect_arguments(argc, argv, 0, "no arguments besides --platform_settings FILE")) {
         return exit_invalid;
     }
-    // Blocked before the workers start, so that only sigwait receives them.
-    sigset_t signals{};
-    sigemptyset(&signals);
-    for (const int number : {SIGTERM, SIGINT, SIGHUP}) {
-        sigaddset(&signals, number);
-    }
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    const auto signals = block_stop_signals();
     log_to_standard_output();
     error failure;
     if (!value_or_error([&] { return run(signals); }, failure)) {
--- a/src/coordination/scheduler_advice.cpp
+++ b/src/coordination/scheduler_advice.cpp
@@ -20,7 +20,7 @@
 
 } // namespace
 
-const step_advice* scheduler::impl::advice_of(const job_progress& job, const task_id& step,
+const step_advice* scheduler::impl::advice_of(const task_id& step,
                                               const std::vector<worker_control*>& candidates, boot_time now) {
     auto& known = this->advice[step_of(step)];
     const bool valid = now + this->timings.advice_reserve < known.valid_until;
@@ -41,7 +41,6 @@
         }
     }
     this->dispatch_due = this->dispatch_due || !valid;
-    (void)job;
     return valid ? &known : nullptr;
 }
 
--- a/src/coordination/scheduler_dispatch.cpp
+++ b/src/coordination/scheduler_dispatch.cpp
@@ -183,7 +183,7 @@
     }
     const auto* queue = this->config->find_queue(job.spec.queue);
     if (queue != nullptr && queue->advice) {
-        const auto* known = this->advice_of(job, step_id, controls, now);
+        const auto* known = this->advice_of(step_id, controls, now);
         for (auto& view : views) {
             view.allowed = view.allowed && known != nullptr && known->tickets.contains(std::string(view.id));
         }
--- a/src/coordination/scheduler_impl.hpp
+++ b/src/coordination/scheduler_impl.hpp
@@ -160,7 +160,7 @@
     void finish_run(job_progress& job, const task_id& id, task_progress& task, const ended_task& ended,
                     boot_time now);
     void requeue(job_progress& job, const task_id& id, task_progress& task, boot_time retry_at);
-    void complete_gang(job_progress& job, const task_id& id, std::int64_t run, boot_time now);
+    void complete_gang(job_progress& job, const task_id& id, std::int64_t run);
     void after_progress(job_progress& job, boot_time now);
     void mark_dirty(const job_progress& job) { this->dirty.insert(job.spec.id); }
     void set_state(job_progress& job, job_state state);
@@ -213,8 +213,8 @@
 
     // scheduler_advice.cpp: queues whose policy allows only some workers
     /// @return the advice for the step, asked for if needed; null where none is valid now
-    const step_advice* advice_of(const job_progress& job, const task_id& step,
-                                 const std::vector<worker_control*>& workers, boot_time now);
+    const step_advice* advice_of(const task_id& step, const std::vector<worker_control*>& workers,
+                                 boot_time now);
     void forget_advice(const std::string& job);
 
     // scheduler_moves.cpp: VMs between pools
--- a/src/coordination/scheduler_jobs.cpp
+++ b/src/coordination/scheduler_jobs.cpp
@@ -206,7 +206,7 @@
         }
         job.set_phase(id, task, run_phase::done);
         if (step.gang) {
-            this->complete_gang(job, id, ended.run, now);
+            this->complete_gang(job, id, ended.run);
         }
     } else if (ended.how == task_end::failed) {
         ++task.failures;
@@ -238,7 +238,7 @@
     this->after_progress(job, now);
 }
 
-void scheduler::impl::complete_gang(job_progress& job, const task_id& id, std::int64_t run, boot_time now) {
+void scheduler::impl::complete_gang(job_progress& job, const task_id& id, std::int64_t run) {
     auto& tasks = job.occurrence(id.occurrence).steps[static_cast<std::size_t>(id.step)].tasks;
     for (std::size_t index = 0; index < tasks.size(); ++index) {
         auto& member = tasks[index];
@@ -255,7 +255,6 @@
         }
         job.set_phase(member_id, member, run_phase::done);
     }
-    (void)now;
 }
 
 void scheduler::impl::after_progress(job_progress& job, boot_time now) {
--- a/src/node/site_node.hpp
+++ b/src/node/site_node.hpp
@@ -71,7 +71,7 @@
     template <class Answer>
     void finish_read(log_tail& tail, std::uint64_t epoch, const Answer& answer);
     void deliver(const log_tail& tail, const keyed_record& record, boot_time now);
-    void after_read(log_tail& tail, bool good, boot_time now);
+    void after_read(log_tail& tail, boot_time now);
 
     // The scheduler's term.
     enum class term_phase { none, fencing, loading, loading_states, running };
@@ -149,3 +149,7 @@
 } // namespace hornbeamrail
 
 #include "node/site_node_impl.hpp"
+
+#include "node/site_node_callers.hpp"
+#include "node/site_node_log.hpp"
+#include "node/site_node_scheduler.hpp"
--- /dev/null
+++ b/src/node/site_node_log.hpp
@@ -0,0 +1,177 @@
+#pragma once
+
+// Members of site_node that follow the log; included by site_node.hpp only.
+
+namespace hornbeamrail {
+
+template <class Port, class Codec>
+void site_node<Port, Codec>::tick_tails(boot_time now, outbox& out) {
+    for (auto& tail : this->tails) {
+        const bool scheduler_only = &tail == this->workers_tail || &tail == this->progress_tail;
+        const bool wanted =
+            !scheduler_only || (this->phase != term_phase::none && this->phase != term_phase::fencing);
+        const bool finished = &tail == this->progress_tail && tail.is_loaded();
+        if (wanted && !finished) {
+            this->read_tail(tail, now, out);
+        }
+    }
+}
+
+template <class Port, class Codec>
+void site_node<Port, Codec>::read_tail(log_tail& tail, boot_time now, outbox& out) {
+    auto request = tail.tick(now);
+    if (!request) {
+        return;
+    }
+    const auto self = this->shared_from_this();
+    const auto epoch = tail.current_epoch();
+    if (const auto* newest = std::get_if<newest_call>(&*request)) {
+        if (newest->after_key.empty() && &tail == this->operators_tail) {
+            this->operators.begin_reload();
+        }
+        if (newest->after_key.empty() && &tail == this->workers_tail) {
+            this->listed_workers.clear();
+        }
+        out.push_back([self, &tail, epoch, call = *newest] {
+            self->port.newest(call, self->options.timings.newest_timeout,
+                              [self, &tail, epoch](newest_answer answer) {
+                                  self->locked([&](boot_time) { self->finish_read(tail, epoch, answer); });
+                              });
+        });
+        return;
+    }
+    out.push_back([self, &tail, epoch, call = std::get<read_call>(*request)] {
+        self->port.read(call, call.wait + tail.settings().timeout, [self, &tail, epoch](read_answer answer) {
+            self->locked([&](boot_time) { self->finish_read(tail, epoch, answer); });
+        });
+    });
+}
+
+template <class Port, class Codec>
+template <class Answer>
+void site_node<Port, Codec>::finish_read(log_tail& tail, std::uint64_t epoch, const Answer& answer) {
+    const auto now = clock::now();
+    if (epoch != tail.current_epoch()) {
+        return;
+    }
+    const bool was_loaded = tail.is_loaded();
+    const auto deliver_record = [&](const keyed_record& record) {
+        this->deliver(tail, record, now);
+    };
+    bool good = false;
+    if constexpr (std::is_same_v<Answer, newest_answer>) {
+        good = tail.on_newest(epoch, answer, now, deliver_record);
+    } else {
+        good = tail.on_read(epoch, answer, now, deliver_record);
+    }
+    if (good) {
+        this->last_log_contact = std::max(this->last_log_contact, tail.asked());
+        if (this->log_lost_since) {
+            write_log(severity::info, "log_regained",
+                      {{"lost_ms",
+                        std::chrono::duration_cast<std::chrono::milliseconds>(now - *this->log_lost_since)
+                            .count()}});
+            this->log_lost_since.reset();
+        }
+    } else if (!this->log_lost_since) {
+        this->log_lost_since = now;
+        write_log(severity::warning, "log_lost",
+                  {{"topic", static_cast<int>(tail.settings().topic)}, {"reason", answer.reason}});
+    }
+    if (&tail == this->leader_tail) {
+        if (good && tail.is_loaded()) {
+            this->lease.on_read(tail.position(), tail.asked(), now);
+        } else if (!good) {
+            this->lease.on_read_failed(now);
+        }
+    }
+    if (!was_loaded && tail.is_loaded()) {
+        this->after_read(tail, now);
+    }
+}
+
+template <class Port, class Codec>
+void site_node<Port, Codec>::after_read(log_tail& tail, boot_time now) {
+    if (&tail == this->operators_tail) {
+        this->operators.end_reload();
+        this->schedule.set_zones_out(this->operators.zones_out());
+        this->schedule.set_waves(this->operators.waves());
+    }
+    if (&tail == this->workers_tail && this->phase != term_phase::none) {
+        this->schedule.keep_listed(this->listed_workers, now);
+    }
+}
+
+template <class Port, class Codec>
+void site_node<Port, Codec>::deliver(const log_tail& tail, const keyed_record& record, boot_time now) {
+    const auto topic = tail.settings().topic;
+    const bool loading = this->phase == term_phase::loading || this->phase == term_phase::loading_states;
+    switch (topic) {
+    case log_topic::leader:
+        this->lease.on_record(record, now);
+        return;
+    case log_topic::jobs:
+        this->index.apply_job(record);
+        if (loading || this->phase == term_phase::running) {
+            this->schedule.on_job_record(tail.settings().partition, record, now);
+        }
+        return;
+    case log_topic::states:
+        this->index.apply_state(record);
+        if (this->phase == term_phase::loading_states) {
+            this->schedule.load_state(record);
+        }
+        return;
+    case log_topic::progress:
+        this->loaded_progress.push_back(record);
+        return;
+    default:
+        break;
+    }
+    error problem;
+    const auto handled = value_or_error(
+        [&]() -> result<bool> {
+            if (topic == log_topic::workers) {
+                if (record.value.empty()) {
+                    this->listed_workers.erase(record.key);
+                    this->schedule.on_worker_removed(record.key, now);
+                    return true;
+                }
+                BOOST_LEAF_AUTO(entry, Codec::worker(record.key, record.value));
+                this->listed_workers.insert(record.key);
+                this->schedule.on_worker(entry, now);
+                return true;
+            }
+            const auto key = Codec::key(record.key);
+            if (key.kind == Codec::key_kind::config && !record.value.empty()) {
+                BOOST_LEAF_AUTO(config, Codec::config(record.value));
+                const auto version = config.version;
+                if (this->operators.set_config(std::move(config))) {
+                    write_log(severity::info, "config_in_force",
+                              {{"version", version}, {"offset", record.offset}});
+                    this->schedule.set_config(this->operators.config());
+                }
+            } else if (key.kind == Codec::key_kind::zone_out) {
+                write_log(severity::info, "zone_change",
+                          {{"zone", key.name}, {"out", !record.value.empty()}});
+                this->operators.set_zone(key.name, !record.value.empty());
+                this->schedule.set_zones_out(this->operators.zones_out());
+            } else if (key.kind == Codec::key_kind::wave && !record.value.empty()) {
+                BOOST_LEAF_AUTO(wave, Codec::wave(record.value));
+                write_log(severity::info, "wave_requested",
+                          {{"wave", wave.number},
+                           {"vms", wave.vms.size()},
+                           {"max_down", wave.max_down},
+                           {"duration_ms", wave.duration.count()}});
+                this->operators.set_wave(std::move(wave));
+                this->schedule.set_waves(this->operators.waves());
+            }
+            return true;
+        },
+        problem);
+    if (!handled) {
+        write_log(severity::warning, "record_unreadable", {{"key", record.key}, {"reason", problem.message}});
+    }
+}
+
+} // namespace hornbeamrail
