--- a/tests/scheduler_site.hpp
+++ b/tests/scheduler_site.hpp
@@ -43,6 +43,12 @@
                              .attempts = 2,
                              .stretch = 1.6,
                              .objective_slack = milliseconds(600)},
+                            {.name = "advised",
+                             .host = "h",
+                             .path_prefix = "/a/",
+                             .pool = "pool",
+                             .attempts = 2,
+                             .advice = advice_config{.ticket_lifetime = milliseconds(3000)}},
                             {.name = "lasting",
                              .host = "h",
                              .path_prefix = "/l/",
@@ -191,6 +197,10 @@
     fake_keyed_log log;
     std::unique_ptr<scheduler> schedule;
     std::vector<std::pair<std::int64_t, bool>> reports; ///< wave, completed
+    std::function<bool(const std::string&)> advised = [](const std::string&) {
+        return true;
+    };
+    std::map<std::string, std::string> tickets; ///< of the latest start, by worker
     std::int64_t starts = 0;
     std::int64_t moves = 0;
 
@@ -302,6 +312,7 @@
             this->log.append({.topic = log_topic::jobs, .records = drop->records});
         } else if (auto* start = std::get_if<send_start>(&action)) {
             ++this->starts;
+            this->tickets[start->worker.id] = start->order.ticket;
             const auto need =
                 this->needs[start->order.task.job][static_cast<std::size_t>(start->order.task.step)].need;
             this->order([this, sent = *start,
@@ -336,6 +347,15 @@
             this->reply([this, order = move->order, outcome] {
                 this->schedule->on_vm_order(order, outcome, this->now);
             });
+        } else if (auto* advice = std::get_if<ask_advice>(&action)) {
+            advice_answer answer{.done = true};
+            for (const auto& worker : advice->call.workers) {
+                if (this->advised(worker)) {
+                    answer.tickets.push_back({.worker = worker, .ticket = "ticket-" + worker});
+                }
+            }
+            this->reply(
+                [this, call = advice->call, answer] { this->schedule->on_advice(call, answer, this->now); });
         } else if (auto* report = std::get_if<write_report>(&action)) {
             this->reports.emplace_back(report->wave, report->completed);
             this->schedule->on_reported(report->wave, report->completed, true);
--- a/tests/scheduler_test.cpp
+++ b/tests/scheduler_test.cpp
@@ -191,3 +191,44 @@
     site.run(milliseconds(3000));
     BOOST_TEST(site.state_of(id) == "completed");
 }
+
+BOOST_AUTO_TEST_CASE(gang_starts_whole_or_not_at_all) {
+    scheduler_site site(11);
+    site.add_vms(2);
+    site.take_over();
+    auto small = batch_job(1, 30000);
+    site.submit(small);
+    site.run(milliseconds(200));
+    auto gang = batch_job(3, 20000); // three tasks of 20 cores need three VMs or the time of two
+    gang.account.clear();
+    gang.steps.front().gang = true;
+    site.submit(gang);
+    auto pair = batch_job(2, 16000);
+    pair.account.clear();
+    pair.steps.front().gang = true;
+    const auto id = site.submit(pair);
+    site.run(milliseconds(4000));
+    BOOST_TEST(site.state_of(id) == "completed");
+    for (const auto& run : site.site.history()) {
+        BOOST_TEST(run.task.job != gang.id);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(advised_queue_starts_only_where_it_has_a_ticket) {
+    scheduler_site site(12);
+    site.add_vms(4);
+    site.take_over();
+    const auto allowed = site.site.workers().front().id;
+    site.advised = [&allowed](const std::string& worker) {
+        return worker == allowed;
+    };
+    auto job = batch_job(5);
+    job.queue = "advised";
+    const auto id = site.submit(job);
+    site.run(milliseconds(5000));
+    BOOST_TEST(site.state_of(id) == "completed");
+    for (const auto& run : site.site.history()) {
+        BOOST_TEST(run.worker == allowed);
+    }
+    BOOST_TEST(site.tickets[allowed] == "ticket-" + allowed);
+}
