Confirm a tail only with its last page

It counted as fresh after the first page of the states topic, which had several. Change: a tail is confirmed, and complete, when its last page is read, as of the time when the first was asked for. Test tail_is_not_confirmed_before_its_last_page failed before.

--- a/src/node/log_tail.hpp
+++ b/src/node/log_tail.hpp
@@ -51,6 +51,7 @@
         this->in_flight = true;
         this->asked_at = now;
         if (!this->loaded) {
+            this->load_begin = this->after_key.empty() ? now : this->load_begin;
             return newest_call{.topic = this->options.topic,
                                .partition = this->options.partition,
                                .after_key = this->after_key};
@@ -81,11 +82,11 @@
         }
         if (answer.more && !answer.records.empty()) {
             this->after_key = answer.records.back().key;
-        } else {
-            this->loaded = true;
+            return true; // what the later pages hold is not known yet
         }
-        this->confirmed_at = this->asked_at;
-        this->complete_at = this->asked_at;
+        this->loaded = true;
+        this->confirmed_at = this->load_begin;
+        this->complete_at = this->load_begin;
         return true;
     }
 
@@ -138,6 +139,7 @@
     bool in_flight = false;
     boot_time not_before{};
     boot_time asked_at{};
+    boot_time load_begin{}; ///< when the first page of the newest records was asked for
     boot_time confirmed_at{};
     boot_time complete_at{};
 };
--- a/tests/submission_queue_test.cpp
+++ b/tests/submission_queue_test.cpp
@@ -138,3 +138,24 @@
     BOOST_TEST((tail.complete_until() == asked + milliseconds(700)));
     BOOST_TEST((tail.confirmed() == asked));
 }
+
+// A node that has read one page of several would deny jobs that the others hold.
+BOOST_AUTO_TEST_CASE(tail_is_not_confirmed_before_its_last_page) {
+    log_tail tail({.topic = log_topic::states});
+    const auto ignore = [](const keyed_record&) {
+    };
+    boot_time now{milliseconds(1000)};
+    const auto begun = now;
+    tail.tick(now);
+    tail.on_newest(tail.current_epoch(),
+                   {.done = true, .records = {{.key = "a", .value = "completed"}}, .more = true, .end = 2},
+                   now, ignore);
+    BOOST_TEST((tail.confirmed() == boot_time{}));
+    BOOST_TEST((tail.complete_until() == boot_time{}));
+    now += milliseconds(100);
+    BOOST_TEST(std::get<newest_call>(*tail.tick(now)).after_key == "a");
+    tail.on_newest(tail.current_epoch(),
+                   {.done = true, .records = {{.key = "b", .value = "completed"}}, .end = 2}, now, ignore);
+    BOOST_TEST(tail.is_loaded());
+    BOOST_TEST((tail.confirmed() == begun));
+}
