Keep a job's record until its final state is stored

The drop of finished jobs' records did not wait for states that were decided and not yet handed to the log. Change: it waits for them. Test job_record_stays_until_the_final_state_is_stored: 21 early drops before, none now.

--- a/src/coordination/scheduler_jobs.cpp
+++ b/src/coordination/scheduler_jobs.cpp
@@ -334,7 +334,8 @@
 }
 
 void scheduler::impl::drop_finished(boot_time now) {
-    const bool busy = this->publish_in_flight || !this->states_to_publish.empty() || this->batch_in_flight;
+    const bool busy = this->publish_in_flight || !this->states_to_publish.empty() || this->batch_in_flight ||
+                      !this->next_batch.states.empty();
     if (busy || now < this->last_cleanup + this->timings.state_cleanup) {
         return;
     }
--- a/tests/scheduler_site.hpp
+++ b/tests/scheduler_site.hpp
@@ -203,6 +203,7 @@
     std::map<std::string, std::string> tickets; ///< of the latest start, by worker
     std::int64_t starts = 0;
     std::int64_t moves = 0;
+    std::int64_t early_drops = 0; ///< job records dropped before the final state was stored
 
     [[nodiscard]] unix_time clock() const {
         return unix_time(std::chrono::duration_cast<milliseconds>(this->now.time_since_epoch()));
@@ -309,6 +310,11 @@
                 this->schedule->on_published(sequence, this->now);
             });
         } else if (auto* drop = std::get_if<drop_job_records>(&action)) {
+            for (const auto& record : drop->records) {
+                const bool is_job = !record.key.ends_with(cancel_suffix);
+                const auto state = parse_job_state(this->state_of(record.key));
+                this->early_drops += is_job && !(state && is_final(*state)) ? 1 : 0;
+            }
             this->log.append({.topic = log_topic::jobs, .records = drop->records});
         } else if (auto* start = std::get_if<send_start>(&action)) {
             ++this->starts;
--- a/tests/scheduler_test.cpp
+++ b/tests/scheduler_test.cpp
@@ -232,3 +232,16 @@
     }
     BOOST_TEST(site.tickets[allowed] == "ticket-" + allowed);
 }
+
+// A job whose record is dropped before its final state is stored is unknown after a power loss.
+BOOST_AUTO_TEST_CASE(job_record_stays_until_the_final_state_is_stored) {
+    scheduler_site site(13);
+    site.add_vms(4);
+    site.site.set_duration(milliseconds(5));
+    site.take_over();
+    for (int job = 0; job < 2000; ++job) {
+        site.submit(batch_job(1));
+        site.run(milliseconds(6));
+    }
+    BOOST_TEST(site.early_drops == 0);
+}
