Move and release VMs in proportion to the site

Change: a plan switches off 2% of the site's VMs and moves as many as the platform's rate of orders allows. Sites of 49 VMs keep their bounds. Test a_plan_moves_a_part_of_the_fleet.

--- a/src/coordination/scheduler_moves.cpp
+++ b/src/coordination/scheduler_moves.cpp
@@ -11,8 +11,6 @@
 
 using std::chrono::milliseconds;
 
-constexpr std::size_t most_moves_per_plan = 8;
-constexpr std::size_t most_releases_per_plan = 1;
 constexpr milliseconds demand_line_interval{1000};
 /// An ordered move that no list shows within this time is forgotten.
 constexpr milliseconds move_timeout{4000};
@@ -146,7 +144,9 @@
                        {"arriving_cores", std::llround(load.arriving_cores / 1000)}});
         }
     }
-    for (const auto& move : plan_pool_moves(pools, movable, most_moves_per_plan, most_releases_per_plan)) {
+    const auto bounds = bounds_of_plan(this->vms.size(), this->options.limits.vm_orders_per_second,
+                                       this->timings.move_interval);
+    for (const auto& move : plan_pool_moves(pools, movable, bounds)) {
         this->vm_moves[move.vm] = {move.to_pool, now};
         this->vm_orders[move.vm] = now;
         write_log(severity::info, "move_ordered",
--- a/src/policy/pool_moves.cpp
+++ b/src/policy/pool_moves.cpp
@@ -13,6 +13,10 @@
 constexpr double steepest_rise = 0.6;
 /// Part of a VM that is planned to be used; the rest absorbs uneven sizes.
 constexpr double planned_use = 0.9;
+/// VMs that one plan may switch off, as a part of the site's.
+constexpr double release_part = 0.02;
+/// Part of the platform's rate of orders that moves may use; the rest is left for maintenance.
+constexpr double order_part = 0.85;
 
 double seconds_of(boot_clock::duration value) {
     return std::chrono::duration<double>(value).count();
@@ -71,9 +75,15 @@
     return std::max(by_cores, load.lasting_vms) + 1;
 }
 
+move_bounds bounds_of_plan(std::size_t vms, double orders_per_second, std::chrono::milliseconds interval) {
+    const double orders = order_part * orders_per_second * std::chrono::duration<double>(interval).count();
+    const double releases = std::floor(release_part * static_cast<double>(vms));
+    return {.moves = static_cast<std::size_t>(std::max(1.0, orders)),
+            .releases = static_cast<std::size_t>(std::max(1.0, releases))};
+}
+
 std::vector<vm_move_plan> plan_pool_moves(const std::vector<pool_need>& pools,
-                                          const std::vector<movable_vm>& vms, std::size_t most_moves,
-                                          std::size_t most_releases) {
+                                          const std::vector<movable_vm>& vms, const move_bounds& bounds) {
     std::vector<vm_move_plan> moves;
     auto left = vms;
     std::map<std::string, std::int32_t> surplus;
@@ -93,7 +103,7 @@
         return first->needed - first->vms > second->needed - second->vms;
     });
     for (const auto* pool : short_pools) {
-        for (auto missing = pool->needed - pool->vms; missing > 0 && moves.size() < most_moves; --missing) {
+        for (auto missing = pool->needed - pool->vms; missing > 0 && moves.size() < bounds.moves; --missing) {
             auto vm = spare_pool.empty() ? std::nullopt : take_idle(left, spare_pool);
             for (auto giver = pools.begin(); !vm && giver != pools.end(); ++giver) {
                 if (!giver->spare && surplus[giver->pool] > 0) {
@@ -111,7 +121,7 @@
     for (const auto& pool : pools) {
         const auto unneeded = std::min(surplus[pool.pool], pool.vms - pool.needed_lately);
         for (auto count = unneeded; !spare_pool.empty() && !pool.spare && pool.may_release && count > 0 &&
-                                    releases < most_releases && moves.size() < most_moves;
+                                    releases < bounds.releases && moves.size() < bounds.moves;
              --count) {
             auto vm = take_idle(left, pool.pool);
             if (!vm) {
--- a/src/policy/pool_moves.hpp
+++ b/src/policy/pool_moves.hpp
@@ -70,13 +70,23 @@
     std::string to_pool;
 };
 
+/// How many moves one plan may hold.
+struct move_bounds {
+    std::size_t moves = 1;    ///< in all
+    std::size_t releases = 1; ///< to the spare pool
+};
+
+/// Pattern: hundreds of VMs are idle between two surges. What may move at a time grows with the site, within
+/// the rate of orders that the platform takes.
+/// @param vms VMs of the site
+/// @param orders_per_second taken by the platform, for moves and maintenance together
+/// @param interval between two plans
+move_bounds bounds_of_plan(std::size_t vms, double orders_per_second, std::chrono::milliseconds interval);
+
 /// Chooses moves: pools that lack VMs get them from the spare pool first, then from pools that have more than
 /// they need now; VMs that their pool has not needed lately go to the spare pool, where they are off, a few
 /// at a time.
-/// @param most_moves longest plan
-/// @param most_releases moves to the spare pool in one plan
 std::vector<vm_move_plan> plan_pool_moves(const std::vector<pool_need>& pools,
-                                          const std::vector<movable_vm>& vms, std::size_t most_moves,
-                                          std::size_t most_releases);
+                                          const std::vector<movable_vm>& vms, const move_bounds& bounds);
 
 } // namespace hornbeamrail
--- a/tests/job_policy_test.cpp
+++ b/tests/job_policy_test.cpp
@@ -109,7 +109,7 @@
                                       {.id = "i2", .pool = "idle", .idle = true},
                                       {.id = "i3", .pool = "idle", .idle = true},
                                       {.id = "s1", .pool = "spare", .idle = true}};
-    const auto moves = plan_pool_moves(pools, vms, 10, 10);
+    const auto moves = plan_pool_moves(pools, vms, {.moves = 10, .releases = 10});
     BOOST_REQUIRE(moves.size() == 3);
     BOOST_TEST(moves[0].vm == "s1");
     BOOST_TEST(
@@ -123,8 +123,22 @@
     const std::vector<movable_vm> vms{{.id = "i1", .pool = "idle", .idle = true},
                                       {.id = "i2", .pool = "idle", .idle = true},
                                       {.id = "i3", .pool = "idle", .idle = true}};
-    BOOST_TEST(plan_pool_moves(pools, vms, 10, 10).size() == 2);
-    BOOST_TEST(plan_pool_moves(pools, vms, 10, 1).size() == 1);
+    BOOST_TEST(plan_pool_moves(pools, vms, {.moves = 10, .releases = 10}).size() == 2);
+    BOOST_TEST(plan_pool_moves(pools, vms, {.moves = 10, .releases = 1}).size() == 1);
+}
+
+// Between two surges 90 of 350 VMs are idle: they are off within 3 s, and the next surge gets 100 within 1 s. A
+// site of 49 VMs keeps most of its idle VMs for as long.
+BOOST_AUTO_TEST_CASE(a_plan_moves_a_part_of_the_fleet) {
+    const milliseconds interval(150);
+    const auto large = bounds_of_plan(350, 215, interval);
+    BOOST_TEST(large.releases * 20 >= 90);
+    BOOST_TEST(large.moves * 6 >= 100);
+    BOOST_TEST(static_cast<double>(large.moves) <= 215 * 0.15);
+    const auto small = bounds_of_plan(49, 64, interval);
+    BOOST_TEST(small.releases == 1);
+    BOOST_TEST(static_cast<double>(small.moves) <= 64 * 0.15);
+    BOOST_TEST(bounds_of_plan(3, 1, interval).moves == 1);
 }
 
 BOOST_AUTO_TEST_CASE(waves_take_empty_vms_first) {
