Count known jobs as old arrivals; no VM orders without renewals

Change: jobs that are loaded count as arrivals of the time of their submission; VMs are ordered only within 0.8 s of the latest renewal of the lease.

--- a/src/coordination/scheduler.cpp
+++ b/src/coordination/scheduler.cpp
@@ -24,6 +24,7 @@
     fresh->term = term;
     fresh->term_begin = now;
     fresh->last_log_contact = now;
+    fresh->lease_renewed = now;
     this->self = std::move(fresh);
 }
 
@@ -108,6 +109,7 @@
             }
         }
     }
+    state.note_known_arrivals(now);
     for (auto& [id, worker] : state.workers) {
         state.note_lease(worker, longest_lease, now);
         if (worker.entry.address.port == 0) {
@@ -187,6 +189,10 @@
     this->self->last_log_contact = std::max(this->self->last_log_contact, last_contact);
 }
 
+void scheduler::set_lease_renewed(boot_time renewed) {
+    this->self->lease_renewed = std::max(this->self->lease_renewed, renewed);
+}
+
 void scheduler::on_committed(std::int64_t sequence, boot_time now) {
     auto& state = *this->self;
     if (!state.batch_in_flight || state.batch_in_flight->sequence != sequence) {
@@ -211,8 +217,10 @@
     }
     state.check_doubtful(now);
     state.ask_vm_list(now);
-    state.plan_waves(now);
-    state.plan_moves(now);
+    if (now < state.lease_renewed + state.timings.vm_orders_after_renewal) {
+        state.plan_waves(now);
+        state.plan_moves(now);
+    }
     state.open_occurrences(clock);
     state.dispatch(now, clock);
     state.pace_fillers(now);
--- a/src/coordination/scheduler.hpp
+++ b/src/coordination/scheduler.hpp
@@ -131,6 +131,9 @@
     /// @param last_contact when the node last had an answer from the log
     void set_log_contact(boot_time last_contact);
 
+    /// @param renewed when the latest renewal of the lease that took effect was sent
+    void set_lease_renewed(boot_time renewed);
+
     void on_committed(std::int64_t sequence, boot_time now);
     void on_published(std::int64_t sequence, boot_time now);
     void on_reported(std::int64_t wave, bool completed, bool done);
--- a/src/coordination/scheduler_impl.hpp
+++ b/src/coordination/scheduler_impl.hpp
@@ -32,6 +32,9 @@
     /// A scheduler that has lost the log goes on holding leases for so long. A successor waits it out for
     /// workers that it cannot reach.
     std::chrono::milliseconds hold_without_log{6000};
+    /// Fences of VMs do not know of a successor before its first order, so a scheduler that cannot renew its
+    /// lease orders none well before another node may claim.
+    std::chrono::milliseconds vm_orders_after_renewal{800};
     std::chrono::milliseconds retry_after_refusal{150};
     std::chrono::milliseconds avoid_after_failure{2500}; ///< of a worker that fails what it starts
     std::chrono::milliseconds state_cleanup{1000};       ///< between drops of records that are not needed
@@ -219,6 +222,8 @@
 
     // scheduler_moves.cpp: VMs between pools
     void note_arrival(const job_progress& job, boot_time now);
+    /// Counts the jobs that the log held at the begin of the term as arrivals of the time of their submission.
+    void note_known_arrivals(boot_time now);
     void plan_moves(boot_time now);
     [[nodiscard]] pool_load load_of(const std::string& pool, boot_time now);
     void note_need(pool_need& entry, boot_time now);
@@ -254,6 +259,7 @@
     bool loaded = false;
     boot_time term_begin{};
     boot_time last_log_contact{};
+    boot_time lease_renewed{};
     std::vector<scheduler_action> actions;
 
     std::shared_ptr<const site_config> config = std::make_shared<site_config>();
--- a/src/coordination/scheduler_jobs.cpp
+++ b/src/coordination/scheduler_jobs.cpp
@@ -73,7 +73,9 @@
         job->occurrence(0);
     }
     const auto& added = *this->jobs.emplace(record.key, std::move(job)).first->second;
-    this->note_arrival(added, now);
+    if (this->loaded) {
+        this->note_arrival(added, now);
+    }
     this->dispatch_due = true;
 }
 
--- a/src/coordination/scheduler_lease.cpp
+++ b/src/coordination/scheduler_lease.cpp
@@ -117,6 +117,7 @@
         return std::nullopt;
     }
     this->append_in_flight = true;
+    this->append_sent = now;
     return this->make_append(this->pending_term, this->pending_release);
 }
 
@@ -126,6 +127,7 @@
     if (answer.outcome == append_outcome::appended) {
         this->known_end = std::max(this->known_end, answer.end);
         this->last_record = now;
+        this->renewed_at = this->append_sent;
         this->next_append = now + this->options.renew_interval;
         if (this->pending_release) {
             this->held = false;
--- a/src/coordination/scheduler_lease.hpp
+++ b/src/coordination/scheduler_lease.hpp
@@ -53,6 +53,10 @@
     [[nodiscard]] std::int64_t term() const noexcept { return this->own_term; }
     [[nodiscard]] const std::string& holder() const noexcept { return this->holder_node; }
 
+    /// @return when the latest claim or renewal that took effect was sent; no other node claims sooner than
+    /// `takeover_after` later
+    [[nodiscard]] boot_time renewed() const noexcept { return this->renewed_at; }
+
 private:
     [[nodiscard]] append_call make_append(std::int64_t term, bool release) const;
     [[nodiscard]] bool may_claim(boot_time now) const;
@@ -70,6 +74,8 @@
     bool held = false;
     std::int64_t own_term = 0;
     bool append_in_flight = false;
+    boot_time append_sent{};
+    boot_time renewed_at{};
     std::int64_t pending_term = 0;
     bool pending_release = false;
     bool must_read = false; ///< an append was refused or lost: the topic tells what happened
--- a/src/coordination/scheduler_moves.cpp
+++ b/src/coordination/scheduler_moves.cpp
@@ -32,6 +32,20 @@
     this->demand[this->pool_of(job)].arrivals.add(work, now);
 }
 
+void scheduler::impl::note_known_arrivals(boot_time now) {
+    std::vector<const job_progress*> known;
+    for (const auto& [id, job] : this->jobs) {
+        known.push_back(job.get());
+    }
+    std::sort(known.begin(), known.end(), [](const auto* first, const auto* second) {
+        return first->spec.submitted < second->spec.submitted;
+    });
+    for (const auto* job : known) {
+        // Clocks of nodes differ, so the newest job stands for the present.
+        this->note_arrival(*job, now - (known.back()->spec.submitted - job->spec.submitted));
+    }
+}
+
 pool_load scheduler::impl::load_of(const std::string& pool, boot_time now) {
     pool_load load{.arriving_cores =
                        this->demand[pool].arrivals.expected_cores(now, this->timings.move_lead)};
--- a/src/node/site_node_scheduler.hpp
+++ b/src/node/site_node_scheduler.hpp
@@ -92,6 +92,7 @@
         return;
     }
     this->schedule.set_log_contact(this->last_log_contact);
+    this->schedule.set_lease_renewed(this->lease.renewed());
     for (auto& action : this->schedule.tick(now, site_node_detail::time_of_day())) {
         this->carry_out(action, out);
     }
--- a/tests/scheduler_site.hpp
+++ b/tests/scheduler_site.hpp
@@ -143,6 +143,9 @@
             }
             this->jobs_read = read.next;
             this->schedule->set_log_contact(this->now);
+            if (this->renews) {
+                this->schedule->set_lease_renewed(this->now);
+            }
             for (auto& action : this->schedule->tick(this->now, this->clock())) {
                 this->carry_out(action);
             }
@@ -203,6 +206,8 @@
     std::map<std::string, std::string> tickets; ///< of the latest start, by worker
     std::int64_t starts = 0;
     std::int64_t moves = 0;
+    std::int64_t maintenance_orders = 0;
+    bool renews = true; ///< whether the scheduler can renew its lease
     std::int64_t early_drops = 0; ///< job records dropped before the final state was stored
 
     [[nodiscard]] unix_time clock() const {
@@ -343,6 +348,7 @@
             const auto asked = this->now;
             this->reply([this, asked] { this->schedule->on_vm_list(this->site.vms(), asked, this->now); });
         } else if (auto* maintain = std::get_if<order_maintenance>(&action)) {
+            ++this->maintenance_orders;
             const auto outcome = this->site.maintain(maintain->order, this->now);
             this->reply([this, order = maintain->order, outcome] {
                 this->schedule->on_vm_order(order, outcome, this->now);
--- a/tests/scheduler_test.cpp
+++ b/tests/scheduler_test.cpp
@@ -159,6 +159,44 @@
 
 // Orders that are lost or carried out late, crashes and takeovers: no task runs twice at the same time, and
 // every job ends.
+// Without renewals another node may soon order VMs: the bound of a wave would be kept by each alone.
+BOOST_AUTO_TEST_CASE(no_vm_is_ordered_without_renewals) {
+    scheduler_site site(11);
+    site.add_vms(30);
+    site.take_over();
+    std::vector<std::string> vms;
+    for (int number = 0; number < 30; ++number) {
+        vms.push_back(fmt::format("m-pool-{}", number));
+    }
+    site.run(milliseconds(500));
+    site.renews = false;
+    site.run(milliseconds(900));
+    const auto before = site.moves;
+    site.request_wave({.number = 1, .vms = vms, .duration = milliseconds(20000), .max_down = 4});
+    site.run(milliseconds(4000));
+    BOOST_TEST(site.maintenance_orders == 0);
+    BOOST_TEST(site.moves == before);
+    site.renews = true;
+    site.run(milliseconds(2000));
+    BOOST_TEST(site.maintenance_orders > 0);
+}
+
+// The jobs that a successor reads at once from the log did not arrive at once.
+BOOST_AUTO_TEST_CASE(successor_does_not_take_known_jobs_for_a_surge) {
+    scheduler_site site(10);
+    site.add_vms(4);
+    site.add_vms(12, "spare");
+    site.take_over();
+    for (int round = 0; round < 40; ++round) { // 4 tasks of 2 cores at a time: one VM would do
+        site.submit(batch_job(2));
+        site.run(milliseconds(500));
+    }
+    const auto moves = site.moves;
+    site.take_over();
+    site.run(milliseconds(1500));
+    BOOST_TEST(site.moves == moves);
+}
+
 BOOST_AUTO_TEST_CASE(no_task_runs_twice_under_faults) {
     for (std::uint64_t seed = 100; seed < 112; ++seed) {
         scheduler_site site(seed, {.lost_answer = 0.05, .late_order = 0.03, .crash = 0.4, .failover = 0.25});
