Waves follow tasks at work; shares of client accounts

Accounts that sent 7.5 times their usual were served like the others and got VMs of their own. Change: a long-running task is at work when the latest report shows it past its startup; a wave drains what it can take next; a job beyond the weight of its account (token bucket) goes behind the others and switches no VM on. Progress of a run and its ordered pace are two figures now. Tests wave_over_long_running_tasks_ends_in_time, blocked_vms_of_a_wave_go_on_taking_work, account_beyond_its_share_is_marked, account_beyond_its_share_does_not_delay_others.

--- a/src/coordination/scheduler_dispatch.cpp
+++ b/src/coordination/scheduler_dispatch.cpp
@@ -100,6 +100,7 @@
     return rank_job(
         {.long_running = job.is_long_running(),
          .begun = begun,
+         .beyond_share = job.beyond_share,
          .priority = queue == nullptr ? 0 : queue->priority,
          .due = job.spec.due(occurrence.number),
          .objective =
@@ -425,8 +426,8 @@
             if (!placed.fills || placed.stage != start_stage::confirmed || now < placed.pace_sent + settle) {
                 continue;
             }
-            const auto wanted = harmed ? placed.percent / 3 : std::min(100, placed.percent + 10);
-            if (wanted == placed.percent) {
+            const auto wanted = harmed ? placed.pace / 3 : std::min(100, placed.pace + 10);
+            if (wanted == placed.pace) {
                 continue;
             }
             placed.pace_sent = now;
@@ -449,7 +450,7 @@
     state.note_clock(found->second, answer.worker_clock, now);
     const auto placed = found->second.tasks.find(order.task);
     if (answer.outcome == order_outcome::done && placed != found->second.tasks.end()) {
-        placed->second.percent = order.percent;
+        placed->second.pace = order.percent;
     }
 }
 
--- a/src/coordination/scheduler_impl.hpp
+++ b/src/coordination/scheduler_impl.hpp
@@ -3,6 +3,7 @@
 // Internal to src/coordination: the state of `scheduler` and its parts, one .cpp file a subject.
 
 #include "coordination/scheduler.hpp"
+#include "policy/account_share.hpp"
 #include "policy/job_order.hpp"
 #include "policy/pool_moves.hpp"
 #include "policy/vm_plan.hpp"
@@ -70,7 +71,9 @@
     bool fills = false;
     bool serves = false;
     bool lasts = false;
-    std::int32_t percent = 100;
+    bool leftover = false;   ///< of a job beyond the share of its account
+    bool at_work = false;    ///< of a long-running task: the latest report shows it past its startup
+    std::int32_t pace = 100; ///< share of its normal pace that was ordered last
     std::int64_t latest_load = 0;
     boot_time pace_sent{};
 };
@@ -221,7 +224,7 @@
     void forget_advice(const std::string& job);
 
     // scheduler_moves.cpp: VMs between pools
-    void note_arrival(const job_progress& job, boot_time now);
+    void note_arrival(job_progress& job, boot_time now);
     /// Counts the jobs that the log held at the begin of the term as arrivals of the time of their submission.
     void note_known_arrivals(boot_time now);
     void plan_moves(boot_time now);
@@ -237,9 +240,11 @@
     bool load_wave(const keyed_record& record);
     void lose_replaced_workers(const std::map<std::string, std::string>& before, boot_time now);
     /// @return tasks of the step that are not at work
-    [[nodiscard]] std::int32_t tasks_away(job_progress& job, const task_id& id, boot_time now);
+    [[nodiscard]] std::int32_t tasks_away(job_progress& job, const task_id& id) const;
+    /// @return whether the latest report shows the long-running task past its startup
+    [[nodiscard]] bool is_at_work(const task_id& id, const task_progress& task) const;
     /// @return whether every availability limit allows to end all tasks of the worker now
-    [[nodiscard]] bool may_end_tasks_of(const worker_control& worker, boot_time now);
+    [[nodiscard]] bool may_end_tasks_of(const worker_control& worker);
     /// Stops one of several tasks of a step on a worker that is to be maintained, so that they part.
     void spread_tasks_of(worker_control& worker, boot_time now);
     [[nodiscard]] bool is_reserved(const std::string& worker) const;
@@ -307,6 +312,7 @@
     std::map<std::int64_t, wave_progress> waves;
     std::map<std::string, boot_time> vm_orders;                        ///< VMs with an order under way
     std::map<std::string, std::pair<std::string, boot_time>> vm_moves; ///< target pool and time of the order
+    account_share shares;
     std::map<std::string, pool_demand_view> demand;                    ///< by pool
     boot_time last_move_plan{};
     boot_time last_demand_line{};
--- a/src/coordination/scheduler_jobs.cpp
+++ b/src/coordination/scheduler_jobs.cpp
@@ -72,7 +72,7 @@
     if (!job->spec.is_timed()) {
         job->occurrence(0);
     }
-    const auto& added = *this->jobs.emplace(record.key, std::move(job)).first->second;
+    auto& added = *this->jobs.emplace(record.key, std::move(job)).first->second;
     if (this->loaded) {
         this->note_arrival(added, now);
     }
--- a/src/coordination/scheduler_moves.cpp
+++ b/src/coordination/scheduler_moves.cpp
@@ -17,10 +17,17 @@
 
 } // namespace
 
-void scheduler::impl::note_arrival(const job_progress& job, boot_time now) {
+void scheduler::impl::note_arrival(job_progress& job, boot_time now) {
     if (job.is_long_running()) {
         return;
     }
+    const auto* account = this->config->find_account(job.spec.account);
+    job.beyond_share = account != nullptr && !this->shares.admit(account->name, account->weight, now);
+    if (job.beyond_share) {
+        write_log(severity::info, "job_beyond_share",
+                  {{"job", job.spec.id}, {"account", account->name}, {"weight", account->weight}});
+        return;
+    }
     const auto learned = this->durations.find(job.spec.queue);
     double work = 0;
     for (const auto& step : job.spec.steps) {
@@ -33,14 +40,14 @@
 }
 
 void scheduler::impl::note_known_arrivals(boot_time now) {
-    std::vector<const job_progress*> known;
+    std::vector<job_progress*> known;
     for (const auto& [id, job] : this->jobs) {
         known.push_back(job.get());
     }
     std::sort(known.begin(), known.end(), [](const auto* first, const auto* second) {
         return first->spec.submitted < second->spec.submitted;
     });
-    for (const auto* job : known) {
+    for (auto* job : known) {
         // Clocks of nodes differ, so the newest job stands for the present.
         this->note_arrival(*job, now - (known.back()->spec.submitted - job->spec.submitted));
     }
@@ -55,12 +62,15 @@
         }
         load.vm_cores = std::max(load.vm_cores, static_cast<double>(worker.entry.capacity.cpu_millis));
         for (const auto& [task, placed] : worker.tasks) {
+            if (placed.leftover) {
+                continue; // gets what is free, no VM of its own
+            }
             (placed.lasts ? load.lasting_cores : load.running_cores) +=
                 static_cast<double>(placed.need.cpu_millis);
         }
     }
     for (auto& [id, job] : this->jobs) {
-        if (is_final(job->state) || this->pool_of(*job) != pool) {
+        if (is_final(job->state) || job->beyond_share || this->pool_of(*job) != pool) {
             continue;
         }
         for (const auto& occurrence : job->occurrences) {
--- a/src/coordination/scheduler_vms.cpp
+++ b/src/coordination/scheduler_vms.cpp
@@ -50,18 +50,28 @@
     return listed != this->vms.end() && listed->second.condition == vm_condition::up;
 }
 
-std::int32_t scheduler::impl::tasks_away(job_progress& job, const task_id& id, boot_time now) {
+bool scheduler::impl::is_at_work(const task_id& id, const task_progress& task) const {
+    const auto worker = this->workers.find(task.worker);
+    if (task.phase != run_phase::running || worker == this->workers.end()) {
+        return false;
+    }
+    const auto placed = worker->second.tasks.find(id);
+    return placed != worker->second.tasks.end() && placed->second.run == task.run && placed->second.at_work;
+}
+
+std::int32_t scheduler::impl::tasks_away(job_progress& job, const task_id& id) const {
     std::int32_t away = 0;
+    task_id other = id;
+    other.index = 0;
     for (const auto& task : job.occurrence(id.occurrence).steps[static_cast<std::size_t>(id.step)].tasks) {
-        const bool at_work = task.phase == run_phase::running && task.stop_sent == boot_time{} &&
-                             this->is_sound(task.worker) &&
-                             now > task.placed_at + this->options.limits.availability_notice;
-        away += at_work ? 0 : 1;
+        const bool stays = task.stop_sent == boot_time{} && this->is_sound(task.worker);
+        away += stays && this->is_at_work(other, task) ? 0 : 1;
+        ++other.index;
     }
     return away;
 }
 
-bool scheduler::impl::may_end_tasks_of(const worker_control& worker, boot_time now) {
+bool scheduler::impl::may_end_tasks_of(const worker_control& worker) {
     for (const auto& [id, placed] : worker.tasks) {
         auto* job = this->find_job(id.job);
         const auto* step = job == nullptr || is_final(job->state)
@@ -72,12 +82,15 @@
         }
         // All tasks of the step on this worker would be away together.
         std::int32_t at_work_here = 0;
+        task_id other = id;
+        other.index = 0;
         for (const auto& task :
              job->occurrence(id.occurrence).steps[static_cast<std::size_t>(id.step)].tasks) {
-            const bool here = task.worker == worker.entry.id && task.phase == run_phase::running;
-            at_work_here += here && now > task.placed_at + this->options.limits.availability_notice ? 1 : 0;
+            const bool here = task.worker == worker.entry.id && task.stop_sent == boot_time{};
+            at_work_here += here && this->is_at_work(other, task) ? 1 : 0;
+            ++other.index;
         }
-        if (this->tasks_away(*job, id, now) + at_work_here > step->max_unavailable) {
+        if (this->tasks_away(*job, id) + at_work_here > step->max_unavailable) {
             return false;
         }
     }
@@ -97,7 +110,7 @@
             return other.worker == worker.entry.id && other.phase == run_phase::running;
         });
         if (step.long_running && here > step.max_unavailable && step.max_unavailable > 0 &&
-            this->tasks_away(*job, id, now) < step.max_unavailable) {
+            this->tasks_away(*job, id) < step.max_unavailable) {
             task->stop_sent = now;
             write_log(severity::info, "run_moved_away",
                       {{"job", id.job}, {"index", id.index}, {"worker", worker.entry.id}});
@@ -150,7 +163,7 @@
         const auto worker = this->workers.find(vm->second.worker);
         if (worker != this->workers.end()) {
             candidate.may_end_tasks = !worker->second.entry.draining && !worker->second.in_doubt() &&
-                                      this->may_end_tasks_of(worker->second, now);
+                                      this->may_end_tasks_of(worker->second);
             if (candidate.draining && !candidate.may_end_tasks) {
                 this->spread_tasks_of(worker->second, now);
             }
@@ -181,7 +194,7 @@
     for (const auto& vm : step.maintain) {
         // Earlier orders of this round count: they end tasks of the same steps.
         const auto worker = this->workers.find(this->vms[vm].worker);
-        if (worker != this->workers.end() && !this->may_end_tasks_of(worker->second, now)) {
+        if (worker != this->workers.end() && !this->may_end_tasks_of(worker->second)) {
             continue;
         }
         wave.away[vm] = now;
--- a/src/coordination/scheduler_workers.cpp
+++ b/src/coordination/scheduler_workers.cpp
@@ -14,6 +14,7 @@
 constexpr std::int64_t fences_per_term = 100000;
 /// A report holds at most so many ends; the others come with the next one.
 constexpr std::size_t longest_list_of_ends = 500;
+constexpr std::int32_t whole_percent = 100;
 
 milliseconds to_millis(boot_clock::duration value) {
     return std::chrono::duration_cast<milliseconds>(value);
@@ -90,7 +91,8 @@
                    .need = step.need,
                    .fills = step.fills,
                    .serves = step.latency_target.count() > 0,
-                   .lasts = step.long_running};
+                   .lasts = step.long_running,
+                   .leftover = job.beyond_share};
     if (made.fills) {
         made.need.cpu_millis = 0;
     }
@@ -182,7 +184,7 @@
             placed->second.stage = start_stage::confirmed;
             placed->second.changed = now;
         }
-        placed->second.percent = running.percent;
+        placed->second.at_work = running.percent >= whole_percent;
         placed->second.latest_load = running.latest_load;
         if (task->phase == run_phase::placed) {
             job->set_phase(running.task, *task, run_phase::running);
--- a/src/fakes/fake_site.cpp
+++ b/src/fakes/fake_site.cpp
@@ -228,7 +228,9 @@
     report.born_ms = worker->entry.born_ms;
     report.ended = worker->ended;
     for (const auto& [id, task] : worker->tasks) {
-        report.running.push_back({.task = id, .run = task.run});
+        const bool starts_up = this->long_running.contains(id.job) &&
+                               now < this->runs[task.history].begun + this->limits.startup_time;
+        report.running.push_back({.task = id, .run = task.run, .percent = starts_up ? 50 : 100});
     }
     return report;
 }
--- a/src/fakes/fake_site.hpp
+++ b/src/fakes/fake_site.hpp
@@ -58,6 +58,7 @@
         std::chrono::milliseconds longest_lease{6000};
         std::chrono::milliseconds move_time{1500};
         std::chrono::milliseconds maintenance_time{2000};
+        std::chrono::milliseconds startup_time{700}; ///< of a long-running task
     };
 
     explicit fake_site(options settings) : limits(settings) {}
--- a/src/policy/job_order.hpp
+++ b/src/policy/job_order.hpp
@@ -9,9 +9,17 @@
 
 namespace hornbeamrail {
 
+/// First key of the order in which jobs of a pool get workers.
+enum class job_lane : std::uint8_t {
+    lasting,  ///< long-running tasks
+    in_time,  ///< can meet its objective
+    late,     ///< cannot meet it any more
+    leftover, ///< beyond the share of its account
+};
+
 /// How urgent the tasks of one occurrence of a job are against others of the same pool. Lower comes first.
 struct job_rank {
-    std::int32_t lane = 0;     ///< 0: long-running tasks; 1: can meet its objective; 2: cannot any more
+    job_lane lane = job_lane::lasting;
     std::int32_t priority = 0; ///< of the queue
     std::int32_t fresh = 0;    ///< 0: some tasks have run; what was begun is finished first
     std::int64_t slack_ms = 0; ///< time left until the latest start that meets the objective
@@ -23,6 +31,7 @@
 struct job_urgency {
     bool long_running = false;
     bool begun = false;
+    bool beyond_share = false; ///< the account has sent more than its share
     std::int32_t priority = 0;
     unix_time due{};                              ///< from when its time counts
     std::chrono::milliseconds objective{0};       ///< allowed from `due` to its end
@@ -30,7 +39,8 @@
 };
 
 /// Pattern: a pool is asked for several times what it holds, for seconds. Jobs that can still meet their
-/// objective go first, those that were begun before the others; jobs that missed it use what is left over.
+/// objective go first, those that were begun before the others; jobs that missed it come behind them, jobs beyond the share of their
+/// account last.
 job_rank rank_job(const job_urgency& job, unix_time now);
 
 /// @param durations expected duration of a task of each step
--- a/src/policy/vm_plan.cpp
+++ b/src/policy/vm_plan.cpp
@@ -19,6 +19,16 @@
     return situation.elapsed + needed >= situation.duration;
 }
 
+/// @return VMs that get no new tasks ahead of their maintenance: as many as can be taken while they empty
+std::int32_t most_drains(const wave_situation& situation) {
+    constexpr std::int32_t fewest = 2;
+    constexpr std::int32_t periods_ahead = 3;
+    const auto time_left = std::max(drain_time, situation.duration - situation.elapsed);
+    const auto share = (situation.left * periods_ahead * drain_time + time_left) / time_left;
+    return std::clamp(static_cast<std::int32_t>(share), std::min(fewest, situation.max_down),
+                      std::max(1, situation.max_down));
+}
+
 } // namespace
 
 wave_step plan_wave_step(const wave_situation& situation, std::vector<wave_candidate> candidates) {
@@ -31,13 +41,14 @@
     wave_step step;
     const bool pressed = is_pressed(situation);
     auto free_places = situation.max_down - situation.down;
+    const auto drains_wanted = most_drains(situation);
     std::int32_t drains = 0;
     for (const auto& candidate : candidates) {
         const bool empty = candidate.batch_tasks == 0 || pressed;
         if (free_places > 0 && candidate.may_end_tasks && empty) {
             step.maintain.push_back(candidate.vm);
             --free_places;
-        } else if (drains < situation.max_down) {
+        } else if (drains < drains_wanted) {
             step.drain.push_back(candidate.vm);
             ++drains;
         }
--- a/src/protocol/platform_port.hpp
+++ b/src/protocol/platform_port.hpp
@@ -174,7 +174,7 @@
     task_id task;
     std::int64_t run = 0;
     std::string saved;
-    std::int32_t percent = 100;   ///< share of its normal pace
+    std::int32_t percent = 100;   ///< done of its work; of a long-running task: of its startup
     std::int64_t latest_load = 0; ///< tail latency in ms of a serving task, else thousandths of a core in use
 };
 
@@ -251,7 +251,7 @@
     std::chrono::milliseconds key_revocation{5000};      ///< a withdrawn key stops working within
     std::chrono::milliseconds stop_time{200};            ///< a worker takes to stop a task
     std::chrono::milliseconds gang_wait{3000};           ///< a member waits for the others
-    std::chrono::milliseconds availability_notice{4500}; ///< a task counts as away for so long after a start
+    std::chrono::milliseconds availability_notice{4500}; ///< a task that ends by itself counts as away after so long
     std::chrono::milliseconds status_kept{120000};       ///< state of a final job can be asked for
     std::chrono::milliseconds restore_time{100};         ///< to resume from saved progress
     std::chrono::milliseconds harm_time{4000};           ///< a serving task may be over its latency target
--- a/src/state/job_progress.hpp
+++ b/src/state/job_progress.hpp
@@ -83,6 +83,7 @@
     job_spec spec;
     job_state state = job_state::pending;
     bool cancel_requested = false;
+    bool beyond_share = false; ///< its account had sent more than its share; not recorded
     std::int32_t partition = 0; ///< of the jobs topic, where the job's record lies
     std::deque<occurrence_progress> occurrences;
     std::int32_t finished_occurrences = 0; ///< occurrences below this number are done and dropped
--- a/tests/job_policy_test.cpp
+++ b/tests/job_policy_test.cpp
@@ -1,3 +1,4 @@
+#include "policy/account_share.hpp"
 #include "policy/job_order.hpp"
 #include "policy/pool_moves.hpp"
 #include "policy/vm_plan.hpp"
@@ -38,6 +39,33 @@
     BOOST_TEST((rank_job({.long_running = true}, now) < rank_job(begun, now)));
 }
 
+// An account of weight 2 sends 8 jobs a second for 10 s; another stays within its share.
+BOOST_AUTO_TEST_CASE(account_beyond_its_share_is_marked) {
+    account_share shares;
+    boot_time now{milliseconds(5000)};
+    int hot = 0;
+    int usual = 0;
+    for (int round = 0; round < 100; ++round) {
+        now += milliseconds(100);
+        hot += shares.admit("hot", 2, now) ? 1 : 0;
+        hot += round % 5 != 0 && shares.admit("hot", 2, now) ? 1 : 0;
+        usual += round % 5 == 0 && shares.admit("usual", 2, now) ? 1 : 0;
+    }
+    BOOST_TEST(hot >= 20);
+    BOOST_TEST(hot <= 2 * 10 + 2 * 5 + 1);
+    BOOST_TEST(usual == 20);
+    BOOST_TEST(shares.admit("", 2, now));
+    BOOST_TEST(shares.admit("hot", 0, now));
+}
+
+BOOST_AUTO_TEST_CASE(jobs_beyond_a_share_go_last) {
+    const unix_time now(milliseconds(10000));
+    const job_urgency late{.due = unix_time(milliseconds(1000)), .objective = milliseconds(2500)};
+    const job_urgency leftover{
+        .begun = true, .beyond_share = true, .due = now, .objective = milliseconds(2500)};
+    BOOST_TEST((rank_job(late, now) < rank_job(leftover, now)));
+}
+
 BOOST_AUTO_TEST_CASE(longest_chain_follows_the_steps) {
     job_spec job;
     job.steps = {{}, {.after = {0}}, {}, {.after = {1, 2}}};
@@ -154,6 +182,23 @@
     BOOST_TEST((std::find(step.drain.begin(), step.drain.end(), "busy") != step.drain.end()));
 }
 
+// 60 VMs with tasks that may only end a few at a time: the others go on taking work.
+BOOST_AUTO_TEST_CASE(blocked_vms_of_a_wave_go_on_taking_work) {
+    const wave_situation situation{.max_down = 70,
+                                   .left = 60,
+                                   .elapsed = milliseconds(6000),
+                                   .duration = milliseconds(26000),
+                                   .maintenance = milliseconds(2000)};
+    std::vector<wave_candidate> candidates;
+    for (int vm = 0; vm < 60; ++vm) {
+        candidates.push_back({.vm = std::to_string(vm), .may_end_tasks = false, .batch_tasks = 4});
+    }
+    const auto step = plan_wave_step(situation, candidates);
+    BOOST_TEST(step.maintain.empty());
+    BOOST_TEST(step.drain.size() >= 2);
+    BOOST_TEST(step.drain.size() <= 15);
+}
+
 BOOST_AUTO_TEST_CASE(late_waves_take_busy_vms_but_never_blocked_ones) {
     const wave_situation situation{.max_down = 3,
                                    .left = 2,
--- a/tests/scheduler_site.hpp
+++ b/tests/scheduler_site.hpp
@@ -56,7 +56,11 @@
                              .attempts = 3,
                              .open = true}};
         settings->pools = {{.name = "pool"}, {.name = "spare", .spare = true}};
-        settings->accounts = {{.name = "team", .keys = {"key"}, .cap = {.cpu_millis = 60000}}};
+        settings->accounts = {
+            {.name = "team", .keys = {"key"}, .weight = 0, .cap = {.cpu_millis = 60000}},
+            {.name = "hot", .keys = {"hot-key"}, .weight = 2},
+            {.name = "usual", .keys = {"usual-key"}, .weight = 2},
+        };
         this->config = settings;
     }
 
@@ -170,6 +174,16 @@
         return count;
     }
 
+    /// @return long-running tasks of the job that are past their startup
+    [[nodiscard]] std::int64_t tasks_at_work(const std::string& id) {
+        this->site.advance(this->now);
+        const auto& history = this->site.history();
+        return std::count_if(history.begin(), history.end(), [&](const auto& run) {
+            return run.task.job == id && run.ended == boot_time::max() &&
+                   this->now >= run.begun + fake_site::options().startup_time;
+        });
+    }
+
     /// @return descriptions of tasks that had two runs at the same time, or a start after an acknowledged end
     [[nodiscard]] std::vector<std::string> doubled_runs() const {
         std::vector<std::string> found;
--- a/tests/scheduler_test.cpp
+++ b/tests/scheduler_test.cpp
@@ -119,6 +119,29 @@
     BOOST_TEST(site.reports.back().second);
 }
 
+// Most VMs of the wave carry tasks of one step, of which one may be away: the next VM is taken as soon as the
+// tasks of the last one are at work again.
+BOOST_AUTO_TEST_CASE(wave_over_long_running_tasks_ends_in_time) {
+    scheduler_site site(12);
+    site.add_vms(12);
+    site.take_over();
+    const auto id = site.submit(lasting_job(10, 1));
+    site.run(milliseconds(6000));
+    wave_request wave{.number = 1, .duration = milliseconds(36000), .max_down = 4};
+    for (int vm = 0; vm < 12; ++vm) {
+        wave.vms.push_back(fmt::format("m-pool-{}", vm));
+    }
+    site.request_wave(wave);
+    std::int64_t fewest = 10;
+    for (int round = 0; round < 36 * 50; ++round) {
+        site.run(milliseconds(20));
+        fewest = std::min(fewest, site.tasks_at_work(id));
+    }
+    BOOST_TEST(fewest >= 9);
+    BOOST_REQUIRE(!site.reports.empty());
+    BOOST_TEST(site.reports.back().second);
+}
+
 // A maintenance order for a VM that was maintained before is answered like the first one; the worker lives
 // on.
 BOOST_AUTO_TEST_CASE(successor_does_not_take_a_repeated_maintenance_order_for_an_end) {
@@ -159,6 +182,28 @@
 
 // Orders that are lost or carried out late, crashes and takeovers: no task runs twice at the same time, and
 // every job ends.
+// One account sends ten times its share, more than the pool holds; the jobs of another are served in time.
+BOOST_AUTO_TEST_CASE(account_beyond_its_share_does_not_delay_others) {
+    scheduler_site site(13);
+    site.add_vms(2);
+    site.take_over();
+    std::vector<std::string> usual;
+    for (int round = 0; round < 200; ++round) {
+        auto job = batch_job(4, 4000);
+        job.account = "hot";
+        site.submit(job);
+        if (round % 20 == 0) {
+            job.account = "usual";
+            usual.push_back(site.submit(job));
+        }
+        site.run(milliseconds(50));
+    }
+    site.run(milliseconds(2600));
+    for (const auto& id : usual) {
+        BOOST_TEST(site.state_of(id) == "completed");
+    }
+}
+
 // Without renewals another node may soon order VMs: the bound of a wave would be kept by each alone.
 BOOST_AUTO_TEST_CASE(no_vm_is_ordered_without_renewals) {
     scheduler_site site(11);
