A released lease goes to a strong node; surges seen from the latest jobs

Change: the delay of weak nodes counts from the release, at most 0.5 s; the forecast is at least the rate of the latest 24 jobs. Tests released_lease_goes_to_a_strong_node (failed before) and surge_of_a_large_site_is_seen_at_once.

--- a/src/coordination/scheduler_lease.cpp
+++ b/src/coordination/scheduler_lease.cpp
@@ -6,6 +6,7 @@
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
+#include <algorithm>
 #include <functional>
 
 namespace hornbeamrail {
@@ -16,6 +17,8 @@
 constexpr std::size_t ranks = 6;
 /// A free lease is claimed at once, but for the stagger.
 constexpr std::chrono::milliseconds free_lease_stagger{25};
+/// Strong nodes claim a lease that was given up within this time.
+constexpr std::chrono::milliseconds longest_free_lease_handicap{500};
 
 std::string text_in(const boost::json::object& from, std::string_view name) {
     const auto* value = from.if_contains(name);
@@ -79,7 +82,9 @@
         return false;
     }
     if (this->holder_node.empty()) {
-        return now >= this->reads_good_since + this->rank * free_lease_stagger + this->options.handicap;
+        const auto free_since = std::max(this->reads_good_since, this->last_record);
+        return now >= free_since + this->rank * free_lease_stagger +
+                          std::min(this->options.handicap, longest_free_lease_handicap);
     }
     if (this->holder_node == this->options.node_id) {
         return true; // an earlier process of this node
--- a/src/policy/pool_moves.cpp
+++ b/src/policy/pool_moves.cpp
@@ -9,6 +9,10 @@
 
 constexpr double fast_window_s = 0.8;
 constexpr double slow_window_s = 2.4;
+/// Enough jobs to tell a surge from a few large ones.
+constexpr std::size_t latest_jobs = 24;
+/// Shortest span over which the latest jobs count: those of one read of the log arrive together.
+constexpr double shortest_span_s = 0.2;
 constexpr double backlog_part = 0.4;
 constexpr double steepest_rise = 0.6;
 /// Part of a VM that is planned to be used; the rest absorbs uneven sizes.
@@ -47,6 +51,21 @@
     this->fast.rate += core_millis_seconds / fast_window_s;
     this->slow.rate += core_millis_seconds / slow_window_s;
     this->updated = now;
+    this->latest.push_back({.at = now, .work = core_millis_seconds});
+    if (this->latest.size() > latest_jobs) {
+        this->latest.pop_front();
+    }
+}
+
+double arrival_rate::latest_cores(boot_time now) const {
+    if (this->latest.size() < latest_jobs) {
+        return 0;
+    }
+    double work = 0;
+    for (const auto& job : this->latest) {
+        work += job.work;
+    }
+    return work / std::max(shortest_span_s, seconds_of(now - this->latest.front().at));
 }
 
 double arrival_rate::cores(boot_time now) const {
@@ -60,7 +79,8 @@
     const double slope = (current - earlier) / (slow_window_s - fast_window_s);
     const double rise = std::max(0.0, slope) * std::chrono::duration<double>(ahead).count();
     // A few large jobs look like a steep rise.
-    return current + std::min(rise, steepest_rise * std::max(current, earlier));
+    const double risen = current + std::min(rise, steepest_rise * std::max(current, earlier));
+    return std::max(risen, this->latest_cores(now));
 }
 
 std::int32_t needed_vms(const pool_load& load) {
--- a/tests/job_policy_test.cpp
+++ b/tests/job_policy_test.cpp
@@ -122,6 +122,20 @@
     BOOST_TEST(rate.expected_cores(now, milliseconds(2200)) > 1.4 * rate.cores(now));
 }
 
+// 100 jobs a second of 36 core-seconds each set in: the forecast reaches 3,000 cores within 0.35 s, and falls
+// behind the surge within 2 s.
+BOOST_AUTO_TEST_CASE(surge_of_a_large_site_is_seen_at_once) {
+    arrival_rate rate;
+    boot_time now{milliseconds(5000)};
+    for (int job = 0; job < 35; ++job) {
+        now += milliseconds(10);
+        rate.add(36000, now);
+    }
+    BOOST_TEST(rate.expected_cores(now, milliseconds(2200)) > 3000 * 1000);
+    BOOST_TEST(rate.expected_cores(now, milliseconds(2200)) < 4800 * 1000);
+    BOOST_TEST(rate.expected_cores(now + milliseconds(2000), milliseconds(2200)) < 1000 * 1000);
+}
+
 BOOST_AUTO_TEST_CASE(long_running_tasks_keep_their_vms) {
     BOOST_TEST(needed_vms({.lasting_cores = 10000, .lasting_vms = 5, .vm_cores = 32000}) == 6);
     BOOST_TEST(needed_vms({.running_cores = 100000, .waiting_cores = 100000, .vm_cores = 32000}) == 6);
--- a/tests/scheduler_lease_test.cpp
+++ b/tests/scheduler_lease_test.cpp
@@ -129,6 +129,22 @@
     BOOST_TEST(site.nodes[1].lease->is_held());
 }
 
+// A strong node that stops gives the lease up: another strong one takes it, whatever order the nodes act in.
+BOOST_AUTO_TEST_CASE(released_lease_goes_to_a_strong_node) {
+    lease_site site;
+    site.add("first");
+    site.run(milliseconds(500));
+    for (const auto* name : {"weak-1", "weak-2", "weak-3"}) {
+        site.add(name, milliseconds(1200));
+    }
+    site.add("strong");
+    site.run(milliseconds(3000));
+    site.nodes.front().lease->begin_stop();
+    site.run(milliseconds(800));
+    BOOST_TEST(site.nodes.front().lease->is_released());
+    BOOST_TEST(site.nodes.back().lease->is_held());
+}
+
 BOOST_AUTO_TEST_CASE(claim_whose_answer_was_lost_is_learned_from_the_log) {
     lease_site site;
     site.add("a");
