Scheduler asks for jobs often; followers read states sooner

Followers read states every 0.4 s, which callers wait to hear, and jobs as often, which they need every two seconds. Change: the scheduler's reads of jobs wait at most 0.2 s; followers pause 0.12 s between reads of states and 0.8 s between those of jobs. Test scheduler_does_not_rely_on_waiting_reads. Jobs older than 1 s no longer count in the rate of the latest jobs.

--- a/src/node/log_tail.hpp
+++ b/src/node/log_tail.hpp
@@ -41,7 +41,12 @@
         this->not_before = {};
     }
 
-    void set_pause(std::chrono::milliseconds pause) { this->options.pause = pause; }
+    /// @param wait how long one read may wait for a record
+    /// @param pause between two reads
+    void set_pace(std::chrono::milliseconds wait, std::chrono::milliseconds pause) {
+        this->options.wait = wait;
+        this->options.pause = pause;
+    }
 
     /// @return the read that is due, if any
     std::optional<read_request> tick(boot_time now) {
--- a/src/node/site_node_impl.hpp
+++ b/src/node/site_node_impl.hpp
@@ -7,7 +7,6 @@
 namespace site_node_detail {
 
 inline constexpr std::string_view scheduler_producer = "scheduler";
-inline constexpr std::chrono::milliseconds follower_wait{1200};
 inline constexpr std::chrono::milliseconds operators_wait{700};
 
 inline unix_time time_of_day() {
@@ -64,13 +63,13 @@
     this->operators_tail = add({.topic = log_topic::operators, .wait = site_node_detail::operators_wait});
     this->leader_tail = add({.topic = log_topic::leader, .wait = std::chrono::milliseconds(600)});
     this->states_tail = add({.topic = log_topic::states,
-                             .wait = site_node_detail::follower_wait,
-                             .pause = timings.follower_pause});
+                             .wait = timings.follower_wait,
+                             .pause = timings.states_pause});
     for (std::int32_t partition = 0; partition < this->options.settings.limits.job_partitions; ++partition) {
         this->job_tails.push_back(add({.topic = log_topic::jobs,
                                        .partition = partition,
-                                       .wait = site_node_detail::follower_wait,
-                                       .pause = timings.follower_pause}));
+                                       .wait = timings.follower_wait,
+                                       .pause = timings.jobs_pause}));
     }
     this->workers_tail = add({.topic = log_topic::workers, .pause = timings.workers_pause});
     this->progress_tail = add({.topic = log_topic::progress});
--- a/src/node/site_node_options.hpp
+++ b/src/node/site_node_options.hpp
@@ -10,8 +10,12 @@
 struct site_node_timings {
     std::chrono::milliseconds tick{20};
     std::chrono::milliseconds shortest_pump{4};    ///< between two rounds of decisions
-    std::chrono::milliseconds follower_pause{400}; ///< between reads of jobs and states on other nodes
+    std::chrono::milliseconds follower_wait{1200}; ///< of reads of jobs and states for a record
+    std::chrono::milliseconds jobs_pause{800};     ///< between reads of jobs on nodes that do not schedule
+    std::chrono::milliseconds states_pause{120};   ///< between reads of states, of which callers wait to hear
     std::chrono::milliseconds scheduler_pause{15}; ///< between reads of jobs on the scheduler
+    /// A waiting read may miss records while the log reorganizes; the next read finds them.
+    std::chrono::milliseconds scheduler_wait{200};
     std::chrono::milliseconds workers_pause{250};  ///< between reads of the workers topic
     std::chrono::milliseconds start_timeout{600};
     std::chrono::milliseconds hold_timeout{500}; ///< beyond the time that the worker waits
--- a/src/policy/pool_moves.cpp
+++ b/src/policy/pool_moves.cpp
@@ -13,6 +13,8 @@
 constexpr std::size_t latest_jobs = 24;
 /// Shortest span over which the latest jobs count: those of one read of the log arrive together.
 constexpr double shortest_span_s = 0.2;
+/// Older jobs say nothing of a surge.
+constexpr double longest_span_s = 1.0;
 constexpr double backlog_part = 0.4;
 constexpr double steepest_rise = 0.6;
 /// Part of a VM that is planned to be used; the rest absorbs uneven sizes.
@@ -58,14 +60,15 @@
 }
 
 double arrival_rate::latest_cores(boot_time now) const {
-    if (this->latest.size() < latest_jobs) {
+    const double span = this->latest.empty() ? 0 : seconds_of(now - this->latest.front().at);
+    if (this->latest.size() < latest_jobs || span > longest_span_s) {
         return 0;
     }
     double work = 0;
     for (const auto& job : this->latest) {
         work += job.work;
     }
-    return work / std::max(shortest_span_s, seconds_of(now - this->latest.front().at));
+    return work / std::max(shortest_span_s, span);
 }
 
 double arrival_rate::cores(boot_time now) const {
--- a/tests/site_node_test.cpp
+++ b/tests/site_node_test.cpp
@@ -21,6 +21,7 @@
     fake_keyed_log log;
     fake_site site{{}};
     bool log_is_down = false;
+    milliseconds shortest_job_wait = milliseconds::max(); ///< of a read of the jobs topic for a record
 };
 
 shared_site* current_site = nullptr;
@@ -50,6 +51,9 @@
     }
     void read(const read_call& call, milliseconds, std::function<void(read_answer)> done) {
         this->answer<read_answer>(std::move(done), milliseconds(20), [call] {
+            if (call.topic == log_topic::jobs) {
+                current_site->shortest_job_wait = std::min(current_site->shortest_job_wait, call.wait);
+            }
             return current_site->log_is_down ? read_answer{} : current_site->log.read(call);
         });
     }
@@ -216,6 +220,15 @@
     BOOST_TEST(this->shared.site.history().size() == 3);
 }
 
+// Waiting reads may hear nothing for a second while the log reorganizes; the scheduler asks again before that.
+BOOST_FIXTURE_TEST_CASE(scheduler_does_not_rely_on_waiting_reads, fixture) {
+    BOOST_REQUIRE(this->becomes_ready(0) && this->becomes_ready(1));
+    BOOST_TEST(this->eventually([&] {
+        const std::lock_guard lock(this->shared.mutex);
+        return this->shared.shortest_job_wait <= milliseconds(250);
+    }));
+}
+
 BOOST_FIXTURE_TEST_CASE(cancelled_job_never_starts_again, fixture) {
     BOOST_REQUIRE(this->becomes_ready(0) && this->becomes_ready(1));
     this->call(this->addresses[0], "POST", job_path, std::string(job_body));
