Maintain idle VMs at a planned pace

Change: VMs without long-running tasks are maintained so that the wave ends in half of the time that is left; those with such tasks go by rounds as before. Test idle_vms_of_a_wave_stay_for_a_surge.

--- a/src/policy/vm_plan.cpp
+++ b/src/policy/vm_plan.cpp
@@ -1,6 +1,7 @@
 #include "policy/vm_plan.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <tuple>
 
 namespace hornbeamrail {
@@ -31,6 +32,23 @@
 
 } // namespace
 
+namespace {
+
+/// @return VMs without long-running tasks that may be down at the same time: a wave that is not pressed leaves
+/// the others to a surge
+std::int32_t most_idle_down(const wave_situation& situation) {
+    /// Part of the time that is left in which the wave is to end.
+    constexpr double planned_part = 0.5;
+    constexpr std::int32_t fewest = 4;
+    const auto time_left = std::max(situation.maintenance, situation.duration - situation.elapsed);
+    const double rounds = std::max(1.0, planned_part * static_cast<double>(time_left.count()) /
+                                            static_cast<double>((situation.maintenance + turnaround).count()));
+    const auto paced = static_cast<std::int32_t>(std::ceil(situation.left / rounds));
+    return std::min(situation.max_down, std::max(paced, fewest));
+}
+
+} // namespace
+
 wave_step plan_wave_step(const wave_situation& situation, std::vector<wave_candidate> candidates) {
     std::sort(candidates.begin(), candidates.end(), [](const auto& left, const auto& right) {
         return std::tuple(!left.may_end_tasks, left.batch_tasks, !left.draining, left.serving_tasks,
@@ -41,13 +59,16 @@
     wave_step step;
     const bool pressed = is_pressed(situation);
     auto free_places = situation.max_down - situation.down;
+    auto idle_places = pressed ? free_places : most_idle_down(situation) - situation.down;
     const auto drains_wanted = most_drains(situation);
     std::int32_t drains = 0;
     for (const auto& candidate : candidates) {
         const bool empty = candidate.batch_tasks == 0 || pressed;
-        if (free_places > 0 && candidate.may_end_tasks && empty) {
+        const bool place = free_places > 0 && (idle_places > 0 || candidate.serving_tasks > 0);
+        if (place && candidate.may_end_tasks && empty) {
             step.maintain.push_back(candidate.vm);
             --free_places;
+            --idle_places;
         } else if (drains < drains_wanted) {
             step.drain.push_back(candidate.vm);
             ++drains;
--- a/tests/job_policy_test.cpp
+++ b/tests/job_policy_test.cpp
@@ -196,6 +196,29 @@
     BOOST_TEST((std::find(step.drain.begin(), step.drain.end(), "busy") != step.drain.end()));
 }
 
+// 120 idle VMs and 20 s left: they are maintained a few at a time, so that a surge finds the others. VMs with
+// long-running tasks do not wait, as they go by rounds.
+BOOST_AUTO_TEST_CASE(idle_vms_of_a_wave_stay_for_a_surge) {
+    const wave_situation situation{.max_down = 70,
+                                   .left = 120,
+                                   .elapsed = milliseconds(1000),
+                                   .duration = milliseconds(26000),
+                                   .maintenance = milliseconds(2000)};
+    std::vector<wave_candidate> candidates;
+    for (int vm = 0; vm < 100; ++vm) {
+        candidates.push_back({.vm = "idle-" + std::to_string(vm)});
+    }
+    for (int vm = 0; vm < 20; ++vm) {
+        candidates.push_back({.vm = "lasting-" + std::to_string(vm), .serving_tasks = 3});
+    }
+    const auto step = plan_wave_step(situation, candidates);
+    BOOST_TEST(step.maintain.size() >= 20 + 20);
+    BOOST_TEST(step.maintain.size() <= 20 + 40);
+    auto late = situation;
+    late.elapsed = milliseconds(19000);
+    BOOST_TEST(plan_wave_step(late, candidates).maintain.size() == 70);
+}
+
 // 60 VMs with tasks that may only end a few at a time: the others go on taking work.
 BOOST_AUTO_TEST_CASE(blocked_vms_of_a_wave_go_on_taking_work) {
     const wave_situation situation{.max_down = 70,
