Scheduler's rounds cost less on large sites

Each round looked up the queue of every job among 50 by name for each pool, ranked jobs that nothing could start of, searched a full pool for each job that waits, and planned maintenance every 4 ms. Change: queues by name in a table; one pass over jobs and workers for all pools; a full pool is searched once; maintenance is planned every 60 ms.

--- a/src/coordination/scheduler.cpp
+++ b/src/coordination/scheduler.cpp
@@ -15,7 +15,7 @@
 
 void scheduler::begin_term(std::int64_t term, boot_time now) {
     auto fresh = std::make_unique<impl>(this->self->options);
-    fresh->config = this->self->config;
+    fresh->use_config(this->self->config);
     fresh->zones_out = std::move(this->self->zones_out);
     for (auto& [number, wave] : this->self->waves) {
         fresh->waves[number].request = std::move(wave.request);
@@ -176,7 +176,7 @@
 }
 
 void scheduler::set_config(std::shared_ptr<const site_config> config) {
-    this->self->config = std::move(config);
+    this->self->use_config(std::move(config));
     this->self->dispatch_due = true;
 }
 
--- a/src/coordination/scheduler_advice.cpp
+++ b/src/coordination/scheduler_advice.cpp
@@ -66,7 +66,7 @@
         return;
     }
     const auto* job = state.find_job(call.step.job);
-    const auto* queue = job == nullptr ? nullptr : state.config->find_queue(job->spec.queue);
+    const auto* queue = job == nullptr ? nullptr : state.find_queue(job->spec.queue);
     if (queue == nullptr || !queue->advice) {
         return;
     }
--- a/src/coordination/scheduler_dispatch.cpp
+++ b/src/coordination/scheduler_dispatch.cpp
@@ -13,17 +13,19 @@
 /// Occurrences are opened a little before they are due, so that their first tasks start in time.
 constexpr milliseconds early_start{50};
 
-/// An occurrence with tasks that wait, and its rank.
-struct waiting_work {
-    job_rank rank;
-    job_progress* job = nullptr;
-    std::int32_t occurrence = 0;
-};
-
 bool cap_allows(std::int64_t used, std::int64_t need, std::int64_t cap) {
     return cap <= 0 || used + need <= cap;
 }
 
+/// @return most free processor time of one worker, in thousandths of a core
+std::int64_t widest_room(const std::vector<worker_view>& views) {
+    std::int64_t widest = 0;
+    for (const auto& view : views) {
+        widest = std::max(widest, view.room.cpu_millis);
+    }
+    return widest;
+}
+
 std::int32_t tasks_of_step(const worker_control& worker, const task_id& step) {
     const task_id first{.job = step.job, .occurrence = step.occurrence, .step = step.step, .index = 0};
     std::int32_t count = 0;
@@ -39,8 +41,21 @@
 
 } // namespace
 
+void scheduler::impl::use_config(std::shared_ptr<const site_config> given) {
+    this->config = std::move(given);
+    this->queues.clear();
+    for (const auto& queue : this->config->queues) {
+        this->queues.emplace(queue.name, &queue);
+    }
+}
+
+const queue_config* scheduler::impl::find_queue(const std::string& name) const {
+    const auto found = this->queues.find(name);
+    return found == this->queues.end() ? nullptr : found->second;
+}
+
 const std::string& scheduler::impl::pool_of(const job_progress& job) const {
-    const auto* queue = this->config->find_queue(job.spec.queue);
+    const auto* queue = this->find_queue(job.spec.queue);
     return queue == nullptr ? job.spec.pool : queue->pool;
 }
 
@@ -78,7 +93,7 @@
 
 job_rank scheduler::impl::rank_of(const job_progress& job, const occurrence_progress& occurrence,
                                   unix_time clock) const {
-    const auto* queue = this->config->find_queue(job.spec.queue);
+    const auto* queue = this->find_queue(job.spec.queue);
     const auto learned = this->durations.find(job.spec.queue);
     const auto duration_of = [&](std::size_t step) {
         const auto stated = job.spec.steps[step].estimate;
@@ -115,30 +130,29 @@
     }
     this->dispatch_due = false;
     this->last_dispatch = now;
-    for (const auto& pool : this->config->pools) {
-        this->dispatch_pool(pool.name, now, clock);
+    for (auto& [pool, work] : this->collect_work(clock)) {
+        this->dispatch_pool(std::string(pool), std::move(work), now);
     }
 }
 
-void scheduler::impl::dispatch_pool(const std::string& pool, boot_time now, unix_time clock) {
-    std::vector<waiting_work> work;
+std::map<std::string_view, std::vector<waiting_work>> scheduler::impl::collect_work(unix_time clock) {
+    std::map<std::string_view, std::vector<waiting_work>> by_pool;
     for (auto& [id, job] : this->jobs) {
-        if (is_final(job->state) || this->pool_of(*job) != pool) {
+        if (is_final(job->state)) {
             continue;
         }
         for (const auto& occurrence : job->occurrences) {
-            const bool waits = std::any_of(occurrence.steps.begin(), occurrence.steps.end(),
-                                           [](const auto& step) { return step.waiting > 0; });
-            if (waits) {
-                work.push_back({.rank = this->rank_of(*job, occurrence, clock),
-                                .job = job.get(),
-                                .occurrence = occurrence.number});
+            if (job->has_released_tasks(occurrence)) {
+                by_pool[this->pool_of(*job)].push_back({.rank = this->rank_of(*job, occurrence, clock),
+                                                        .job = job.get(),
+                                                        .occurrence = occurrence.number});
             }
         }
     }
-    if (work.empty()) {
-        return;
-    }
+    return by_pool;
+}
+
+void scheduler::impl::dispatch_pool(const std::string& pool, std::vector<waiting_work> work, boot_time now) {
     std::sort(work.begin(), work.end(), [](const auto& left, const auto& right) {
         return std::tie(left.rank, left.job->spec.id, left.occurrence) <
                std::tie(right.rank, right.job->spec.id, right.occurrence);
@@ -160,12 +174,18 @@
                          .lasting = worker.lasting});
         controls.push_back(&worker);
     }
+    // A full pool is not searched again for each job that waits.
+    auto widest = widest_room(views);
     for (const auto& item : work) {
         auto& occurrence = item.job->occurrence(item.occurrence);
         for (std::int32_t step = 0; step < static_cast<std::int32_t>(occurrence.steps.size()); ++step) {
-            if (occurrence.steps[static_cast<std::size_t>(step)].waiting > 0 &&
-                item.job->is_released(occurrence, step)) {
-                this->place_step(*item.job, occurrence, step, views, controls, now);
+            const auto& spec = item.job->spec.steps[static_cast<std::size_t>(step)];
+            if (occurrence.steps[static_cast<std::size_t>(step)].waiting == 0 ||
+                !item.job->is_released(occurrence, step) || (!spec.fills && spec.need.cpu_millis > widest)) {
+                continue;
+            }
+            if (!this->place_step(*item.job, occurrence, step, views, controls, now)) {
+                widest = widest_room(views);
             }
         }
     }
@@ -182,7 +202,7 @@
         views[index].allowed =
             step.required_label.empty() || controls[index]->entry.has_label(step.required_label);
     }
-    const auto* queue = this->config->find_queue(job.spec.queue);
+    const auto* queue = this->find_queue(job.spec.queue);
     if (queue != nullptr && queue->advice) {
         const auto* known = this->advice_of(step_id, controls, now);
         for (auto& view : views) {
--- a/src/coordination/scheduler_impl.hpp
+++ b/src/coordination/scheduler_impl.hpp
@@ -42,6 +42,7 @@
     std::chrono::milliseconds advice_retry{300};         ///< after advice that was refused or lost
     std::chrono::milliseconds advice_reserve{300};       ///< a ticket is not used so shortly before its end
     std::chrono::milliseconds move_interval{150};        ///< between two plans of VM moves
+    std::chrono::milliseconds wave_interval{60};         ///< between two plans of maintenance
     std::chrono::milliseconds need_window{2500};         ///< a pool's need is its highest of so long
     std::chrono::milliseconds move_warmup{3000};         ///< of a term, without releases of VMs
     std::chrono::milliseconds first_warmup{9000};        ///< the same where no job is known yet
@@ -154,6 +155,13 @@
     bool report_in_flight = false;
 };
 
+/// An occurrence with tasks that could start, and its rank.
+struct waiting_work {
+    job_rank rank;
+    job_progress* job = nullptr;
+    std::int32_t occurrence = 0;
+};
+
 struct scheduler::impl {
     explicit impl(scheduler_options settings) : options(std::move(settings)) {}
 
@@ -198,9 +206,13 @@
     void note_failure(worker_control& worker, boot_time now);
 
     // scheduler_dispatch.cpp: who runs next, and where
+    void use_config(std::shared_ptr<const site_config> given);
+    /// @return the queue, or null
+    [[nodiscard]] const queue_config* find_queue(const std::string& name) const;
+    [[nodiscard]] std::map<std::string_view, std::vector<waiting_work>> collect_work(unix_time clock);
     void open_occurrences(unix_time clock);
     void dispatch(boot_time now, unix_time clock);
-    void dispatch_pool(const std::string& pool, boot_time now, unix_time clock);
+    void dispatch_pool(const std::string& pool, std::vector<waiting_work> work, boot_time now);
     bool place_step(job_progress& job, occurrence_progress& occurrence, std::int32_t step,
                     std::vector<worker_view>& views, const std::vector<worker_control*>& workers,
                     boot_time now);
@@ -225,13 +237,14 @@
 
     // scheduler_moves.cpp: VMs between pools
     void note_arrival(job_progress& job, boot_time now);
-    /// Counts the jobs that the log held at the begin of the term as arrivals of the time of their submission.
+    /// Counts the jobs that the log held at the begin of the term as arrivals of the time of their
+    /// submission.
     void note_known_arrivals(boot_time now);
     void plan_moves(boot_time now);
-    [[nodiscard]] pool_load load_of(const std::string& pool, boot_time now);
-    void note_need(pool_need& entry, boot_time now);
-    [[nodiscard]] pool_need need_of(const worker_pool_config& pool, std::vector<movable_vm>& movable,
-                                    boot_time now);
+    [[nodiscard]] std::map<std::string, pool_load> loads_of_pools(boot_time now);
+    void note_need(pool_need& entry, const pool_load& load, boot_time now);
+    [[nodiscard]] pool_need need_of(const worker_pool_config& pool, const pool_load& load,
+                                    std::vector<movable_vm>& movable, boot_time now);
 
     // scheduler_vms.cpp: maintenance waves
     void plan_waves(boot_time now);
@@ -268,6 +281,7 @@
     std::vector<scheduler_action> actions;
 
     std::shared_ptr<const site_config> config = std::make_shared<site_config>();
+    std::unordered_map<std::string, const queue_config*> queues; ///< of `config`, by name
     std::set<std::string> zones_out;
 
     std::unordered_map<std::string, std::unique_ptr<job_progress>> jobs; ///< not final
@@ -313,8 +327,9 @@
     std::map<std::string, boot_time> vm_orders;                        ///< VMs with an order under way
     std::map<std::string, std::pair<std::string, boot_time>> vm_moves; ///< target pool and time of the order
     account_share shares;
-    std::map<std::string, pool_demand_view> demand;                    ///< by pool
+    std::map<std::string, pool_demand_view> demand; ///< by pool
     boot_time last_move_plan{};
+    boot_time last_wave_plan{};
     boot_time last_demand_line{};
     boot_time release_from{}; ///< VMs stay in their pools until then
 };
--- a/src/coordination/scheduler_jobs.cpp
+++ b/src/coordination/scheduler_jobs.cpp
@@ -222,7 +222,7 @@
                    {"run", ended.run},
                    {"worker", task.worker},
                    {"failures", task.failures}});
-        const auto* queue = this->config->find_queue(job.spec.queue);
+        const auto* queue = this->find_queue(job.spec.queue);
         const auto failed_on = task.worker;
         this->requeue(job, id, task, step.long_running ? now + long_running_backoff : now);
         task.worker = failed_on; // kept as the place to avoid
--- a/src/coordination/scheduler_moves.cpp
+++ b/src/coordination/scheduler_moves.cpp
@@ -15,6 +15,23 @@
 /// An ordered move that no list shows within this time is forgotten.
 constexpr milliseconds move_timeout{4000};
 
+/// Adds what the job asks of its pool with the tasks that could start.
+void add_waiting(pool_load& load, const job_progress& job) {
+    for (const auto& occurrence : job.occurrences) {
+        for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+            const auto& spec = job.spec.steps[step];
+            if (spec.fills || !job.is_released(occurrence, static_cast<std::int32_t>(step))) {
+                continue;
+            }
+            load.waiting_cores += static_cast<double>(occurrence.steps[step].waiting) *
+                                  static_cast<double>(spec.need.cpu_millis);
+            if (spec.long_running) {
+                load.lasting_vms = std::max(load.lasting_vms, spec.count);
+            }
+        }
+    }
+}
+
 } // namespace
 
 void scheduler::impl::note_arrival(job_progress& job, boot_time now) {
@@ -53,13 +70,14 @@
     }
 }
 
-pool_load scheduler::impl::load_of(const std::string& pool, boot_time now) {
-    pool_load load{.arriving_cores =
-                       this->demand[pool].arrivals.expected_cores(now, this->timings.move_lead)};
+std::map<std::string, pool_load> scheduler::impl::loads_of_pools(boot_time now) {
+    std::map<std::string, pool_load> loads;
+    for (const auto& pool : this->config->pools) {
+        loads[pool.name].arriving_cores =
+            this->demand[pool.name].arrivals.expected_cores(now, this->timings.move_lead);
+    }
     for (const auto& [id, worker] : this->workers) {
-        if (worker.entry.pool != pool) {
-            continue;
-        }
+        auto& load = loads[worker.entry.pool];
         load.vm_cores = std::max(load.vm_cores, static_cast<double>(worker.entry.capacity.cpu_millis));
         for (const auto& [task, placed] : worker.tasks) {
             if (placed.leftover) {
@@ -69,37 +87,21 @@
                 static_cast<double>(placed.need.cpu_millis);
         }
     }
-    for (auto& [id, job] : this->jobs) {
-        if (is_final(job->state) || job->beyond_share || this->pool_of(*job) != pool) {
-            continue;
-        }
-        for (const auto& occurrence : job->occurrences) {
-            for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
-                const auto& spec = job->spec.steps[step];
-                if (spec.fills || !job->is_released(occurrence, static_cast<std::int32_t>(step))) {
-                    continue;
-                }
-                load.waiting_cores += static_cast<double>(occurrence.steps[step].waiting) *
-                                      static_cast<double>(spec.need.cpu_millis);
-                if (spec.long_running) {
-                    load.lasting_vms = std::max(load.lasting_vms, spec.count);
-                }
-            }
+    for (const auto& [name, vm] : this->vms) {
+        auto& load = loads[vm.pool];
+        load.vm_cores = std::max(load.vm_cores, static_cast<double>(vm.capacity.cpu_millis));
+    }
+    for (const auto& [id, job] : this->jobs) {
+        if (!is_final(job->state) && !job->beyond_share) {
+            add_waiting(loads[this->pool_of(*job)], *job);
         }
     }
-    return load;
+    return loads;
 }
 
-void scheduler::impl::note_need(pool_need& entry, boot_time now) {
-    const auto& pool = entry.pool;
-    auto load = this->load_of(pool, now);
-    for (const auto& [name, vm] : this->vms) {
-        if (vm.pool == pool) {
-            load.vm_cores = std::max(load.vm_cores, static_cast<double>(vm.capacity.cpu_millis));
-        }
-    }
+void scheduler::impl::note_need(pool_need& entry, const pool_load& load, boot_time now) {
     entry.needed = needed_vms(load);
-    auto& needs = this->demand[pool].needs;
+    auto& needs = this->demand[entry.pool].needs;
     needs.emplace_back(now, entry.needed);
     while (needs.front().first + this->timings.need_window < now) {
         needs.pop_front();
@@ -110,11 +112,11 @@
         })->second;
 }
 
-pool_need scheduler::impl::need_of(const worker_pool_config& pool, std::vector<movable_vm>& movable,
-                                   boot_time now) {
+pool_need scheduler::impl::need_of(const worker_pool_config& pool, const pool_load& load,
+                                   std::vector<movable_vm>& movable, boot_time now) {
     pool_need entry{.pool = pool.name, .spare = pool.spare};
     if (!pool.spare) {
-        this->note_need(entry, now);
+        this->note_need(entry, load, now);
     }
     entry.may_release = now > this->release_from;
     for (const auto& [name, vm] : this->vms) {
@@ -149,15 +151,16 @@
                              this->vm_list_seen > ordered && vm->second.condition == vm_condition::up;
         at = arrived || now > ordered + move_timeout ? this->vm_moves.erase(at) : std::next(at);
     }
+    auto loads = this->loads_of_pools(now);
     std::vector<pool_need> pools;
     std::vector<movable_vm> movable;
     for (const auto& pool : this->config->pools) {
-        pools.push_back(this->need_of(pool, movable, now));
+        pools.push_back(this->need_of(pool, loads[pool.name], movable, now));
     }
     if (now >= this->last_demand_line + demand_line_interval) {
         this->last_demand_line = now;
         for (const auto& pool : pools) {
-            const auto load = this->load_of(pool.pool, now);
+            const auto& load = loads[pool.pool];
             write_log(severity::info, "pool_demand",
                       {{"pool", pool.pool},
                        {"vms", pool.vms},
--- a/src/coordination/scheduler_vms.cpp
+++ b/src/coordination/scheduler_vms.cpp
@@ -121,9 +121,10 @@
 }
 
 void scheduler::impl::plan_waves(boot_time now) {
-    if (this->vm_list_seen == boot_time{}) {
+    if (this->vm_list_seen == boot_time{} || now < this->last_wave_plan + this->timings.wave_interval) {
         return;
     }
+    this->last_wave_plan = now;
     for (auto& [number, wave] : this->waves) {
         this->plan_wave(wave, now);
     }
--- a/src/state/job_progress.cpp
+++ b/src/state/job_progress.cpp
@@ -78,6 +78,15 @@
     });
 }
 
+bool job_progress::has_released_tasks(const occurrence_progress& of) const {
+    for (std::size_t step = 0; step < of.steps.size(); ++step) {
+        if (of.steps[step].waiting > 0 && this->is_released(of, static_cast<std::int32_t>(step))) {
+            return true;
+        }
+    }
+    return false;
+}
+
 bool job_progress::is_done() const noexcept {
     const auto left = this->spec.occurrence_count() - this->finished_occurrences;
     return left <= static_cast<std::int32_t>(this->occurrences.size()) &&
--- a/src/state/job_progress.hpp
+++ b/src/state/job_progress.hpp
@@ -64,6 +64,9 @@
     /// @return whether every step that @p step waits for is done in the occurrence
     [[nodiscard]] bool is_released(const occurrence_progress& from, std::int32_t step) const;
 
+    /// @return whether a task of the occurrence waits whose step waits for no other
+    [[nodiscard]] bool has_released_tasks(const occurrence_progress& of) const;
+
     /// @return whether every occurrence is done
     [[nodiscard]] bool is_done() const noexcept;
 
@@ -83,7 +86,7 @@
     job_spec spec;
     job_state state = job_state::pending;
     bool cancel_requested = false;
-    bool beyond_share = false; ///< its account had sent more than its share; not recorded
+    bool beyond_share = false;  ///< its account had sent more than its share; not recorded
     std::int32_t partition = 0; ///< of the jobs topic, where the job's record lies
     std::deque<occurrence_progress> occurrences;
     std::int32_t finished_occurrences = 0; ///< occurrences below this number are done and dropped
