--- /dev/null
+++ b/tests/fault_proxy.hpp
@@ -0,0 +1,161 @@
+#pragma once
+
+// A TCP proxy on loopback that harms what passes through it.
+
+#include "hornbeamrail/node_settings.hpp"
+#include "transport/io_threads.hpp"
+#include "transport/io_types.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/write.hpp>
+
+#include <array>
+#include <atomic>
+#include <chrono>
+#include <list>
+#include <memory>
+#include <mutex>
+
+namespace hornbeamrail::test {
+
+/// What a proxy does to its connections.
+enum class link_fault {
+    none,
+    delayed,       ///< every piece of data arrives later
+    cut_to_target, ///< nothing reaches the target; its own data passes
+    cut_to_source, ///< nothing reaches the source; its own data passes
+    silent,        ///< nothing passes either way; connections stay open
+    reset,         ///< connections are reset as they come
+};
+
+/// Forwards connections to a target. A connection that has lost data stays silent for good, as on a network
+/// where it is never repaired. Thread-safe.
+class fault_proxy : public std::enable_shared_from_this<fault_proxy> {
+public:
+    static std::shared_ptr<fault_proxy> make(io_threads& threads, const endpoint& target) {
+        std::shared_ptr<fault_proxy> made(new fault_proxy(threads, target));
+        boost::asio::co_spawn(threads.context().get_executor(), accept(made), boost::asio::detached);
+        return made;
+    }
+
+    [[nodiscard]] endpoint address() const {
+        return {.address = "127.0.0.1", .port = this->acceptor.local_endpoint().port()};
+    }
+
+    /// Sets the fault of the connections that are open and of those that come.
+    void set(link_fault wanted, std::chrono::milliseconds delay = std::chrono::milliseconds(0)) {
+        this->delay_ms = delay.count();
+        this->fault = wanted;
+        if (wanted == link_fault::reset) {
+            this->reset_all();
+        }
+    }
+
+private:
+    struct session {
+        session(tcp_socket first, tcp_socket second) : source(std::move(first)), target(std::move(second)) {}
+        tcp_socket source;
+        tcp_socket target;
+        std::atomic<bool> lost_data = false;
+    };
+
+    fault_proxy(io_threads& workers, const endpoint& forward_to)
+        : threads(workers),
+          acceptor(workers.context().get_executor(), {boost::asio::ip::make_address("127.0.0.1"), 0}),
+          target(boost::asio::ip::make_address(forward_to.address), forward_to.port) {}
+
+    static void abort(tcp_socket& socket) {
+        boost::system::error_code ignored; // the peer may be gone already
+        socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+        socket.close(ignored);
+    }
+
+    void reset_all() {
+        const std::lock_guard lock(this->mutex);
+        for (const auto& weak : this->sessions) {
+            if (const auto open = weak.lock()) {
+                boost::asio::post(this->threads.context(), [open] {
+                    abort(open->source);
+                    abort(open->target);
+                });
+            }
+        }
+        this->sessions.clear();
+    }
+
+    static io_task<> accept(std::shared_ptr<fault_proxy> self) {
+        while (true) {
+            boost::system::error_code failure;
+            auto source = co_await self->acceptor.async_accept(task_with(failure));
+            if (failure) {
+                co_return;
+            }
+            if (self->fault == link_fault::reset) {
+                abort(source);
+                continue;
+            }
+            tcp_socket target(self->threads.context().get_executor());
+            co_await target.async_connect(self->target, task_with(failure));
+            if (failure) {
+                abort(source);
+                continue;
+            }
+            auto made = std::make_shared<session>(std::move(source), std::move(target));
+            {
+                const std::lock_guard lock(self->mutex);
+                self->sessions.remove_if([](const auto& known) { return known.expired(); });
+                self->sessions.push_back(made);
+            }
+            const auto executor = self->threads.context().get_executor();
+            boost::asio::co_spawn(executor, pump(self, made, true), boost::asio::detached);
+            boost::asio::co_spawn(executor, pump(self, made, false), boost::asio::detached);
+        }
+    }
+
+    [[nodiscard]] bool passes(bool to_target) const {
+        const auto now = this->fault.load();
+        return now != link_fault::silent &&
+               now != (to_target ? link_fault::cut_to_target : link_fault::cut_to_source);
+    }
+
+    static io_task<> pump(std::shared_ptr<fault_proxy> self, std::shared_ptr<session> open, bool to_target) {
+        auto& from = to_target ? open->source : open->target;
+        auto& to = to_target ? open->target : open->source;
+        std::array<char, 16384> buffer{};
+        while (true) {
+            boost::system::error_code failure;
+            const auto size = co_await from.async_read_some(boost::asio::buffer(buffer), task_with(failure));
+            if (failure) {
+                break;
+            }
+            if (self->fault == link_fault::delayed) {
+                io_timer timer(self->threads.context().get_executor(),
+                               std::chrono::milliseconds(self->delay_ms));
+                co_await timer.async_wait(task_with(failure));
+            }
+            open->lost_data = open->lost_data || !self->passes(to_target);
+            if (open->lost_data) {
+                continue;
+            }
+            co_await boost::asio::async_write(to, boost::asio::buffer(buffer, size), task_with(failure));
+            if (failure) {
+                break;
+            }
+        }
+        if (!open->lost_data) {
+            abort(open->source);
+            abort(open->target);
+        }
+    }
+
+    io_threads& threads;
+    tcp_acceptor acceptor;
+    boost::asio::ip::tcp::endpoint target;
+    std::atomic<link_fault> fault = link_fault::none;
+    std::atomic<std::int64_t> delay_ms = 0;
+    std::mutex mutex; ///< guards `sessions`
+    std::list<std::weak_ptr<session>> sessions;
+};
+
+} // namespace hornbeamrail::test
--- a/tests/scheduler_site.hpp
+++ b/tests/scheduler_site.hpp
@@ -4,6 +4,7 @@
 
 #include "coordination/scheduler.hpp"
 #include "fakes/fake_site.hpp"
+#include "run_checks.hpp"
 #include "state/job_index.hpp"
 
 #include <boost/json/serialize.hpp>
@@ -184,27 +185,8 @@
         });
     }
 
-    /// @return descriptions of tasks that had two runs at the same time, or a start after an acknowledged end
     [[nodiscard]] std::vector<std::string> doubled_runs() const {
-        std::vector<std::string> found;
-        const auto& history = this->site.history();
-        for (std::size_t first = 0; first < history.size(); ++first) {
-            for (std::size_t second = first + 1; second < history.size(); ++second) {
-                const auto& earlier = history[first];
-                const auto& later = history[second];
-                if (earlier.task != later.task) {
-                    continue;
-                }
-                const bool overlap = later.begun < earlier.ended;
-                const bool repeated = earlier.how == task_end::done && earlier.acknowledged;
-                if (overlap || repeated) {
-                    found.push_back(fmt::format("{} runs {} on {} and {} on {}{}", earlier.task.job,
-                                                earlier.run, earlier.worker, later.run, later.worker,
-                                                overlap ? " at the same time" : " after its end"));
-                }
-            }
-        }
-        return found;
+        return test::doubled_runs(this->site.history());
     }
 
     boot_time now{milliseconds(100000)};
--- /dev/null
+++ b/tests/wire_standin.hpp
@@ -0,0 +1,419 @@
+#pragma once
+
+// The users' platform as a server on loopback, for nodes that run as processes of their own: the stand-ins of
+// log, workers and VMs behind the calls of the platform.
+
+#include "fakes/fake_site.hpp"
+#include "platform/documents.hpp"
+#include "transport/http_server.hpp"
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <fmt/format.h>
+#include <openssl/evp.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <stdexcept>
+
+namespace hornbeamrail::test {
+
+/// Stand-in of the platform that answers over HTTP. Thread-safe.
+class wire_standin : public std::enable_shared_from_this<wire_standin> {
+public:
+    /// Amount that every task takes on a worker.
+    static constexpr resources task_need{.cpu_millis = 1000, .memory_mb = 100};
+
+    static std::shared_ptr<wire_standin> make(io_threads& threads) {
+        std::shared_ptr<wire_standin> made(new wire_standin(threads));
+        error failure;
+        auto server = value_or_error(
+            [&] {
+                return http_server::make(
+                    threads, {.address = {.address = "127.0.0.1"}},
+                    [weak = made->weak_from_this()](http_request request, http_reply reply) {
+                        if (const auto self = weak.lock()) {
+                            self->handle(std::move(request), std::move(reply));
+                        }
+                    });
+            },
+            failure);
+        if (!server) {
+            throw std::runtime_error(failure.message);
+        }
+        made->server = std::move(*server);
+        return made;
+    }
+
+    [[nodiscard]] endpoint address() const { return this->server->address(); }
+
+    /// Runs @p function with the log and the site, which no call changes meanwhile.
+    template <class Function>
+    auto with_state(Function function) {
+        const std::lock_guard lock(this->mutex);
+        this->site.advance(boot_clock::now());
+        return function(this->log, this->site);
+    }
+
+    /// Writes the operators' configuration.
+    void write_config(std::string text) {
+        const std::lock_guard lock(this->mutex);
+        this->log.append(
+            {.topic = log_topic::operators, .records = {{.key = "config", .value = std::move(text)}}});
+    }
+
+    /// Begins to list the workers, which the nodes reach at @p reached_at.
+    void list_workers(endpoint reached_at) {
+        constexpr std::chrono::milliseconds interval{50};
+        this->threads.repeat(interval, [weak = this->weak_from_this(), reached_at] {
+            const auto self = weak.lock();
+            if (self) {
+                const std::lock_guard lock(self->mutex);
+                self->refresh_workers(reached_at);
+            }
+            return self != nullptr;
+        });
+    }
+
+private:
+    explicit wire_standin(io_threads& workers) : threads(workers) {}
+
+    static http_response answer(int status, const boost::json::object& body) {
+        http_response response{.status = status, .body = boost::json::serialize(body)};
+        response.headers.add("Content-Type", "application/json");
+        return response;
+    }
+
+    static std::string query_value(const std::string& target, const std::string& name) {
+        const auto at = target.find_first_of("?");
+        auto rest = at == std::string::npos ? std::string() : "&" + target.substr(at + 1);
+        const auto found = rest.find("&" + name + "=");
+        if (found == std::string::npos) {
+            return {};
+        }
+        rest = rest.substr(found + name.size() + 2);
+        return rest.substr(0, rest.find('&'));
+    }
+
+    static std::int64_t query_number(const std::string& target, const std::string& name) {
+        const auto text = query_value(target, name);
+        std::int64_t value = 0;
+        std::from_chars(text.data(), text.data() + text.size(), value);
+        return value;
+    }
+
+    static log_topic topic_of(const std::string& target) {
+        constexpr std::array<std::string_view, 7> names{
+            "keyed.op",      "keyed.servers",     "keyed.status",   "keyed.hr_leader",
+            "keyed.hr_jobs", "keyed.hr_progress", "keyed.hr_states"};
+        const auto found = std::find(names.begin(), names.end(), query_value(target, "Topic"));
+        return static_cast<log_topic>(found - names.begin());
+    }
+
+    static void put_big_endian(std::string& to, std::uint64_t value, int bytes) {
+        for (int shift = 8 * (bytes - 1); shift >= 0; shift -= 8) {
+            to.push_back(static_cast<char>(value >> static_cast<unsigned>(shift) & 0xffU));
+        }
+    }
+
+    static std::vector<keyed_record> decode_records(std::string_view body) {
+        std::vector<keyed_record> records;
+        while (body.size() > 4) {
+            std::size_t length = 0;
+            for (const char byte : body.substr(0, 4)) {
+                length = length << 8U | static_cast<unsigned char>(byte);
+            }
+            const auto content = body.substr(4, length);
+            const std::size_t key_bytes = static_cast<unsigned char>(content.front());
+            records.push_back({.key = std::string(content.substr(1, key_bytes)),
+                               .value = std::string(content.substr(1 + key_bytes))});
+            body.remove_prefix(4 + length);
+        }
+        return records;
+    }
+
+    void handle(http_request request, http_reply reply) {
+        const auto path = request.target.substr(0, request.target.find('?'));
+        if (path == "/hornbeamrail/log-read") {
+            const auto until =
+                boot_clock::now() + std::chrono::milliseconds(query_number(request.target, "WaitMs"));
+            this->read(request.target, until, std::move(reply));
+            return;
+        }
+        if (path == "/hornbeamrail/hold") {
+            const auto body = boost::json::parse(request.body).as_object();
+            const auto* wait = body.if_contains("WaitMs");
+            const auto until = boot_clock::now() + std::chrono::milliseconds(
+                                                       wait == nullptr ? 0 : wait->to_number<std::int64_t>());
+            this->hold(std::string(request.headers.value_or("X-Expect-Instance", "")), body, until,
+                       std::move(reply));
+            return;
+        }
+        http_response response;
+        {
+            const std::lock_guard lock(this->mutex);
+            response = this->answer_now(path, request);
+        }
+        reply.send(std::move(response));
+    }
+
+    http_response answer_now(const std::string& path, const http_request& request) {
+        if (path == "/hornbeamrail/log-append") {
+            return this->append(request);
+        }
+        if (path == "/hornbeamrail/log-newest") {
+            return this->newest(request.target);
+        }
+        if (path == "/hornbeamrail/machines") {
+            return this->list_vms();
+        }
+        if (path == "/hornbeamrail/machine-move" || path == "/hornbeamrail/machine-upkeep") {
+            return this->order_vm(path, request);
+        }
+        return this->order_worker(path, request);
+    }
+
+    http_response append(const http_request& request) {
+        append_call call{.topic = topic_of(request.target),
+                         .partition = static_cast<std::int32_t>(query_number(request.target, "part")),
+                         .records = decode_records(request.body)};
+        if (!query_value(request.target, "At").empty()) {
+            call.expected_end = query_number(request.target, "At");
+        }
+        if (const auto producer = query_value(request.target, "Producer"); !producer.empty()) {
+            call.producer = append_producer{.name = producer,
+                                            .epoch = query_number(request.target, "epoch"),
+                                            .sequence = query_number(request.target, "Seq")};
+        }
+        const auto made = this->log.append(call);
+        switch (made.outcome) {
+        case append_outcome::appended:
+            return answer(200, {{"Offset", made.end - static_cast<std::int64_t>(call.records.size())},
+                                {"End", made.end}});
+        case append_outcome::wrong_end:
+            return answer(412, {{"End", made.end}});
+        case append_outcome::fenced:
+            return answer(409, {{"Reason", "fenced"}});
+        case append_outcome::wrong_sequence:
+            return answer(409, {{"Reason", "seq"}, {"Seq", made.expected_sequence}});
+        default:
+            return answer(503, {});
+        }
+    }
+
+    void read(const std::string& target, boot_time until, http_reply reply) {
+        constexpr std::chrono::milliseconds pause{5};
+        http_response response;
+        {
+            const std::lock_guard lock(this->mutex);
+            const auto found =
+                this->log.read({.topic = topic_of(target),
+                                .partition = static_cast<std::int32_t>(query_number(target, "part")),
+                                .from = query_number(target, "From")});
+            if (found.outcome == read_outcome_kind::records && found.records.empty() &&
+                boot_clock::now() < until) {
+                this->threads.run_after(pause, [weak = this->weak_from_this(), target, until, reply] {
+                    if (const auto self = weak.lock()) {
+                        self->read(target, until, reply);
+                    }
+                });
+                return;
+            }
+            if (found.outcome == read_outcome_kind::expired) {
+                response = answer(410, {{"First", found.end}});
+            } else {
+                put_big_endian(response.body, static_cast<std::uint64_t>(found.end), 8);
+                put_big_endian(response.body, 0, 8);
+                for (const auto& record : found.records) {
+                    put_big_endian(response.body, 1 + record.key.size() + record.value.size(), 4);
+                    put_big_endian(response.body, record.key.size(), 1);
+                    response.body += record.key + record.value;
+                }
+            }
+        }
+        reply.send(std::move(response));
+    }
+
+    http_response newest(const std::string& target) {
+        const auto found =
+            this->log.newest({.topic = topic_of(target),
+                              .partition = static_cast<std::int32_t>(query_number(target, "part")),
+                              .after_key = query_value(target, "After")});
+        boost::json::array items;
+        for (const auto& record : found.records) {
+            std::string value((record.value.size() + 2) / 3 * 4 + 1, '\0');
+            const int length = EVP_EncodeBlock(reinterpret_cast<unsigned char*>(value.data()),
+                                               reinterpret_cast<const unsigned char*>(record.value.data()),
+                                               static_cast<int>(record.value.size()));
+            value.resize(static_cast<std::size_t>(length));
+            items.push_back(
+                boost::json::object{{"Key", record.key}, {"Value", value}, {"Offset", record.offset}});
+        }
+        return answer(200, {{"items", std::move(items)}, {"HasMore", false}, {"End", found.end}});
+    }
+
+    http_response order_worker(const std::string& path, const http_request& request) {
+        const auto body = boost::json::parse(request.body).as_object();
+        const worker_target worker{.id = std::string(request.headers.value_or("X-Expect-Instance", ""))};
+        const auto task = platform::decode_task(std::string(body.at("Task").as_string()));
+        const auto run = body.at("Run").to_number<std::int64_t>();
+        const auto fence = body.at("Fence").to_number<std::int64_t>();
+        const auto now = boot_clock::now();
+        order_answer made;
+        if (path == "/hornbeamrail/run-start") {
+            const std::chrono::milliseconds until(body.at("UntilMs").to_number<std::int64_t>());
+            made = this->site.start(worker, {.task = *task, .run = run, .lease_until = until, .fence = fence},
+                                    task_need, now);
+        } else {
+            made = this->site.stop(worker, {.task = *task, .run = run, .fence = fence}, now);
+        }
+        return encode_order(made);
+    }
+
+    static http_response encode_order(const order_answer& made) {
+        boost::json::object body{
+            {"ClockMs", made.worker_clock.value_or(std::chrono::milliseconds(0)).count()}};
+        switch (made.outcome) {
+        case order_outcome::done:
+            return answer(200, body);
+        case order_outcome::fenced:
+            body["Reason"] = "fence";
+            return answer(409, body);
+        case order_outcome::stale_run:
+            body["Reason"] = "old";
+            return answer(409, body);
+        case order_outcome::late:
+            body["Reason"] = "late";
+            return answer(409, body);
+        case order_outcome::no_room:
+            body["Reason"] = "room";
+            return answer(409, body);
+        default:
+            return answer(421, body);
+        }
+    }
+
+    void hold(const std::string& worker, const boost::json::object& body, boot_time until, http_reply reply) {
+        constexpr std::chrono::milliseconds pause{5};
+        http_response response;
+        {
+            const std::lock_guard lock(this->mutex);
+            const auto now = boot_clock::now();
+            this->site.advance(now);
+            if (now < until && !this->site.has_end(worker)) {
+                this->threads.run_after(pause, [weak = this->weak_from_this(), worker, body, until, reply] {
+                    if (const auto self = weak.lock()) {
+                        self->hold(worker, body, until, reply);
+                    }
+                });
+                return;
+            }
+            hold_order order{.fence = body.at("Fence").to_number<std::int64_t>(),
+                             .acknowledged_end = body.at("AckCursor").to_number<std::int64_t>()};
+            if (const auto* lease = body.if_contains("UntilMs")) {
+                order.lease_until = std::chrono::milliseconds(lease->to_number<std::int64_t>());
+            }
+            response = encode_report(this->site.hold({.id = worker}, order, now));
+        }
+        reply.send(std::move(response));
+    }
+
+    static http_response encode_report(const hold_report& report) {
+        if (report.outcome != order_outcome::done) {
+            return encode_order({.outcome = report.outcome, .worker_clock = report.worker_clock});
+        }
+        boost::json::array running;
+        for (const auto& task : report.running) {
+            running.push_back(
+                boost::json::array{platform::encode_task(task.task), task.run, "", task.percent, 0});
+        }
+        boost::json::array ended;
+        for (const auto& task : report.ended) {
+            ended.push_back(boost::json::array{task.number, platform::encode_task(task.task), task.run,
+                                               to_string(task.how), ""});
+        }
+        return answer(200, {{"ClockMs", report.worker_clock.value_or(std::chrono::milliseconds(0)).count()},
+                            {"born", report.born_ms},
+                            {"Running", std::move(running)},
+                            {"Ended", std::move(ended)}});
+    }
+
+    http_response list_vms() {
+        constexpr std::array<std::string_view, 4> states{"up", "moving", "upkeep", "down"};
+        this->site.advance(boot_clock::now());
+        boost::json::array vms;
+        for (const auto& vm : this->site.vms()) {
+            vms.push_back(boost::json::object{
+                {"Machine", vm.id},
+                {"Pool", vm.pool},
+                {"State", states[static_cast<std::size_t>(vm.condition)]},
+                {"Zone", vm.zone},
+                {"Labels", boost::json::array(vm.labels.begin(), vm.labels.end())},
+                {"Capacity", {{"Cpu", vm.capacity.cpu_millis}, {"MemMb", vm.capacity.memory_mb}}},
+                {"Id", vm.worker}});
+        }
+        return answer(200, {{"Machines", std::move(vms)}, {"NextToken", ""}});
+    }
+
+    http_response order_vm(const std::string& path, const http_request& request) {
+        const auto body = boost::json::parse(request.body).as_object();
+        vm_order order{.vm = std::string(body.at("Machine").as_string())};
+        const auto now = boot_clock::now();
+        vm_order_outcome made;
+        if (path == "/hornbeamrail/machine-move") {
+            order.pool = std::string(body.at("Pool").as_string());
+            made = this->site.move(order, now);
+        } else {
+            order.wave = body.at("Wave").to_number<std::int64_t>();
+            made = this->site.maintain(order, now);
+        }
+        return made == vm_order_outcome::done ? answer(200, {}) : answer(409, {{"Reason", "busy"}});
+    }
+
+    void refresh_workers(const endpoint& reached_at) {
+        this->site.advance(boot_clock::now());
+        std::set<std::string> now_listed;
+        std::vector<keyed_record> changes;
+        for (const auto& worker : this->site.workers()) {
+            now_listed.insert(worker.id);
+            if (!this->listed.contains(worker.id)) {
+                changes.push_back(
+                    {.key = worker.id,
+                     .value = boost::json::serialize(boost::json::object{
+                         {"Service", worker.pool},
+                         {"Address", to_string(reached_at)},
+                         {"Zone", worker.zone},
+                         {"State", "ready"},
+                         {"Capacity",
+                          {{"Cpu", worker.capacity.cpu_millis}, {"MemMb", worker.capacity.memory_mb}}},
+                         {"Labels", boost::json::array(worker.labels.begin(), worker.labels.end())},
+                         {"born", worker.born_ms}})});
+            }
+        }
+        for (const auto& id : this->listed) {
+            if (!now_listed.contains(id)) {
+                changes.push_back({.key = id});
+            }
+        }
+        this->listed = std::move(now_listed);
+        if (!changes.empty()) {
+            this->log.append({.topic = log_topic::workers, .records = std::move(changes)});
+        }
+    }
+
+    io_threads& threads;
+    std::mutex mutex; ///< guards all below but the server
+    fake_keyed_log log;
+    fake_site site{{}};
+    std::set<std::string> listed;
+    std::unique_ptr<http_server> server;
+};
+
+} // namespace hornbeamrail::test
