--- a/src/coordination/scheduler_impl.hpp
+++ b/src/coordination/scheduler_impl.hpp
@@ -43,7 +43,7 @@
     std::chrono::milliseconds advice_reserve{300};       ///< a ticket is not used so shortly before its end
     std::chrono::milliseconds move_interval{150};        ///< between two plans of VM moves
     std::chrono::milliseconds wave_interval{60};         ///< between two plans of maintenance
-    std::chrono::milliseconds need_window{800};         ///< a pool's need is its highest of so long
+    std::chrono::milliseconds need_window{800};          ///< a pool's need is its highest of so long
     std::chrono::milliseconds move_warmup{3000};         ///< of a term, without releases of VMs
     std::chrono::milliseconds first_warmup{9000};        ///< the same where no job is known yet
     std::chrono::milliseconds move_lead{2200};           ///< from the order of a move to the first task
--- a/src/node/site_node_impl.hpp
+++ b/src/node/site_node_impl.hpp
@@ -62,9 +62,8 @@
     };
     this->operators_tail = add({.topic = log_topic::operators, .wait = site_node_detail::operators_wait});
     this->leader_tail = add({.topic = log_topic::leader, .wait = std::chrono::milliseconds(600)});
-    this->states_tail = add({.topic = log_topic::states,
-                             .wait = timings.follower_wait,
-                             .pause = timings.states_pause});
+    this->states_tail =
+        add({.topic = log_topic::states, .wait = timings.follower_wait, .pause = timings.states_pause});
     for (std::int32_t partition = 0; partition < this->options.settings.limits.job_partitions; ++partition) {
         this->job_tails.push_back(add({.topic = log_topic::jobs,
                                        .partition = partition,
--- a/src/node/site_node_options.hpp
+++ b/src/node/site_node_options.hpp
@@ -16,7 +16,7 @@
     std::chrono::milliseconds scheduler_pause{15}; ///< between reads of jobs on the scheduler
     /// A waiting read may miss records while the log reorganizes; the next read finds them.
     std::chrono::milliseconds scheduler_wait{200};
-    std::chrono::milliseconds workers_pause{250};  ///< between reads of the workers topic
+    std::chrono::milliseconds workers_pause{250}; ///< between reads of the workers topic
     std::chrono::milliseconds start_timeout{600};
     std::chrono::milliseconds hold_timeout{500}; ///< beyond the time that the worker waits
     std::chrono::milliseconds stop_timeout{900};
--- a/src/policy/account_share.hpp
+++ b/src/policy/account_share.hpp
@@ -8,9 +8,9 @@
 
 namespace hornbeamrail {
 
-/// Pattern: one client account sends many times its usual. Each account has a token bucket that fills with its
-/// weight in jobs per second; jobs beyond it take what the jobs of the others leave over, and no VM is switched
-/// on for them.
+/// Pattern: one client account sends many times its usual. Each account has a token bucket that fills with
+/// its weight in jobs per second; jobs beyond it take what the jobs of the others leave over, and no VM is
+/// switched on for them.
 class account_share {
 public:
     /// Counts a job of the account.
--- a/src/policy/job_order.hpp
+++ b/src/policy/job_order.hpp
@@ -39,8 +39,8 @@
 };
 
 /// Pattern: a pool is asked for several times what it holds, for seconds. Jobs that can still meet their
-/// objective go first, those that were begun before the others; jobs that missed it come behind them, jobs beyond the share of their
-/// account last.
+/// objective go first, those that were begun before the others; jobs that missed it come behind them, jobs
+/// beyond the share of their account last.
 job_rank rank_job(const job_urgency& job, unix_time now);
 
 /// @param durations expected duration of a task of each step
--- a/src/policy/pool_moves.hpp
+++ b/src/policy/pool_moves.hpp
@@ -15,8 +15,8 @@
 /// Work that arrives for a pool, as the cores that it keeps busy on average.
 ///
 /// Pattern: the demand of a pool jumps to several times its mean within a moment and falls as fast. The rate
-/// follows the latest jobs, of which a large site sees enough within a fraction of a second, a small one within
-/// a second; the need that is planned for falls slowly, so that VMs do not come and go.
+/// follows the latest jobs, of which a large site sees enough within a fraction of a second, a small one
+/// within a second; the need that is planned for falls slowly, so that VMs do not come and go.
 class arrival_rate {
 public:
     /// @param core_millis_seconds work of a job: thousandths of a core times seconds
@@ -25,8 +25,8 @@
     /// @return thousandths of a core
     [[nodiscard]] double cores(boot_time now) const;
 
-    /// @return the rate after @p ahead if it goes on rising as it does; never below the rate, nor below that of
-    /// the latest jobs
+    /// @return the rate after @p ahead if it goes on rising as it does; never below the rate, nor below that
+    /// of the latest jobs
     [[nodiscard]] double expected_cores(boot_time now, std::chrono::milliseconds ahead) const;
 
 private:
--- a/src/policy/vm_plan.cpp
+++ b/src/policy/vm_plan.cpp
@@ -34,15 +34,16 @@
 
 namespace {
 
-/// @return VMs without long-running tasks that may be down at the same time: a wave that is not pressed leaves
-/// the others to a surge
+/// @return VMs without long-running tasks that may be down at the same time: a wave that is not pressed
+/// leaves the others to a surge
 std::int32_t most_idle_down(const wave_situation& situation) {
     /// Part of the time that is left in which the wave is to end.
     constexpr double planned_part = 0.5;
     constexpr std::int32_t fewest = 4;
     const auto time_left = std::max(situation.maintenance, situation.duration - situation.elapsed);
-    const double rounds = std::max(1.0, planned_part * static_cast<double>(time_left.count()) /
-                                            static_cast<double>((situation.maintenance + turnaround).count()));
+    const double rounds =
+        std::max(1.0, planned_part * static_cast<double>(time_left.count()) /
+                          static_cast<double>((situation.maintenance + turnaround).count()));
     const auto paced = static_cast<std::int32_t>(std::ceil(situation.left / rounds));
     return std::min(situation.max_down, std::max(paced, fewest));
 }
--- a/tests/job_policy_test.cpp
+++ b/tests/job_policy_test.cpp
@@ -169,8 +169,8 @@
     BOOST_TEST(plan_pool_moves(pools, vms, {.moves = 10, .releases = 1}).size() == 1);
 }
 
-// Between two surges 90 of 350 VMs are idle: they are off within 3 s, and the next surge gets 100 within 1 s. A
-// site of 49 VMs keeps most of its idle VMs for as long.
+// Between two surges 90 of 350 VMs are idle: they are off within 3 s, and the next surge gets 100 within 1 s.
+// A site of 49 VMs keeps most of its idle VMs for as long.
 BOOST_AUTO_TEST_CASE(a_plan_moves_a_part_of_the_fleet) {
     const milliseconds interval(150);
     const auto large = bounds_of_plan(350, 215, interval);
--- a/tests/scheduler_site.hpp
+++ b/tests/scheduler_site.hpp
@@ -203,7 +203,7 @@
     std::int64_t starts = 0;
     std::int64_t moves = 0;
     std::int64_t maintenance_orders = 0;
-    bool renews = true; ///< whether the scheduler can renew its lease
+    bool renews = true;           ///< whether the scheduler can renew its lease
     std::int64_t early_drops = 0; ///< job records dropped before the final state was stored
 
     [[nodiscard]] unix_time clock() const {
--- a/tests/site_node_test.cpp
+++ b/tests/site_node_test.cpp
@@ -220,7 +220,8 @@
     BOOST_TEST(this->shared.site.history().size() == 3);
 }
 
-// Waiting reads may hear nothing for a second while the log reorganizes; the scheduler asks again before that.
+// Waiting reads may hear nothing for a second while the log reorganizes; the scheduler asks again before
+// that.
 BOOST_FIXTURE_TEST_CASE(scheduler_does_not_rely_on_waiting_reads, fixture) {
     BOOST_REQUIRE(this->becomes_ready(0) && this->becomes_ready(1));
     BOOST_TEST(this->eventually([&] {
--- a/tests/site_soak.hpp
+++ b/tests/site_soak.hpp
@@ -59,8 +59,8 @@
     }
 
     ~site_soak() {
-        this->nodes.clear(); // ends the processes
-        this->threads.stop();
+        this->threads.stop(); // answers to callers use the nodes
+        this->nodes.clear();  // ends the processes
     }
     site_soak(const site_soak&) = delete;
     site_soak& operator=(const site_soak&) = delete;
@@ -168,6 +168,7 @@
     }
 
     void start(node& of) const {
+        of.process.reset(); // a process that still runs holds the addresses
         of.process = std::make_unique<child_process>(
             std::vector<std::string>{this->options.binary, "serve-site", "--platform_settings", of.settings},
             of.log);
