--- a/tests/scheduler_site.hpp
+++ b/tests/scheduler_site.hpp
@@ -398,6 +398,15 @@
     std::uint64_t next_job = 0;
 };
 
+/// @return a wave over the first @p vms VMs of the pool "pool"
+inline wave_request wave_over_pool(int vms, milliseconds duration, std::int32_t max_down) {
+    wave_request wave{.number = 1, .duration = duration, .max_down = max_down};
+    for (int vm = 0; vm < vms; ++vm) {
+        wave.vms.push_back(fmt::format("m-pool-{}", vm));
+    }
+    return wave;
+}
+
 /// @return a job of one step
 inline job_spec batch_job(int tasks, std::int64_t cpu_millis = 2000) {
     return {.queue = "batch",
--- a/tests/scheduler_test.cpp
+++ b/tests/scheduler_test.cpp
@@ -104,11 +104,7 @@
     site.take_over();
     const auto id = site.submit(lasting_job(5, 1));
     site.run(milliseconds(6000));
-    wave_request wave{.number = 1, .duration = milliseconds(60000), .max_down = 4};
-    for (int vm = 0; vm < 8; ++vm) {
-        wave.vms.push_back(fmt::format("m-pool-{}", vm));
-    }
-    site.request_wave(wave);
+    site.request_wave(wave_over_pool(8, milliseconds(60000), 4));
     std::int64_t fewest = 5;
     for (int round = 0; round < 3000 && (site.reports.empty() || !site.reports.back().second); ++round) {
         site.run(milliseconds(20));
@@ -127,11 +123,7 @@
     site.take_over();
     const auto id = site.submit(lasting_job(10, 1));
     site.run(milliseconds(6000));
-    wave_request wave{.number = 1, .duration = milliseconds(36000), .max_down = 4};
-    for (int vm = 0; vm < 12; ++vm) {
-        wave.vms.push_back(fmt::format("m-pool-{}", vm));
-    }
-    site.request_wave(wave);
+    site.request_wave(wave_over_pool(12, milliseconds(36000), 4));
     std::int64_t fewest = 10;
     for (int round = 0; round < 36 * 50; ++round) {
         site.run(milliseconds(20));
@@ -209,15 +201,11 @@
     scheduler_site site(11);
     site.add_vms(30);
     site.take_over();
-    std::vector<std::string> vms;
-    for (int number = 0; number < 30; ++number) {
-        vms.push_back(fmt::format("m-pool-{}", number));
-    }
     site.run(milliseconds(500));
     site.renews = false;
     site.run(milliseconds(900));
     const auto before = site.moves;
-    site.request_wave({.number = 1, .vms = vms, .duration = milliseconds(20000), .max_down = 4});
+    site.request_wave(wave_over_pool(30, milliseconds(20000), 4));
     site.run(milliseconds(4000));
     BOOST_TEST(site.maintenance_orders == 0);
     BOOST_TEST(site.moves == before);
