Soak waits for its callers, not for a fixed time; its failed seeds are cases

Cause: a seed took 8 s longer than its load and faults, as the soak waited for the longest that a caller may take; seeds that failed once had no case.

--- a/tests/site_soak.hpp
+++ b/tests/site_soak.hpp
@@ -117,7 +117,6 @@
         bool accepted = false;
         bool refused = false; ///< every answer said that it has not run
         bool cancelled = false;
-        boot_time cancel_stored{};
     };
 
     struct pending_heal {
@@ -196,6 +195,7 @@
         const auto id = fmt::format("{:016x}", ++this->next_job);
         const auto first = static_cast<std::size_t>(this->pick(this->nodes.size()));
         const bool cancels = this->pick(10) == 0;
+        ++this->open_calls;
         this->submit_at(id, first, 0, cancels, true);
     }
 
@@ -222,6 +222,8 @@
                               }
                               if (accepted && cancels) {
                                   this->cancel_at(id, at);
+                              } else {
+                                  --this->open_calls;
                               }
                           });
     }
@@ -237,7 +239,7 @@
                               auto& job = this->jobs[id];
                               job.cancelled =
                                   result.status == call_status::answered && result.response.status == 200;
-                              job.cancel_stored = boot_clock::now();
+                              --this->open_calls;
                           });
     }
 
@@ -355,7 +357,7 @@
 
     void check() {
         this->wait_until([this] { return this->all_ready(); }, start_time);
-        this->pause(call_timeout * 4); // the last callers have their answers
+        this->wait_until([this] { return this->open_calls == 0; }, call_timeout * 5);
         std::map<std::string, job_record> known;
         {
             const std::lock_guard lock(this->mutex);
@@ -423,6 +425,7 @@
     std::vector<pending_heal> heals;
     std::mutex mutex; ///< guards `jobs`
     std::map<std::string, job_record> jobs;
+    std::atomic<int> open_calls = 0; ///< jobs whose caller has no last answer yet
     std::uint64_t next_job = 0;
     boot_time begun{};
     soak_report report;
--- a/tests/site_soak_test.cpp
+++ b/tests/site_soak_test.cpp
@@ -1,5 +1,6 @@
 #include "site_soak.hpp"
 
+#include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
 using namespace hornbeamrail;
@@ -21,8 +22,11 @@
 
 } // namespace
 
-BOOST_AUTO_TEST_CASE(processes_keep_their_promises_under_faults) {
-    const auto report = soak(1);
+/// Seeds 2, 19 and 20 once failed as a node was started before the process that it replaced had released its
+/// address.
+BOOST_DATA_TEST_CASE(processes_keep_their_promises_under_faults, boost::unit_test::data::make({1, 2, 19, 20}),
+                     seed) {
+    const auto report = soak(static_cast<std::uint64_t>(seed));
     BOOST_TEST(report.accepted > 0);
     for (const auto& failure : report.failures) {
         BOOST_ERROR(failure);
