Fault proxy: both directions of a connection run on one strand

Cause: the two coroutines of a proxied connection ran on any worker thread and each closed both sockets at its end. When both ends of the connection went away at once, one socket was closed on two threads, and epoll_reactor::deregister_descriptor met a null descriptor (backtrace of one of three runs under gdb, in fault_proxy::abort from pump). Ruled out: the product's processes; the fault is in the test's proxy. Change: a strand for each connection; resets and closing run on it.

--- a/tests/fault_proxy.hpp
+++ b/tests/fault_proxy.hpp
@@ -8,6 +8,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/strand.hpp>
 #include <boost/asio/write.hpp>
 
 #include <array>
@@ -53,11 +54,22 @@
     }
 
 private:
+    // Both directions of a connection run on one strand, as either may close both sockets.
+    using session_executor = boost::asio::strand<io_executor>;
+    using session_socket = boost::asio::basic_stream_socket<boost::asio::ip::tcp, session_executor>;
+    using session_timer = boost::asio::basic_waitable_timer<
+        std::chrono::steady_clock, boost::asio::wait_traits<std::chrono::steady_clock>, session_executor>;
+    using session_task = boost::asio::awaitable<void, session_executor>;
+
+    static auto session_with(boost::system::error_code& failure) {
+        return boost::asio::redirect_error(boost::asio::use_awaitable_t<session_executor>(), failure);
+    }
+
     struct session {
-        session(tcp_socket first, tcp_socket second) : source(std::move(first)), target(std::move(second)) {}
-        tcp_socket source;
-        tcp_socket target;
-        std::atomic<bool> lost_data = false;
+        explicit session(const session_executor& executor) : source(executor), target(executor) {}
+        session_socket source;
+        session_socket target;
+        bool lost_data = false;
     };
 
     fault_proxy(io_threads& workers, const endpoint& forward_to)
@@ -65,20 +77,22 @@
           acceptor(workers.context().get_executor(), {boost::asio::ip::make_address("127.0.0.1"), 0}),
           target(boost::asio::ip::make_address(forward_to.address), forward_to.port) {}
 
-    static void abort(tcp_socket& socket) {
+    static void abort(session_socket& socket) {
         boost::system::error_code ignored; // the peer may be gone already
         socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
         socket.close(ignored);
     }
 
+    static void abort(session& open) {
+        abort(open.source);
+        abort(open.target);
+    }
+
     void reset_all() {
         const std::lock_guard lock(this->mutex);
         for (const auto& weak : this->sessions) {
             if (const auto open = weak.lock()) {
-                boost::asio::post(this->threads.context(), [open] {
-                    abort(open->source);
-                    abort(open->target);
-                });
+                boost::asio::post(open->source.get_executor(), [open] { abort(*open); });
             }
         }
         this->sessions.clear();
@@ -86,31 +100,34 @@
 
     static io_task<> accept(std::shared_ptr<fault_proxy> self) {
         while (true) {
+            const auto made =
+                std::make_shared<session>(boost::asio::make_strand(self->threads.context().get_executor()));
             boost::system::error_code failure;
-            auto source = co_await self->acceptor.async_accept(task_with(failure));
+            co_await self->acceptor.async_accept(made->source, task_with(failure));
             if (failure) {
                 co_return;
             }
-            if (self->fault == link_fault::reset) {
-                abort(source);
-                continue;
-            }
-            tcp_socket target(self->threads.context().get_executor());
-            co_await target.async_connect(self->target, task_with(failure));
-            if (failure) {
-                abort(source);
-                continue;
-            }
-            auto made = std::make_shared<session>(std::move(source), std::move(target));
-            {
-                const std::lock_guard lock(self->mutex);
-                self->sessions.remove_if([](const auto& known) { return known.expired(); });
-                self->sessions.push_back(made);
-            }
-            const auto executor = self->threads.context().get_executor();
-            boost::asio::co_spawn(executor, pump(self, made, true), boost::asio::detached);
-            boost::asio::co_spawn(executor, pump(self, made, false), boost::asio::detached);
+            boost::asio::co_spawn(made->source.get_executor(), connect(self, made), boost::asio::detached);
+        }
+    }
+
+    static session_task connect(std::shared_ptr<fault_proxy> self, std::shared_ptr<session> made) {
+        boost::system::error_code failure;
+        if (self->fault != link_fault::reset) {
+            co_await made->target.async_connect(self->target, session_with(failure));
+        }
+        {
+            const std::lock_guard lock(self->mutex);
+            self->sessions.remove_if([](const auto& known) { return known.expired(); });
+            self->sessions.push_back(made);
+        }
+        if (failure || self->fault == link_fault::reset) {
+            abort(*made);
+            co_return;
         }
+        const auto executor = made->source.get_executor();
+        boost::asio::co_spawn(executor, pump(self, made, true), boost::asio::detached);
+        boost::asio::co_spawn(executor, pump(self, made, false), boost::asio::detached);
     }
 
     [[nodiscard]] bool passes(bool to_target) const {
@@ -119,33 +136,33 @@
                now != (to_target ? link_fault::cut_to_target : link_fault::cut_to_source);
     }
 
-    static io_task<> pump(std::shared_ptr<fault_proxy> self, std::shared_ptr<session> open, bool to_target) {
+    static session_task pump(std::shared_ptr<fault_proxy> self, std::shared_ptr<session> open,
+                             bool to_target) {
         auto& from = to_target ? open->source : open->target;
         auto& to = to_target ? open->target : open->source;
         std::array<char, 16384> buffer{};
         while (true) {
             boost::system::error_code failure;
-            const auto size = co_await from.async_read_some(boost::asio::buffer(buffer), task_with(failure));
+            const auto size =
+                co_await from.async_read_some(boost::asio::buffer(buffer), session_with(failure));
             if (failure) {
                 break;
             }
             if (self->fault == link_fault::delayed) {
-                io_timer timer(self->threads.context().get_executor(),
-                               std::chrono::milliseconds(self->delay_ms));
-                co_await timer.async_wait(task_with(failure));
+                session_timer timer(open->source.get_executor(), std::chrono::milliseconds(self->delay_ms));
+                co_await timer.async_wait(session_with(failure));
             }
             open->lost_data = open->lost_data || !self->passes(to_target);
             if (open->lost_data) {
                 continue;
             }
-            co_await boost::asio::async_write(to, boost::asio::buffer(buffer, size), task_with(failure));
+            co_await boost::asio::async_write(to, boost::asio::buffer(buffer, size), session_with(failure));
             if (failure) {
                 break;
             }
         }
         if (!open->lost_data) {
-            abort(open->source);
-            abort(open->target);
+            abort(*open);
         }
     }
 
