One copy of the conversions of time; names that differ between sources

Cause: a build in groups of sources (CMAKE_UNITY_BUILD) showed names that two sources of a layer defined: to_millis three times and seconds_of twice with the same text, read_bytes and frame_header_bytes twice.

--- a/src/cli/demo_report.cpp
+++ b/src/cli/demo_report.cpp
@@ -1,6 +1,7 @@
 #include "cli/demo_report.hpp"
 
 #include "cli/json_table.hpp"
+#include "protocol/durations.hpp"
 
 #include <boost/json/array.hpp>
 #include <boost/json/serialize.hpp>
@@ -80,7 +81,7 @@
     }
     const auto& shown = record.phases[phase];
     return {{"phase", shown.name},
-            {"seconds", std::chrono::duration<double>(shown.end - shown.begin).count()},
+            {"seconds", seconds_of(shown.end - shown.begin)},
             {"answered", counts[caller_view::answered]},
             {"refused", counts[caller_view::refused]},
             {"unknown", counts[caller_view::unknown]},
--- a/src/cli/serve_site.cpp
+++ b/src/cli/serve_site.cpp
@@ -65,7 +65,7 @@
     }
 }
 
-result<bool> run(const sigset_t& signals) {
+result<bool> run_site(const sigset_t& signals) {
     BOOST_LEAF_AUTO(settings, read_settings());
     const auto grace = settings.limits.stop_grace - stop_reserve;
     io_threads threads(1);
@@ -94,7 +94,7 @@
     const auto signals = block_stop_signals();
     log_to_standard_output();
     error failure;
-    if (!value_or_error([&] { return run(signals); }, failure)) {
+    if (!value_or_error([&] { return run_site(signals); }, failure)) {
         return print_error(failure);
     }
     return exit_done;
--- a/src/coordination/reclaimer.cpp
+++ b/src/coordination/reclaimer.cpp
@@ -9,10 +9,10 @@
 namespace {
 
 // Nodes take their turns this far apart, so that usually one record is appended.
-constexpr std::chrono::milliseconds turn{400};
-constexpr std::size_t max_turns = 10;
+constexpr std::chrono::milliseconds reclaim_turn{400};
+constexpr std::size_t max_reclaim_turns = 10;
 
-constexpr std::chrono::seconds retry{5};
+constexpr std::chrono::seconds reclaim_retry{5};
 
 } // namespace
 
@@ -55,11 +55,12 @@
 }
 
 bool reclaimer::due(boot_time now, incarnation_id node, std::size_t rank) {
-    const auto [entry, is_new] = this->next_try.try_emplace(node, now + turn * std::min(rank, max_turns));
+    const auto [entry, is_new] =
+        this->next_try.try_emplace(node, now + reclaim_turn * std::min(rank, max_reclaim_turns));
     if (now < entry->second) {
         return false;
     }
-    entry->second = now + retry;
+    entry->second = now + reclaim_retry;
     return true;
 }
 
--- a/src/coordination/scheduler_jobs.cpp
+++ b/src/coordination/scheduler_jobs.cpp
@@ -1,5 +1,6 @@
 #include "coordination/scheduler_impl.hpp"
 
+#include "protocol/durations.hpp"
 #include "protocol/json_log.hpp"
 #include "state/job_index.hpp"
 
@@ -18,10 +19,6 @@
 /// Pause before a long-running task that failed starts again.
 constexpr milliseconds long_running_backoff{50};
 
-milliseconds to_millis(boot_clock::duration value) {
-    return std::chrono::duration_cast<milliseconds>(value);
-}
-
 } // namespace
 
 void duration_estimate::learn(milliseconds actual, milliseconds stated) {
--- a/src/coordination/scheduler_moves.cpp
+++ b/src/coordination/scheduler_moves.cpp
@@ -1,5 +1,6 @@
 #include "coordination/scheduler_impl.hpp"
 
+#include "protocol/durations.hpp"
 #include "protocol/json_log.hpp"
 
 #include <algorithm>
@@ -51,7 +52,7 @@
         const auto duration =
             learned == this->durations.end() ? step.estimate : learned->second.expect(step.estimate);
         work += static_cast<double>(step.count) * static_cast<double>(step.need.cpu_millis) *
-                std::chrono::duration<double>(duration).count();
+                seconds_of(duration);
     }
     this->demand[this->pool_of(job)].arrivals.add(work, now);
 }
--- a/src/coordination/scheduler_vms.cpp
+++ b/src/coordination/scheduler_vms.cpp
@@ -1,5 +1,6 @@
 #include "coordination/scheduler_impl.hpp"
 
+#include "protocol/durations.hpp"
 #include "protocol/json_log.hpp"
 
 #include <boost/json/array.hpp>
@@ -17,10 +18,6 @@
 /// Key of the progress topic under which the VMs of a wave that were ordered are kept.
 const std::string wave_record_prefix = "wave.";
 
-milliseconds to_millis(boot_clock::duration value) {
-    return std::chrono::duration_cast<milliseconds>(value);
-}
-
 } // namespace
 
 bool scheduler::impl::is_reserved(const std::string& worker) const {
--- a/src/coordination/scheduler_workers.cpp
+++ b/src/coordination/scheduler_workers.cpp
@@ -1,5 +1,6 @@
 #include "coordination/scheduler_impl.hpp"
 
+#include "protocol/durations.hpp"
 #include "protocol/json_log.hpp"
 
 #include <algorithm>
@@ -16,10 +17,6 @@
 constexpr std::size_t longest_list_of_ends = 500;
 constexpr std::int32_t whole_percent = 100;
 
-milliseconds to_millis(boot_clock::duration value) {
-    return std::chrono::duration_cast<milliseconds>(value);
-}
-
 } // namespace
 
 std::int64_t scheduler::impl::fence_of(const worker_control& worker) const {
--- a/src/fakes/core_simulation.cpp
+++ b/src/fakes/core_simulation.cpp
@@ -1,5 +1,7 @@
 #include "fakes/core_simulation.hpp"
 
+#include "transport/thrift_frame.hpp"
+
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
 
@@ -12,7 +14,6 @@
 
 namespace {
 
-constexpr std::size_t frame_header_bytes = 4;
 constexpr std::chrono::milliseconds refused_connection{1};
 constexpr std::chrono::milliseconds log_down_answer{50};
 
--- a/src/fakes/site_world.cpp
+++ b/src/fakes/site_world.cpp
@@ -1,5 +1,7 @@
 #include "fakes/site_world.hpp"
 
+#include "protocol/durations.hpp"
+
 #include <fmt/format.h>
 
 #include <utility>
@@ -197,8 +199,7 @@
     for (auto& [id, vm] : this->vm_table) {
         if (vm.alive && !vm.rebooting) {
             const auto taken = static_cast<double>(vm.runs.size()) / 8;
-            this->idle_seconds[vm.description.pool] +=
-                (1 - taken) * std::chrono::duration<double>(interval).count() * 8;
+            this->idle_seconds[vm.description.pool] += (1 - taken) * seconds_of(interval) * 8;
         }
     }
 }
--- a/src/node/task_manager.cpp
+++ b/src/node/task_manager.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr double clock_margin =
+constexpr double usable_lease_part =
     0.98; ///< a lease is used for this part of its time, as clocks differ by up to 1%
 
 bool has_ended(task_phase phase) {
@@ -264,8 +264,8 @@
     }
     if (answer == worker_answer::done) {
         task.lease_id = lease_id;
-        task.lease_end =
-            sent_at + std::chrono::duration_cast<boot_time::duration>(this->options.lease_ttl * clock_margin);
+        task.lease_end = sent_at + std::chrono::duration_cast<boot_time::duration>(this->options.lease_ttl *
+                                                                                   usable_lease_part);
         task.next_call = now + this->options.renew_interval;
         if (task.now_in == step::adopting) {
             task.now_in = step::running;
@@ -306,8 +306,8 @@
     if (owned == nullptr || task.now_in == step::ending) {
         return;
     }
-    const auto renewed_until =
-        sent_at + std::chrono::duration_cast<boot_time::duration>(this->options.lease_ttl * clock_margin);
+    const auto renewed_until = sent_at + std::chrono::duration_cast<boot_time::duration>(
+                                             this->options.lease_ttl * usable_lease_part);
     if (command == task_command::stop && answer != worker_answer::no_answer) {
         if (owned->cancel_requested) {
             this->record_phase(std::string(task_id), task, task_phase::cancelled, "stopped on request");
@@ -438,7 +438,7 @@
 void task_manager::drive_lease(boot_time now, const fleet_state& state, const task_info& task,
                                held_task& holder, std::vector<task_action>& actions) {
     // The worker stops the task once its lease lapsed by its own clock, which may be behind ours.
-    constexpr double lapse_margin = 1.02 / clock_margin;
+    constexpr double lapse_margin = 1.02 / usable_lease_part;
     const auto lapse =
         std::chrono::duration_cast<boot_time::duration>(this->options.lease_ttl * (lapse_margin - 1));
     if (now > holder.lease_end + lapse) {
--- a/src/policy/account_share.cpp
+++ b/src/policy/account_share.cpp
@@ -1,5 +1,7 @@
 #include "policy/account_share.hpp"
 
+#include "protocol/durations.hpp"
+
 #include <algorithm>
 #include <chrono>
 
@@ -24,7 +26,7 @@
         found = this->buckets.emplace(std::string(account), bucket{.tokens = depth, .filled = arrived}).first;
     }
     auto& own = found->second;
-    const double elapsed_s = std::chrono::duration<double>(arrived - own.filled).count();
+    const double elapsed_s = seconds_of(arrived - own.filled);
     own.tokens = std::min(depth, own.tokens + std::max(0.0, elapsed_s) * weight);
     own.filled = std::max(own.filled, arrived);
     if (own.tokens < 1) {
--- a/src/policy/drain_rate.cpp
+++ b/src/policy/drain_rate.cpp
@@ -1,15 +1,16 @@
 #include "policy/drain_rate.hpp"
 
+#include "protocol/durations.hpp"
+
 #include <algorithm>
 #include <cmath>
 
 namespace hornbeamrail {
 
-drain_rate::drain_rate(std::chrono::milliseconds memory)
-    : memory_seconds(std::chrono::duration<double>(memory).count()) {}
+drain_rate::drain_rate(std::chrono::milliseconds memory) : memory_seconds(seconds_of(memory)) {}
 
 void drain_rate::advance(boot_time now) {
-    const double passed = std::chrono::duration<double>(now - this->updated).count();
+    const double passed = seconds_of(now - this->updated);
     if (passed <= 0) {
         return;
     }
--- a/src/policy/maintenance_plan.cpp
+++ b/src/policy/maintenance_plan.cpp
@@ -1,5 +1,7 @@
 #include "policy/maintenance_plan.hpp"
 
+#include "protocol/durations.hpp"
+
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -152,8 +154,7 @@
         const auto finish = input.now + needed;
         if (forecast.due > 0 && earliest_due != std::chrono::sys_seconds::max() && finish > earliest_due) {
             constexpr double seconds_per_day = 86400;
-            forecast.days_late =
-                std::chrono::duration<double>(finish - earliest_due).count() / seconds_per_day;
+            forecast.days_late = seconds_of(finish - earliest_due) / seconds_per_day;
         }
         forecasts.push_back(std::move(forecast));
     }
--- a/src/policy/move_plan.cpp
+++ b/src/policy/move_plan.cpp
@@ -1,5 +1,7 @@
 #include "policy/move_plan.hpp"
 
+#include "protocol/durations.hpp"
+
 #include <algorithm>
 #include <optional>
 
@@ -53,7 +55,7 @@
 } // namespace
 
 double pool_cost(const pool_view& pool, std::int64_t vms, double demand_slots, const move_options& options) {
-    const double seconds = std::chrono::duration<double>(options.horizon).count();
+    const double seconds = seconds_of(options.horizon);
     if (pool.slots_per_vm == 0) {
         // A spare VM runs tasks until a pool needs it, so it costs half of an idle VM that only one service
         // can use.
@@ -82,7 +84,7 @@
     }
     std::vector<planned_move> moves;
     std::set<std::string> taken;
-    const double move_cost = std::chrono::duration<double>(options.move_time).count() * options.buffer_cost;
+    const double move_cost = seconds_of(options.move_time) * options.buffer_cost;
     for (std::int64_t in_flight = moves_in_flight(state); in_flight < options.max_moves_in_flight;
          ++in_flight) {
         std::optional<planned_move> best;
--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -1,12 +1,14 @@
 #include "policy/placement.hpp"
 
+#include "protocol/durations.hpp"
+
 #include <algorithm>
 
 namespace hornbeamrail {
 
 double ramp_weight(boot_time now, boot_time since, std::chrono::milliseconds duration) {
-    const double passed = std::chrono::duration<double>(now - since).count();
-    return std::clamp(passed / std::chrono::duration<double>(duration).count(), 0.0, 1.0);
+    const double passed = seconds_of(now - since);
+    return std::clamp(passed / seconds_of(duration), 0.0, 1.0);
 }
 
 std::size_t placement_pool::add(entry executor) {
--- a/src/policy/pool_moves.cpp
+++ b/src/policy/pool_moves.cpp
@@ -1,5 +1,7 @@
 #include "policy/pool_moves.hpp"
 
+#include "protocol/durations.hpp"
+
 #include <algorithm>
 #include <cmath>
 
@@ -24,10 +26,6 @@
 /// Part of the platform's rate of orders that moves may use; the rest is left for maintenance.
 constexpr double order_part = 0.85;
 
-double seconds_of(boot_clock::duration value) {
-    return std::chrono::duration<double>(value).count();
-}
-
 /// Takes an idle VM of a pool out of the list.
 std::optional<std::string> take_idle(std::vector<movable_vm>& vms, const std::string& pool) {
     const auto found =
@@ -80,7 +78,7 @@
     const double current = this->fast.rate * std::exp(-elapsed / fast_window_s);
     const double earlier = this->slow.rate * std::exp(-elapsed / slow_window_s);
     const double slope = (current - earlier) / (slow_window_s - fast_window_s);
-    const double rise = std::max(0.0, slope) * std::chrono::duration<double>(ahead).count();
+    const double rise = std::max(0.0, slope) * seconds_of(ahead);
     // A few large jobs look like a steep rise.
     const double risen = current + std::min(rise, steepest_rise * std::max(current, earlier));
     return std::max(risen, this->latest_cores(now));
@@ -99,7 +97,7 @@
 }
 
 move_bounds bounds_of_plan(std::size_t vms, double orders_per_second, std::chrono::milliseconds interval) {
-    const double orders = order_part * orders_per_second * std::chrono::duration<double>(interval).count();
+    const double orders = order_part * orders_per_second * seconds_of(interval);
     const double releases = std::floor(release_part * static_cast<double>(vms));
     return {.moves = static_cast<std::size_t>(std::max(1.0, orders)),
             .releases = static_cast<std::size_t>(std::max(1.0, releases))};
--- a/src/policy/request_queue.cpp
+++ b/src/policy/request_queue.cpp
@@ -1,5 +1,7 @@
 #include "policy/request_queue.hpp"
 
+#include "protocol/durations.hpp"
+
 #include <algorithm>
 
 namespace hornbeamrail {
@@ -29,10 +31,6 @@
 
 namespace {
 
-double seconds_of(std::chrono::microseconds value) {
-    return std::chrono::duration<double>(value).count();
-}
-
 /// A burst of urgent requests may take its team this far ahead of the others, measured in time at the team's
 /// full part. Without the bound, a team with steady urgent work would starve the others whenever there are
 /// fewer slots than planned.
--- a/src/transport/http_client_pool.cpp
+++ b/src/transport/http_client_pool.cpp
@@ -16,8 +16,6 @@
 
 namespace {
 
-constexpr std::size_t read_bytes = 16 * 1024;
-
 struct shared_counters {
     std::atomic<std::int64_t> answered{0}, unsent{0}, unknown{0}, crossed{0};
 };
--- a/src/transport/http_parser.hpp
+++ b/src/transport/http_parser.hpp
@@ -12,6 +12,9 @@
 
 namespace hornbeamrail {
 
+/// Room made in a connection's buffer for each read.
+inline constexpr std::size_t read_bytes = 16 * 1024;
+
 /// Beast's HTTP/1 parser storing into the project's message types, without Beast's field container between.
 template <bool IsRequest>
 class http_parser : public boost::beast::http::basic_parser<IsRequest> {
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -81,7 +81,6 @@
 
 namespace {
 
-constexpr std::size_t read_bytes = 16 * 1024;
 constexpr std::chrono::milliseconds sweep_interval{100};
 /// After an error answer the rest of the request is read and dropped for this long: closing a socket with
 /// unread data resets the connection, and the caller may lose the answer.
