Client pool gives back connections that are dropped before they wait

Cause: a connection is idle from the end of its call on, but its coroutine waits only after the caller's callback. When it was dropped in between, as when the server closed it and the callback sent the next call, nothing woke the coroutine, and it kept itself, its socket and its buffer for good. Change: a dropped connection is marked, and its coroutine ends at once. Test: connections_closed_during_a_callback_are_given_back counts open descriptors; failed before, passes now. http_client_pool_test passes.

--- a/src/transport/call_pool.hpp
+++ b/src/transport/call_pool.hpp
@@ -125,10 +125,8 @@
         {
             const std::lock_guard lock(this->mutex);
             for (auto& [target, own] : this->groups) {
-                own.open -= own.idle.size();
                 for (auto& peer : own.idle) {
-                    own.all.erase(peer.get());
-                    dropped.push_back(std::move(peer));
+                    drop(own, std::move(peer), dropped);
                 }
                 own.idle.clear();
             }
@@ -153,6 +151,7 @@
         // Guarded by the pool's mutex:
         steady::time_point deadline; ///< of the call, or of the idle connection
         bool busy = true;
+        bool dropped = false;            ///< the pool will give it no call any more
         bool connecting = true;          ///< a shutdown does not end the attempt, only a cancellation does
         std::shared_ptr<Call> next;      ///< call that an idle connection was given
         std::optional<io_resume> waiter; ///< coroutine of an idle connection; owns a reference to this object
@@ -223,7 +222,7 @@
     void wait_for_next(connection& peer, io_resume resume) {
         {
             const std::lock_guard lock(this->mutex);
-            if (!peer.next) {
+            if (!peer.next && !peer.dropped) {
                 peer.waiter.emplace(std::move(resume));
                 return;
             }
@@ -240,9 +239,7 @@
             if (candidate->stream.is_quiet()) {
                 return candidate;
             }
-            --own.open;
-            own.all.erase(candidate.get());
-            stale.push_back(std::move(candidate));
+            drop(own, std::move(candidate), stale);
         }
         return nullptr;
     }
@@ -319,6 +316,16 @@
         co_return made;
     }
 
+    /// Takes an idle connection out of the books; the pool's mutex is held. Its coroutine may not wait yet.
+    /// @param to_unwind receives the connection
+    static void drop(group& own, std::shared_ptr<connection> peer,
+                     std::vector<std::shared_ptr<connection>>& to_unwind) {
+        --own.open;
+        own.all.erase(peer.get());
+        peer->dropped = true;
+        to_unwind.push_back(std::move(peer));
+    }
+
     static void unwind(const std::vector<std::shared_ptr<connection>>& dropped) {
         for (const auto& peer : dropped) {
             peer->waiter.reset();
@@ -344,10 +351,8 @@
                     }
                 }
                 while (!own.idle.empty() && own.idle.front()->deadline <= now) {
-                    own.all.erase(own.idle.front().get());
-                    dropped.push_back(std::move(own.idle.front()));
+                    drop(own, std::move(own.idle.front()), dropped);
                     own.idle.erase(own.idle.begin());
-                    --own.open;
                 }
                 for (auto at = own.waiting.begin(); at != own.waiting.end();) {
                     if ((*at)->deadline <= now) {
--- a/tests/http_client_pool_test.cpp
+++ b/tests/http_client_pool_test.cpp
@@ -5,6 +5,10 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <filesystem>
+#include <iterator>
+#include <thread>
+
 using namespace hornbeamrail;
 
 namespace {
@@ -33,6 +37,12 @@
            "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + std::string(body);
 }
 
+/// @return how many descriptors the process has open
+std::size_t open_descriptors() {
+    const std::filesystem::directory_iterator entries("/proc/self/fd");
+    return static_cast<std::size_t>(std::distance(begin(entries), end(entries)));
+}
+
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(http_client_pool_suite, client_fixture)
@@ -176,4 +186,33 @@
     BOOST_TEST((result.status == call_status::unsent));
 }
 
+// A caller may send its next call from the callback, when the server has closed the connection of the first.
+// A connection dropped before its coroutine waits was kept for good, with its descriptor.
+BOOST_AUTO_TEST_CASE(connections_closed_during_a_callback_are_given_back) {
+    raw_server server([&](raw_socket& peer, int) {
+        peer.receive_until("body");
+        peer.send(answer("ok", "id"));
+    });
+    constexpr int calls = 20;
+    const auto before = open_descriptors();
+    awaited<bool> over;
+    int made = 0;
+    std::function<void(http_call_result)> next = [&](const http_call_result&) {
+        // Long enough for the end of the connection to arrive.
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+        if (++made > calls) {
+            over.set(true);
+            return;
+        }
+        this->pool.call({.target = server.address(),
+                         .request = {.method = "POST", .target = "/run", .headers = {}, .body = "body"},
+                         .timeout = generous},
+                        next);
+    };
+    next({});
+    over.get();
+    constexpr std::size_t still_open = 4; // the last connection on both sides, and what is being closed
+    BOOST_TEST(eventually([&] { return open_descriptors() <= before + still_open; }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
