--- a/src/policy/vm_plan.cpp
+++ b/src/policy/vm_plan.cpp
@@ -30,10 +30,6 @@
                       std::max(1, situation.max_down));
 }
 
-} // namespace
-
-namespace {
-
 /// @return VMs without long-running tasks that may be down at the same time: a wave that is not pressed
 /// leaves the others to a surge
 std::int32_t most_idle_down(const wave_situation& situation) {
--- a/src/protocol/platform_port.hpp
+++ b/src/protocol/platform_port.hpp
@@ -251,12 +251,10 @@
     std::chrono::milliseconds key_revocation{5000}; ///< a withdrawn key stops working within
     std::chrono::milliseconds stop_time{200};       ///< a worker takes to stop a task
     std::chrono::milliseconds gang_wait{3000};      ///< a member waits for the others
-    std::chrono::milliseconds availability_notice{
-        4500}; ///< a task that ends by itself counts as away after so long
-    std::chrono::milliseconds status_kept{120000}; ///< state of a final job can be asked for
-    std::chrono::milliseconds restore_time{100};   ///< to resume from saved progress
-    std::chrono::milliseconds harm_time{4000};     ///< a serving task may be over its latency target
-    std::chrono::milliseconds stop_grace{6000};    ///< between SIGTERM and SIGKILL
+    std::chrono::milliseconds status_kept{120000};  ///< state of a final job can be asked for
+    std::chrono::milliseconds restore_time{100};    ///< to resume from saved progress
+    std::chrono::milliseconds harm_time{4000};      ///< a serving task may be over its latency target
+    std::chrono::milliseconds stop_grace{6000};     ///< between SIGTERM and SIGKILL
     std::chrono::milliseconds vm_move{1500};
     std::chrono::milliseconds vm_maintenance{2000};
     double far_factor = 1.5; ///< slowdown away from the data or on several racks
--- a/src/protocol/site_document.cpp
+++ b/src/protocol/site_document.cpp
@@ -15,10 +15,6 @@
 
 } // namespace
 
-const queue_config* site_config::find_queue(std::string_view name) const noexcept {
-    return find_by_name(this->queues, name);
-}
-
 const worker_pool_config* site_config::find_pool(std::string_view name) const noexcept {
     return find_by_name(this->pools, name);
 }
--- a/src/protocol/site_document.hpp
+++ b/src/protocol/site_document.hpp
@@ -56,7 +56,6 @@
     std::vector<worker_pool_config> pools;
     std::vector<account_config> accounts;
 
-    [[nodiscard]] const queue_config* find_queue(std::string_view name) const noexcept;
     [[nodiscard]] const worker_pool_config* find_pool(std::string_view name) const noexcept;
     [[nodiscard]] const account_config* find_account(std::string_view name) const noexcept;
 
