Checks of the soak in a module of their own, with a test for each

Cause: the soak had not been shown to notice a broken promise, as its checks were part of the run with processes. Change: tests/soak_checks.hpp decides from what callers were told and what workers did; states are decoded once into a type.

--- a/tests/site_soak.hpp
+++ b/tests/site_soak.hpp
@@ -5,7 +5,7 @@
 
 #include "child_process.hpp"
 #include "fault_proxy.hpp"
-#include "run_checks.hpp"
+#include "soak_checks.hpp"
 #include "transport/http_client_pool.hpp"
 #include "wire_standin.hpp"
 
@@ -112,13 +112,6 @@
         std::unique_ptr<child_process> process;
     };
 
-    /// What the callers know of a job.
-    struct job_record {
-        bool accepted = false;
-        bool refused = false; ///< every answer said that it has not run
-        bool cancelled = false;
-    };
-
     struct pending_heal {
         boot_time due{};
         std::function<void()> heal;
@@ -339,80 +332,55 @@
         }
     }
 
-    [[nodiscard]] std::string state_of(const std::string& id) {
+    [[nodiscard]] shown_state state_of(const std::string& id) {
         for (const auto& each : this->nodes) {
             const auto result = this->call(each.caller_address, "GET", "/q/" + id);
             if (result.status == call_status::answered && result.response.status == 200) {
-                return result.response.body;
+                return parse_shown_state(result.response.body);
             }
         }
-        return "unknown";
-    }
-
-    bool is_final(const std::string& id) {
-        const auto state = this->state_of(id);
-        return state.find("completed") != std::string::npos || state.find("cancelled") != std::string::npos ||
-               state.find("failed") != std::string::npos;
+        return shown_state::unknown;
     }
 
     void check() {
         this->wait_until([this] { return this->all_ready(); }, start_time);
         this->wait_until([this] { return this->open_calls == 0; }, call_timeout * 5);
-        std::map<std::string, job_record> known;
+        soak_outcome seen{.tasks_of_job = tasks_of_job};
         {
             const std::lock_guard lock(this->mutex);
-            known = this->jobs;
+            seen.jobs = this->jobs;
         }
-        for (const auto& [id, job] : known) {
+        for (const auto& [id, job] : seen.jobs) {
             this->report.accepted += job.accepted ? 1 : 0;
             this->report.refused += job.refused ? 1 : 0;
             this->report.cancelled += job.cancelled ? 1 : 0;
         }
-        const auto ended = this->wait_until(
-            [this, &known] {
-                return std::all_of(known.begin(), known.end(), [this](const auto& item) {
-                    return !item.second.accepted || this->is_final(item.first);
-                });
-            },
-            finish_time);
-        if (!ended) {
-            this->report.failures.emplace_back("an accepted job did not end");
+        this->wait_until([this, &seen] { return this->all_final(seen); }, finish_time);
+        for (auto& [id, state] : seen.states) {
+            state = this->state_of(id); // a final state stays
         }
-        const auto history =
+        seen.history =
             this->standin->with_state([](fake_keyed_log&, fake_site& site) { return site.history(); });
-        this->report.runs = history.size();
-        for (const auto& doubled : doubled_runs(history)) {
-            this->report.failures.push_back("doubled: " + doubled);
-        }
-        for (const auto& [id, job] : known) {
-            this->check_job(id, job, history);
+        this->report.runs = seen.history.size();
+        for (auto& broken : broken_promises(seen)) {
+            this->report.failures.push_back(std::move(broken));
         }
     }
 
-    void check_job(const std::string& id, const job_record& job, const std::vector<observed_run>& history) {
-        const auto runs = std::count_if(history.begin(), history.end(),
-                                        [&id](const auto& run) { return run.task.job == id; });
-        if (job.refused && runs > 0) {
-            this->report.failures.push_back(fmt::format("{} was refused as not run, and ran", id));
-        }
-        if (!job.accepted) {
-            return;
-        }
-        const auto state = this->state_of(id);
-        std::set<task_id> done;
-        for (const auto& run : history) {
-            if (run.task.job == id && run.how == task_end::done) {
-                done.insert(run.task);
+    /// Asks for the accepted jobs that were not final yet.
+    bool all_final(soak_outcome& seen) {
+        bool final = true;
+        for (const auto& [id, job] : seen.jobs) {
+            if (!job.accepted) {
+                continue;
             }
+            auto& state = seen.states[id];
+            if (!is_final(state)) {
+                state = this->state_of(id);
+            }
+            final = final && is_final(state);
         }
-        const bool completed = state.find("completed") != std::string::npos;
-        if (completed && done.size() != tasks_of_job) {
-            this->report.failures.push_back(
-                fmt::format("{} is completed with {} tasks done", id, done.size()));
-        }
-        if (!completed && !job.cancelled && state.find("cancelled") == std::string::npos) {
-            this->report.failures.push_back(fmt::format("{} was accepted and ended as {}", id, state));
-        }
+        return final;
     }
 
     soak_options options;
@@ -424,7 +392,7 @@
     std::vector<node> nodes;
     std::vector<pending_heal> heals;
     std::mutex mutex; ///< guards `jobs`
-    std::map<std::string, job_record> jobs;
+    std::map<std::string, promised_job> jobs;
     std::atomic<int> open_calls = 0; ///< jobs whose caller has no last answer yet
     std::uint64_t next_job = 0;
     boot_time begun{};
