--- a/tests/fault_proxy_test.cpp
+++ b/tests/fault_proxy_test.cpp
@@ -90,8 +90,8 @@
 
 /// Connections are reset while data passes both ways on several threads.
 BOOST_AUTO_TEST_CASE(resets_meet_data_under_way) {
+    std::atomic<bool> over = false; // callbacks read it until the site is gone
     proxied_server site;
-    std::atomic<bool> over = false;
     site.keep_calling(32, over);
     constexpr int resets = 150;
     for (int round = 0; round < resets; ++round) {
