Reject jobs beyond fixed limits; a malformed answer deletes and ends nothing

Cause: a job of 2e9 tasks was accepted, stored, and then exhausted the memory of every scheduler in turn; negative or truncated numbers were accepted and made the job unreadable for the scheduler. Bad base64 in a page of newest records read as the deletion of its key, an unreadable row of a worker's report as a run that does not exist, and an unlisted status of an append as 'nothing was appended'.

--- a/src/protocol/job.cpp
+++ b/src/protocol/job.cpp
@@ -102,6 +102,14 @@
            need.accelerators <= available.accelerators;
 }
 
+std::int32_t partition_of_job(std::string_view id, std::int32_t partitions) noexcept {
+    std::uint64_t sum = 0;
+    for (const char digit : id) {
+        sum += static_cast<unsigned char>(digit);
+    }
+    return static_cast<std::int32_t>(sum % static_cast<std::uint64_t>(partitions));
+}
+
 bool is_final(job_state state) noexcept {
     return state == job_state::completed || state == job_state::failed || state == job_state::cancelled;
 }
@@ -119,6 +127,60 @@
     return std::nullopt;
 }
 
+namespace {
+
+template <class Value>
+bool is_within(Value value, Value lowest, Value highest) {
+    return value >= lowest && value <= highest;
+}
+
+bool is_valid(const resources& need) {
+    return is_within<std::int64_t>(need.cpu_millicores, 0, job_limits::max_resource) &&
+           is_within<std::int64_t>(need.memory_mb, 0, job_limits::max_resource) &&
+           is_within<std::int64_t>(need.accelerators, 0, job_limits::max_resource);
+}
+
+bool is_valid_duration(std::chrono::milliseconds duration) {
+    return is_within(duration, std::chrono::milliseconds(0), job_limits::max_duration);
+}
+
+std::optional<std::string> find_schedule_problem(const job_spec& job) {
+    constexpr auto latest_due = unix_time(std::chrono::hours(24 * 365 * 200));
+    if (!is_within<std::int64_t>(job.occurrences, 0, job_limits::max_occurrences)) {
+        return fmt::format("the number of occurrences is not between 0 and {}", job_limits::max_occurrences);
+    }
+    if (!is_valid_duration(job.interval)) {
+        return "the interval is negative or longer than a year";
+    }
+    if (!is_within(job.first_due, unix_time(), latest_due)) {
+        return "the first due time is out of range";
+    }
+    return std::nullopt;
+}
+
+std::optional<std::string> find_step_problem(const step_spec& step, std::size_t number) {
+    if (step.count < 1) {
+        return fmt::format("step {} has no tasks", number);
+    }
+    if (!is_valid(step.need)) {
+        return fmt::format("the resources of step {} are negative or too large", number);
+    }
+    if (!is_valid_duration(step.estimate) || !is_valid_duration(step.latency_target)) {
+        return fmt::format("a duration of step {} is negative or longer than a year", number);
+    }
+    if (step.max_per_worker < 0 || step.max_unavailable < 0) {
+        return fmt::format("a limit of step {} is negative", number);
+    }
+    for (const auto earlier : step.after) {
+        if (earlier < 0 || static_cast<std::size_t>(earlier) >= number) {
+            return fmt::format("step {} waits for step {}, which is not an earlier one", number, earlier);
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
 std::optional<std::string> find_problem(const job_spec& job) {
     if (job.id.size() != 16 || job.id.find_first_not_of("0123456789abcdef") != std::string::npos) {
         return "the id is not 16 lower-case hexadecimal digits";
@@ -129,17 +191,18 @@
     if (job.steps.empty()) {
         return "the job has no steps";
     }
+    if (job.steps.size() > job_limits::max_steps) {
+        return fmt::format("the job has more than {} steps", job_limits::max_steps);
+    }
     for (std::size_t number = 0; number < job.steps.size(); ++number) {
-        if (job.steps[number].count < 1) {
-            return fmt::format("step {} has no tasks", number);
-        }
-        for (const auto earlier : job.steps[number].after) {
-            if (earlier < 0 || static_cast<std::size_t>(earlier) >= number) {
-                return fmt::format("step {} waits for step {}, which is not an earlier one", number, earlier);
-            }
+        if (auto problem = find_step_problem(job.steps[number], number)) {
+            return problem;
         }
     }
-    return std::nullopt;
+    if (job.tasks_per_occurrence() > job_limits::max_tasks) {
+        return fmt::format("the job has more than {} tasks", job_limits::max_tasks);
+    }
+    return find_schedule_problem(job);
 }
 
 boost::json::object to_json(const job_spec& job) {
--- a/src/protocol/job.hpp
+++ b/src/protocol/job.hpp
@@ -32,6 +32,15 @@
 /// @return whether @p need fits into @p available in every dimension
 [[nodiscard]] bool fits(const resources& need, const resources& available) noexcept;
 
+/// Limits of a job. The progress of all its open tasks must fit into one record of the log.
+struct job_limits {
+    static constexpr std::size_t max_steps = 200;
+    static constexpr std::int64_t max_tasks = 2000; ///< of all steps together
+    static constexpr std::int64_t max_occurrences = 1'000'000;
+    static constexpr std::chrono::milliseconds max_duration = std::chrono::hours(24 * 365);
+    static constexpr std::int64_t max_resource = 1'000'000'000; ///< of one task, in any unit
+};
+
 /// One step of a job: tasks of the same size that may run in parallel.
 struct step_spec {
     std::int32_t count = 1;                ///< number of tasks
@@ -71,6 +80,14 @@
     [[nodiscard]] std::int32_t occurrence_count() const noexcept {
         return this->occurrences > 0 ? this->occurrences : 1;
     }
+    /// @return number of tasks of one occurrence
+    [[nodiscard]] std::int64_t tasks_per_occurrence() const noexcept {
+        std::int64_t tasks = 0;
+        for (const auto& step : this->steps) {
+            tasks += step.count;
+        }
+        return tasks;
+    }
     /// @return the due time of an occurrence; the submission time for a job without occurrences
     [[nodiscard]] unix_time due(std::int32_t occurrence) const noexcept {
         return this->is_timed() ? this->first_due + occurrence * this->interval : this->submitted;
@@ -99,6 +116,9 @@
 /// @return the state with that name, or nothing for an unknown name
 std::optional<job_state> parse_job_state(std::string_view text) noexcept;
 
+/// @return partition of the jobs topic that holds the records of the job: the same on every node
+std::int32_t partition_of_job(std::string_view id, std::int32_t partitions) noexcept;
+
 /// @return the reason why the job is invalid, or nothing for a valid job
 std::optional<std::string> find_problem(const job_spec& job);
 
--- a/tests/job_state_test.cpp
+++ b/tests/job_state_test.cpp
@@ -57,6 +57,43 @@
     BOOST_TEST(fails([] { return parse_job("00000000000000ab", boost::json::parse("[1]")); }));
 }
 
+// A job that every scheduler accepts from the log must not exhaust its memory or fill more than a record with
+// its progress, and a job that no scheduler accepts must be rejected when it is submitted.
+BOOST_AUTO_TEST_CASE(jobs_beyond_the_limits_are_rejected) {
+    const auto rejected = [](auto change) {
+        auto job = sample_job();
+        change(job);
+        return find_problem(job).has_value() && fails([&] { return parse_job(job.id, to_json(job)); });
+    };
+    BOOST_TEST(rejected([](job_spec& job) { job.steps[0].count = 2'000'000'000; }));
+    BOOST_TEST(rejected([](job_spec& job) { job.steps.resize(100'000, job.steps[1]); }));
+    BOOST_TEST(rejected([](job_spec& job) { job.steps[0].need.cpu_millicores = -1; }));
+    BOOST_TEST(rejected([](job_spec& job) { job.steps[0].estimate = milliseconds(-1); }));
+    BOOST_TEST(rejected([](job_spec& job) { job.steps[0].estimate = milliseconds::max(); }));
+    BOOST_TEST(rejected([](job_spec& job) { job.steps[0].max_per_worker = -1; }));
+    BOOST_TEST(rejected([](job_spec& job) { job.occurrences = -1; }));
+    BOOST_TEST(rejected([](job_spec& job) { job.interval = milliseconds::max(); }));
+    BOOST_TEST(rejected([](job_spec& job) { job.first_due = unix_time::max(); }));
+}
+
+// The progress of the largest job must fit into one record of the log, with worker ids and checkpoints.
+BOOST_AUTO_TEST_CASE(progress_of_the_largest_job_fits_into_a_record) {
+    constexpr std::size_t max_record_bytes = 256 * 1024;
+    auto job = sample_job();
+    job.steps = {{.count = job_limits::max_tasks}};
+    job_progress progress(job);
+    for (std::int32_t index = 0; index < job_limits::max_tasks; ++index) {
+        const task_id id{.job = job.id, .index = index};
+        progress.occurrence(0);
+        auto* task = progress.find_task(id);
+        task->run = 10;
+        task->worker = std::string(24, 'w');
+        task->checkpoint = std::string(40, 'c');
+        progress.set_phase(id, *task, run_phase::running);
+    }
+    BOOST_TEST(progress.encode().size() <= max_record_bytes);
+}
+
 // Guards against a new scheduler losing the runs, failures, workers or checkpoints recorded by its
 // predecessor.
 BOOST_AUTO_TEST_CASE(progress_round_trips_through_the_log) {
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -78,6 +78,21 @@
     BOOST_TEST(fails([] { return platform::decode_job("id", R"({"Steps":[{"Count":1}]})"); }));
 }
 
+// Guards against a job that is accepted and then exhausts the memory of the scheduler, or that no scheduler
+// can read.
+BOOST_AUTO_TEST_CASE(jobs_beyond_the_limits_are_rejected_at_submission) {
+    for (const auto* steps :
+         {R"([{"Count":2000000000}])", R"([{"Count":4294967297}])", R"([{"Count":1,"Cpu":-5}])",
+          R"([{"Count":1,"EstimateMs":9000000000000000000}])", R"([{"Count":1,"After":[4294967296]}])"}) {
+        const auto body = std::string(R"({"Spec":"s","Steps":)") + steps + "}";
+        BOOST_TEST(fails([&] { return platform::decode_job("00000000000000ab", body); }), steps);
+    }
+    BOOST_TEST(fails([] {
+        return platform::decode_job("00000000000000ab",
+                                    R"({"Steps":[{"Count":1}],"RunCount":4294967297,"IntervalMs":1})");
+    }));
+}
+
 BOOST_AUTO_TEST_CASE(task_ids_round_trip) {
     const task_id task{.job = "5c0e7a21d94b36f8", .occurrence = 2, .step = 1, .index = 17};
     BOOST_TEST(platform::encode_task(task) == "5c0e7a21d94b36f8.2.1.17");
@@ -98,6 +113,10 @@
     BOOST_TEST((platform::decode_append(answered(503, "")).outcome == refused));
     BOOST_TEST((platform::decode_append(answered(507, "")).outcome == refused));
     BOOST_TEST((platform::decode_append(answered(429, "")).outcome == refused));
+    // Only a status that excludes an effect counts as refused.
+    for (const int status : {408, 500, 502, 504, 599}) {
+        BOOST_TEST((platform::decode_append(answered(status, "")).outcome == unknown));
+    }
     BOOST_TEST((platform::decode_append({.status = call_status::unknown}).outcome == unknown));
     BOOST_TEST((platform::decode_append({.status = call_status::unsent}).outcome == refused));
 }
@@ -132,6 +151,12 @@
     BOOST_TEST(page.more);
     BOOST_TEST(page.end == 9);
     BOOST_TEST(page.records.at(0).value == "hi");
+    // An empty value would read as the deletion of the key.
+    const auto malformed = platform::decode_newest(answered(
+        200,
+        R"({"items":[{"Key":"a","Value":"??"},{"Key":"b"},{"Value":"aGk="},7,{"Key":"c","Value":"aGk="}]})"));
+    BOOST_REQUIRE(malformed.records.size() == 1);
+    BOOST_TEST(malformed.records[0].key == "c");
     BOOST_TEST(!platform::decode_newest(answered(200, "{}")).done);
     BOOST_TEST(!platform::decode_newest(answered(503, "")).done);
 }
@@ -164,6 +189,13 @@
     BOOST_TEST(report.running[0].latest_load == 41);
     BOOST_REQUIRE(report.ended.size() == 1);
     BOOST_TEST((report.ended[0].outcome == task_end::done));
+    BOOST_TEST(!report.complete);
+    // The ends after an unreadable one wait, because an acknowledgement covers all earlier ends.
+    const auto gap = platform::decode_hold(
+        answered(200, R"({"Running":[],"Ended":[[1,"bad",1,"done",""],[2,"a.0.1.9",1,"done",""]]})"));
+    BOOST_TEST(gap.ended.empty());
+    BOOST_TEST(!gap.complete);
+    BOOST_TEST(platform::decode_hold(answered(200, R"({"Running":[],"Ended":[]})")).complete);
     BOOST_TEST((platform::decode_hold(answered(200, R"({"ClockMs":9})")).outcome == order_outcome::unknown));
 }
 
