--- a/src/node/task_manager.cpp
+++ b/src/node/task_manager.cpp
@@ -123,7 +123,8 @@
                             .units = task_units(state->config(), task.spec).value_or(1),
                             .team = task.spec.team,
                             .lease_end = now + this->options.lease_ttl,
-                            .next_call = now};
+                            .next_call = now,
+                            .adopted = true};
         if (const auto* info = state->find_vm(task.vm)) {
             adopted.address = info->vm.address;
         }
@@ -417,8 +418,7 @@
 void task_manager::handle_lost_task(const task_info& task, active_task& active, std::string detail) {
     ++this->lost;
     // A task that may have run is only run again if it is idempotent.
-    const bool may_have_run =
-        active.start_sent || active.current_step == step::adopting || active.current_step == step::resolving;
+    const bool may_have_run = active.start_sent || active.adopted || active.current_step == step::resolving;
     if (task.spec.idempotent || !may_have_run) {
         ++this->requeued;
         this->record_phase(task.spec.id, active, task_phase::queued, std::move(detail));
--- a/src/node/task_manager.hpp
+++ b/src/node/task_manager.hpp
@@ -189,6 +189,7 @@
         boot_time report_deadline{}; ///< when to stop waiting for a usage report
         std::string change_id;       ///< of the record that waits for the fold
         bool start_sent = false;
+        bool adopted = false; ///< placed by an earlier owner, which may have started it
         /// Its VM is drained and a checkpoint was requested. Without a checkpoint an idempotent task is
         /// stopped and queued again; any other task runs to its end.
         bool evicting = false;
--- a/src/state/job_progress.cpp
+++ b/src/state/job_progress.cpp
@@ -90,6 +90,11 @@
     return false;
 }
 
+std::int32_t job_progress::max_open_occurrences() const noexcept {
+    const auto tasks = std::max<std::int64_t>(1, this->spec.tasks_per_occurrence());
+    return static_cast<std::int32_t>(std::max<std::int64_t>(1, job_limits::max_tasks / tasks));
+}
+
 bool job_progress::is_done() const noexcept {
     const auto left = this->spec.occurrence_count() - this->finished_occurrences;
     return left <= static_cast<std::int32_t>(this->occurrences.size()) &&
@@ -106,7 +111,7 @@
     std::int32_t active = 0;
     for (const auto& occurrence : this->occurrences) {
         for (const auto& step : occurrence.steps) {
-            active += static_cast<std::int32_t>(step.tasks.size()) - step.done - step.waiting;
+            active += step.active();
         }
     }
     return active;
--- a/src/state/job_progress.hpp
+++ b/src/state/job_progress.hpp
@@ -37,6 +37,10 @@
     std::int32_t done = 0;
     std::int32_t waiting = 0;
 
+    /// @return number of tasks that are placed or running
+    [[nodiscard]] std::int32_t active() const noexcept {
+        return static_cast<std::int32_t>(this->tasks.size()) - this->done - this->waiting;
+    }
     [[nodiscard]] bool is_done() const noexcept {
         return this->done == static_cast<std::int32_t>(this->tasks.size());
     }
@@ -70,6 +74,9 @@
     /// @return whether a task waits in a released step of the occurrence
     [[nodiscard]] bool has_released_tasks(const occurrence_progress& progress) const;
 
+    /// @return how many occurrences may be open at once, so that the progress fits into one record
+    [[nodiscard]] std::int32_t max_open_occurrences() const noexcept;
+
     /// @return whether every occurrence is done
     [[nodiscard]] bool is_done() const noexcept;
 
--- a/src/state/snapshot.cpp
+++ b/src/state/snapshot.cpp
@@ -13,7 +13,10 @@
 
 namespace {
 
-constexpr std::string_view format_header = "hornbeamrail-snapshot-1\n";
+constexpr std::string_view format_header = "hornbeamrail-snapshot-2\n";
+/// The previous format. It lacks the keys with which tasks were submitted.
+constexpr std::string_view format_header_1 = "hornbeamrail-snapshot-1\n";
+static_assert(format_header.size() == format_header_1.size());
 constexpr std::size_t digest_size = 64; // SHA-256 in hexadecimal digits
 
 /// Matches `Plain` and `const Plain`.
@@ -178,6 +181,10 @@
 }
 
 std::string snapshot_codec::encode(const fleet_state& state) {
+    std::map<std::string, std::string> task_keys;
+    for (const auto& [id, task] : *state.task_table) {
+        task_keys.emplace(id, task.spec.key_id);
+    }
     byte_writer writer;
     std::apply([&](const auto&... value) { (write(writer, value), ...); }, tables(state));
     write(writer, *state.current_config);
@@ -193,6 +200,7 @@
     for (const auto& segment : state.changes.all()) {
         write(writer, *segment);
     }
+    write(writer, task_keys);
     const auto& payload = writer.bytes();
     std::string bytes(format_header);
     bytes.reserve(format_header.size() + digest_size + payload.size());
@@ -202,7 +210,9 @@
 }
 
 result<fleet_state> snapshot_codec::decode(std::string_view bytes) {
-    if (!bytes.starts_with(format_header) || bytes.size() < format_header.size() + digest_size) {
+    const bool has_task_keys = bytes.starts_with(format_header);
+    if ((!has_task_keys && !bytes.starts_with(format_header_1)) ||
+        bytes.size() < format_header.size() + digest_size) {
         return damaged_snapshot("snapshot has an unknown format");
     }
     const auto digest = bytes.substr(format_header.size(), digest_size);
@@ -232,6 +242,15 @@
             state.changes.insert(change_id, std::move(outcome));
         }
     }
+    if (has_task_keys) {
+        std::map<std::string, std::string> task_keys;
+        read(reader, task_keys);
+        for (auto& [id, key] : task_keys) {
+            if (const auto task = state.task_table.write().find(id); task != state.task_table.write().end()) {
+                task->second.spec.key_id = std::move(key);
+            }
+        }
+    }
     if (reader.failed() || !reader.at_end()) {
         return damaged_snapshot("snapshot is truncated or has trailing bytes");
     }
--- a/tests/snapshot_test.cpp
+++ b/tests/snapshot_test.cpp
@@ -47,7 +47,8 @@
     case 9:
         return planner_claim_record{.incarnation = node()};
     case 10:
-        return task_submit_record{.incarnation = node(), .task = {.id = text(), .team = "t", .service = "s"}};
+        return task_submit_record{.incarnation = node(),
+                                  .task = {.id = text(), .team = "t", .service = "s", .key_id = text()}};
     default:
         return vm_add_record{.epoch = *rc::gen::inRange<log_offset>(0, 3),
                              .vms = {{.id = text(), .address = {"10.0.0.2", 81}, .zone = "z", .pool = "p"}}};
@@ -162,3 +163,22 @@
         RC_ASSERT(assembler.damaged_snapshots() == 0);
     }));
 }
+
+// A task of a revoked key must not start after its node restarted from a snapshot, so the snapshot holds the
+// keys of the tasks.
+BOOST_AUTO_TEST_CASE(snapshot_holds_the_key_of_a_task) {
+    fleet_state state;
+    state.apply(1, {.change_id = "n",
+                    .body = node_register_record{
+                        .node_id = "n", .peer_address = {"10.0.0.1", 80}, .zone = "z", .region = "r"}});
+    state.apply(
+        2, {.change_id = "t",
+            .body = task_submit_record{
+                .incarnation = 1, .task = {.id = "task", .team = "t", .service = "s", .key_id = "key"}}});
+    BOOST_REQUIRE(state.tasks().contains("task"));
+    error failure;
+    const auto copy =
+        value_or_error([&] { return snapshot_codec::decode(snapshot_codec::encode(state)); }, failure);
+    BOOST_REQUIRE(copy.has_value());
+    BOOST_TEST(copy->tasks().at("task").spec.key_id == "key");
+}
--- a/tests/task_manager_test.cpp
+++ b/tests/task_manager_test.cpp
@@ -271,6 +271,27 @@
     BOOST_TEST(this->starts["again"] == 2);
 }
 
+// Guards against a second run of a non-idempotent task that was taken over: its earlier owner started it.
+BOOST_AUTO_TEST_CASE(adopted_non_idempotent_task_becomes_unknown_with_its_worker) {
+    auto once = spec("once");
+    once.idempotent = false;
+    this->manager->submit(this->now, once);
+    this->run(3s);
+    BOOST_REQUIRE(this->starts["once"] == 1);
+    this->manager->begin_stop();
+    this->add(node_leave_record{.incarnation = this->core.own_incarnation});
+    this->core.own_incarnation = this->other_incarnation;
+    this->manager.emplace(read_from(this->core), make_unit_account_reference(this->account),
+                          task_manager_options{.seed = 2});
+    this->run(2s);
+    for (auto& [id, worker] : this->workers) {
+        worker.restart();
+    }
+    this->run(20s);
+    BOOST_TEST((this->phase("once") == task_phase::unknown));
+    BOOST_TEST(this->starts["once"] == 1);
+}
+
 // Guards against a second run when the answer to a start is lost.
 BOOST_AUTO_TEST_CASE(lost_start_answer_is_repeated_without_a_second_run) {
     this->answers_lost = true;
