An exception ends only its handler; a call may carry the time after which it is not sent

Cause: an exception in a timer or a callback ended the process, and one in a callback of the client pool leaked its connection. An order that waited for a connection while the process was suspended was sent although its permission had ended. Change: io_threads and call_pool log and go on; http_call::send_before on the clock that counts suspensions. Result: three new cases in http_client_pool_test.

--- a/src/protocol/platform_port.hpp
+++ b/src/protocol/platform_port.hpp
@@ -2,6 +2,7 @@
 
 #include "hornbeamrail/node_settings.hpp"
 #include "protocol/job.hpp"
+#include "protocol/platform.hpp"
 #include "protocol/site_document.hpp"
 
 #include <chrono>
@@ -222,6 +223,7 @@
     std::int64_t instance_started_ms = 0; ///< start of the worker instance; 0: not reported
     std::vector<running_task> running;
     std::vector<ended_task> ended; ///< ended runs that were not acknowledged yet
+    bool complete = true;          ///< false: a row could not be read, so a run that is not listed may exist
     std::string reason;            ///< empty when done
 };
 
@@ -246,6 +248,9 @@
     std::int64_t wave = 0; ///< wave of a maintenance order
     std::string holder;    ///< node that sends the order
     std::int64_t fence = 0;
+    /// The order is not sent at or after this time, even if the process was paused in between: a successor
+    /// may order VMs from then on.
+    boot_time send_before = boot_time::max();
 };
 
 /// One page of the platform's VM list.
--- a/src/transport/call_pool.hpp
+++ b/src/transport/call_pool.hpp
@@ -3,6 +3,7 @@
 // Internal to src/transport: includes Asio.
 
 #include "hornbeamrail/node_settings.hpp"
+#include "protocol/json_log.hpp"
 #include "transport/io_threads.hpp"
 #include "transport/io_types.hpp"
 #include "transport/socket_stream.hpp"
@@ -117,7 +118,7 @@
             boost::asio::dispatch(this->context, std::move(*resume));
         } else if (!refusal.empty()) {
             call->fail_unsent(std::move(refusal));
-            call->complete();
+            complete(*call);
         } else if (call) {
             boost::asio::co_spawn(this->context.get_executor(),
                                   run(this->weak_from_this(), *group, std::move(call)),
@@ -178,6 +179,16 @@
         }
     };
 
+    /// Passes the result to the caller. An exception of the caller's code must not end the connection's
+    /// coroutine, which has to give the connection back.
+    static void complete(Call& call) {
+        try {
+            call.complete();
+        } catch (const std::exception& failure) {
+            write_log(severity::error, "handler_failed", {{"reason", failure.what()}});
+        }
+    }
+
     /// Coroutine of one connection: runs calls until the connection fails or is closed. It holds a reference
     /// to the pool only while a call is in progress, so that idle connections do not keep the pool alive.
     static io_task<void> run(std::weak_ptr<call_pool> owner, endpoint_group& group,
@@ -202,7 +213,7 @@
             const auto finished = std::move(call);
             call = pool->release(group, conn, usable);
             const bool idle = !call && conn;
-            finished->complete();
+            complete(*finished);
             if (!idle) {
                 continue;
             }
@@ -381,7 +392,7 @@
         unwind_coroutines(removed);
         for (const auto& call : expired) {
             call->fail_unsent("the deadline passed while the call was waiting for a connection");
-            call->complete();
+            complete(*call);
         }
     }
 
--- a/src/transport/http_client_pool.cpp
+++ b/src/transport/http_client_pool.cpp
@@ -26,6 +26,7 @@
     std::chrono::steady_clock::time_point deadline;
     http_request request;
     std::string correlation_id;
+    boot_time send_before{};
     http_client_pool::callback done;
     std::uint32_t max_head_bytes;
     std::uint64_t max_body_bytes;
@@ -59,6 +60,10 @@
             this->fail_unsent("a header or the target of the request contains an invalid character");
             co_return true;
         }
+        if (this->send_before != boot_time::max() && boot_clock::now() >= this->send_before) {
+            this->fail_unsent("the time in which the request may be sent has passed");
+            co_return true;
+        }
         error_code failure;
         std::size_t written = 0;
         if (this->request.body.size() <= 4096) {
@@ -154,6 +159,7 @@
     if (!pending->correlation_id.empty()) {
         pending->request.headers.set("Correlation-Id", pending->correlation_id);
     }
+    pending->send_before = request.send_before;
     pending->done = std::move(done);
     pending->max_head_bytes = this->self->options.max_head_bytes;
     pending->max_body_bytes = this->self->options.max_body_bytes;
--- a/src/transport/http_client_pool.hpp
+++ b/src/transport/http_client_pool.hpp
@@ -2,6 +2,7 @@
 
 #include "hornbeamrail/error.hpp"
 #include "hornbeamrail/node_settings.hpp"
+#include "protocol/platform.hpp"
 #include "transport/http_message.hpp"
 #include "transport/io_threads.hpp"
 #include "transport/tls_settings.hpp"
@@ -35,6 +36,8 @@
     /// If not empty: sent as `Correlation-Id`. A response with another id is discarded and its connection
     /// closed.
     std::string correlation_id;
+    /// The call fails unsent if no byte was written before this time.
+    boot_time send_before = boot_time::max();
 };
 
 struct http_client_options {
--- a/src/transport/io_threads.cpp
+++ b/src/transport/io_threads.cpp
@@ -1,5 +1,6 @@
 #include "transport/io_threads.hpp"
 
+#include "protocol/json_log.hpp"
 #include "transport/io_types.hpp"
 
 #include <boost/asio/executor_work_guard.hpp>
@@ -8,6 +9,7 @@
 #include <pthread.h>
 #include <time.h>
 
+#include <exception>
 #include <mutex>
 #include <thread>
 #include <vector>
@@ -16,21 +18,52 @@
 
 namespace asio = boost::asio;
 
+namespace {
+
+/// Calls @p function and logs an exception that it throws.
+/// @return whether it returned normally
+template <class Function>
+bool run_guarded(Function function) {
+    try {
+        function();
+        return true;
+    } catch (const std::exception& failure) {
+        write_log(severity::error, "handler_failed", {{"reason", failure.what()}});
+        return false;
+    }
+}
+
+} // namespace
+
 struct io_threads::impl {
     impl(int count, const char* name) : context(count), work(context.get_executor()) {
         for (int index = 0; index < count; ++index) {
-            this->threads.emplace_back([this] { this->context.run(); });
+            this->threads.emplace_back([this] { this->run(); });
             pthread_setname_np(this->threads.back().native_handle(), name);
         }
     }
 
+    /// Runs handlers until the context is stopped. An exception ends only the handler that threw it.
+    void run() {
+        while (!this->context.stopped()) {
+            if (run_guarded([this] { this->context.run(); })) {
+                return;
+            }
+        }
+    }
+
     /// Schedules @p function after @p interval, and again after each run that returns true.
     void arm(const std::shared_ptr<io_timer>& timer, std::chrono::microseconds interval,
              std::function<bool()> function) {
         timer->expires_after(interval);
         timer->async_wait([this, timer, interval,
                            function = std::move(function)](const boost::system::error_code& failure) mutable {
-            if (!failure && function()) {
+            bool again = !failure;
+            if (again) {
+                // A periodic function keeps its period if one of its runs throws.
+                run_guarded([&] { again = function(); });
+            }
+            if (again) {
                 this->arm(timer, interval, std::move(function));
             }
         });
--- a/tests/http_client_pool_test.cpp
+++ b/tests/http_client_pool_test.cpp
@@ -110,6 +110,58 @@
     BOOST_TEST((this->call(closed).status == call_status::unsent));
 }
 
+// A call that waited while its process was suspended must not be sent once its permission has ended.
+BOOST_AUTO_TEST_CASE(call_is_not_sent_after_its_time) {
+    std::atomic<int> requests{0};
+    raw_server server([&](raw_socket& peer, int) {
+        while (!peer.receive_until("body").empty()) {
+            ++requests;
+            peer.send(answer("late", ""));
+        }
+    });
+    const auto result = std::make_shared<async_result<http_call_result>>();
+    this->pool.call({.target = server.address(),
+                     .request = {.method = "POST", .target = "/move", .headers = {}, .body = "body"},
+                     .timeout = test_timeout,
+                     .send_before = boot_clock::now()},
+                    [result](http_call_result outcome) { result->set(std::move(outcome)); });
+    BOOST_TEST((result->get().status == call_status::unsent));
+    BOOST_TEST((this->call(server.address()).status == call_status::answered));
+    BOOST_TEST(requests.load() == 1);
+}
+
+// Guards against an error in the handler of one answer that ends the process or leaks its connection.
+BOOST_AUTO_TEST_CASE(exception_in_a_callback_ends_only_that_callback) {
+    raw_server server([&](raw_socket& peer, int) {
+        while (!peer.receive_until("body").empty()) {
+            peer.send(answer("fine", ""));
+        }
+    });
+    for (int count = 0; count < 8; ++count) {
+        this->pool.call({.target = server.address(),
+                         .request = {.method = "POST", .target = "/run", .headers = {}, .body = "body"},
+                         .timeout = test_timeout},
+                        [](http_call_result) { throw std::runtime_error("unexpected"); });
+    }
+    BOOST_TEST((this->call(server.address()).status == call_status::answered));
+    BOOST_TEST(this->pool.open_connections(server.address()) <= 2);
+}
+
+// Guards against an error in a periodic function that ends the process or the timer.
+BOOST_AUTO_TEST_CASE(periodic_function_goes_on_after_an_exception) {
+    const auto done = std::make_shared<async_result<int>>();
+    const auto runs = std::make_shared<int>(0);
+    this->threads.post([] { throw std::runtime_error("unexpected"); });
+    this->threads.repeat(std::chrono::milliseconds(1), [done, runs] {
+        if (++*runs == 1) {
+            throw std::runtime_error("unexpected");
+        }
+        done->set(*runs);
+        return false;
+    });
+    BOOST_TEST(done->get() == 2);
+}
+
 // Guards against sending on a connection that the server closed while it was idle.
 BOOST_AUTO_TEST_CASE(closed_idle_connection_is_replaced) {
     raw_server server([&](raw_socket& peer, int) {
