--- a/src/coordination/scheduler.cpp
+++ b/src/coordination/scheduler.cpp
@@ -21,13 +21,22 @@
         next->waves[number].request = std::move(wave.request);
         next->waves[number].started_at = wave.started_at;
     }
+    next->stopping = this->self->stopping;
     next->term = term;
     next->term_begin = now;
-    next->last_log_contact = now;
+    next->term_confirmed = now;
     next->lease_renewed = now;
     this->self = std::move(next);
 }
 
+void scheduler::begin_stop() {
+    this->self->stopping = true;
+}
+
+bool scheduler::has_vm_orders_in_flight() const noexcept {
+    return !this->self->vm_orders.empty();
+}
+
 void scheduler::end_term() {
     this->self->term = 0;
     this->self->loaded = false;
@@ -139,8 +148,7 @@
     }
     state.loaded = true;
     state.dispatch_due = true;
-    state.releases_allowed_from =
-        now + (state.jobs.empty() ? state.timings.first_warmup : state.timings.move_warmup);
+    state.releases_allowed_from = now + state.timings.move_warmup;
     write_log(severity::info, "schedule_loaded",
               {{"term", state.term},
                {"jobs", state.jobs.size()},
@@ -187,8 +195,8 @@
     this->self->dispatch_due = true;
 }
 
-void scheduler::set_log_contact(boot_time last_contact) {
-    this->self->last_log_contact = std::max(this->self->last_log_contact, last_contact);
+void scheduler::set_term_confirmed(boot_time confirmed) {
+    this->self->term_confirmed = std::max(this->self->term_confirmed, confirmed);
 }
 
 void scheduler::set_lease_renewed(boot_time renewed) {
@@ -200,6 +208,10 @@
     if (!state.batch_in_flight || state.batch_in_flight->sequence != sequence) {
         return;
     }
+    if (!state.batch_in_flight->records.empty()) {
+        state.append_next_part();
+        return;
+    }
     auto batch = std::move(*state.batch_in_flight);
     state.batch_in_flight.reset();
     state.run_effects(batch, now);
@@ -219,7 +231,7 @@
     }
     state.check_unresponsive_workers(now);
     state.request_vm_list(now);
-    if (now < state.lease_renewed + state.timings.vm_order_window) {
+    if (now < state.vm_orders_allowed_until()) {
         state.plan_waves(now);
         state.plan_moves(now);
     }
--- a/src/coordination/scheduler.hpp
+++ b/src/coordination/scheduler.hpp
@@ -114,6 +114,13 @@
     /// @param term term of the lease; higher than that of every predecessor
     void begin_term(std::int64_t term, boot_time now);
 
+    /// Stops ordering VMs, before the lease is released: the fence of a VM does not reject the orders of this
+    /// term before the first order of the next one.
+    void begin_stop();
+
+    /// @return whether the answer to an order to a VM is outstanding
+    [[nodiscard]] bool has_vm_orders_in_flight() const noexcept;
+
     /// Ends the term: `tick` returns no more actions.
     void end_term();
 
@@ -160,8 +167,8 @@
     void retain_listed_workers(const std::set<std::string>& ids, boot_time now);
 
     /// Sets the time from which `hold_without_log` counts.
-    /// @param last_contact when the log last answered this node
-    void set_log_contact(boot_time last_contact);
+    /// @param confirmed when the latest request was sent whose answer showed that no successor had begun
+    void set_term_confirmed(boot_time confirmed);
 
     /// Sets the time from which `vm_order_window` counts.
     /// @param renewed when the last successful renewal of the scheduler's lease was sent
--- a/src/coordination/scheduler_dispatch.cpp
+++ b/src/coordination/scheduler_dispatch.cpp
@@ -65,9 +65,9 @@
             continue;
         }
         const auto opened = job->finished_occurrences + static_cast<std::int32_t>(job->occurrences.size());
-        for (auto next = opened;
-             next < job->spec.occurrence_count() && job->spec.due(next) <= clock + occurrence_lead_time;
-             ++next) {
+        const auto open_limit = job->finished_occurrences + job->max_open_occurrences();
+        const auto end = std::min(job->spec.occurrence_count(), open_limit);
+        for (auto next = opened; next < end && job->spec.due(next) <= clock + occurrence_lead_time; ++next) {
             job->occurrence(next);
             this->dispatch_due = true;
         }
@@ -328,9 +328,10 @@
                                        boot_time now) {
     auto* job = this->find_job(id.job);
     auto* task = job == nullptr ? nullptr : job->find_task(id);
+    // The record may have been confirmed long after it was appended, if the process was paused meanwhile.
     const bool valid = task != nullptr && task->run == placed.run && task->phase == run_phase::placed &&
                        !is_final(job->state) && !worker.entry.draining &&
-                       !this->zones_out.contains(worker.entry.zone);
+                       !this->zones_out.contains(worker.entry.zone) && this->may_extend_leases(now);
     const auto until = this->lease_end(worker, this->timings.start_lease, now);
     if (!valid || !until) {
         this->remove_placement(worker, id, job == nullptr ? "" : job->spec.account);
--- a/src/coordination/scheduler_impl.hpp
+++ b/src/coordination/scheduler_impl.hpp
@@ -5,6 +5,7 @@
 #include "coordination/scheduler.hpp"
 #include "policy/account_share.hpp"
 #include "policy/job_order.hpp"
+#include "policy/load_forecast.hpp"
 #include "policy/pool_moves.hpp"
 #include "policy/vm_plan.hpp"
 #include "policy/worker_choice.hpp"
@@ -32,8 +33,9 @@
     /// progress.
     std::chrono::milliseconds vm_list_interval{400};
     std::chrono::milliseconds vm_list_idle_interval{3000}; ///< between two reads of the VM list otherwise
-    /// A scheduler that has lost the log renews worker leases for at most this time. A successor waits until
-    /// this time and the longest lease have passed before it treats a worker that it cannot reach as lost.
+    /// A scheduler that no answer of the log confirms starts tasks and renews worker leases for at most this
+    /// time. A successor waits until this time and the longest lease have passed before it treats a worker
+    /// that it cannot reach as lost.
     std::chrono::milliseconds hold_without_log{6000};
     /// VM orders stop when the last renewal of the scheduler's lease is older than this. The fence of a VM
     /// rejects a predecessor only after the first order of its successor, so orders must stop well before
@@ -51,7 +53,6 @@
     std::chrono::milliseconds wave_interval{60};         ///< between two plans of maintenance waves
     std::chrono::milliseconds need_window{800};          ///< a pool keeps its highest need over this window
     std::chrono::milliseconds move_warmup{3000};    ///< pools release no VM for this time after a term begins
-    std::chrono::milliseconds first_warmup{9000};   ///< replaces `move_warmup` if the log holds no job
     std::chrono::milliseconds move_lead_time{2200}; ///< from the order of a move to the first task on the VM
 };
 
@@ -121,7 +122,7 @@
 /// Effects to run once the records that they depend on are in the log.
 struct commit_batch {
     std::int64_t sequence = 0;
-    std::vector<keyed_record> records;
+    std::vector<keyed_record> records; ///< not appended yet; too many for one append if there are many jobs
     std::vector<std::pair<std::string, task_id>> starts;   ///< worker, task
     std::map<std::string, std::int64_t> ends;              ///< number of the last recorded end, by worker
     std::vector<std::pair<std::string, job_state>> states; ///< to publish
@@ -200,6 +201,8 @@
     void set_state(job_progress& job, job_state state);
     /// Appends the pending records to the progress topic; one batch is in flight at a time.
     void commit(boot_time now);
+    /// Appends the records of the batch in flight that fit into one append.
+    void append_next_part();
     /// Appends the pending job states to the states topic.
     void publish(boot_time now);
     /// Drops the records of final jobs, and their states after `site_limits::final_state_retention`.
@@ -220,6 +223,8 @@
     void extend_lease_bound(worker_control& worker, std::chrono::milliseconds length, boot_time now);
     void update_clock(worker_control& worker, const std::optional<std::chrono::milliseconds>& clock,
                       boot_time now);
+    /// @return whether new leases end before a successor may rely on their expiry
+    [[nodiscard]] bool may_extend_leases(boot_time now) const;
     /// Sends the holds that are due.
     void hold_workers(boot_time now);
     void accept_report(worker_control& worker, const hold_order& order, const hold_report& report,
@@ -284,12 +289,18 @@
     /// Counts the jobs that the log held when the term began as arrivals at the time of their submission.
     void count_known_arrivals(boot_time now);
     void plan_moves(boot_time now);
+    /// @return the step with its expected duration and no tasks; without CPU if the forecast leaves it out
+    [[nodiscard]] forecast_step make_forecast_step(const job_progress& job, const step_spec& step) const;
+    /// @return CPU that the job will use after `move_lead_time`, in thousandths of a core
+    [[nodiscard]] double forecast_job(const job_progress& job, boot_time now) const;
     [[nodiscard]] std::map<std::string, pool_load> compute_pool_loads(boot_time now);
     void update_need(pool_need& entry, const pool_load& load, boot_time now);
     [[nodiscard]] pool_need compute_need(const worker_pool_config& pool, const pool_load& load,
                                          std::vector<movable_vm>& movable, boot_time now);
 
     // scheduler_vms.cpp: maintenance waves
+    /// @return when this node must stop ordering VMs, unless its lease is renewed before
+    [[nodiscard]] boot_time vm_orders_allowed_until() const;
     void plan_waves(boot_time now);
     void plan_wave(wave_progress& wave, boot_time now);
     void record_wave(const wave_progress& wave);
@@ -310,6 +321,8 @@
     void spread_tasks_of(worker_control& worker, boot_time now);
     /// @return whether the worker's VM has a pending order or is next in a wave
     [[nodiscard]] bool is_reserved(const std::string& worker) const;
+    /// @return whether the VM gets no new tasks because its maintenance is next
+    [[nodiscard]] bool is_next_in_wave(const std::string& vm) const;
     /// @return whether an order to the VM is in flight, or its move or maintenance has not ended
     [[nodiscard]] bool has_pending_vm_order(const std::string& vm) const;
     /// @return whether the worker answers and does not drain, and its VM is up without a pending order
@@ -325,8 +338,10 @@
     scheduler_timings timings;
     std::int64_t term = 0; ///< 0 while another node is the scheduler
     bool loaded = false;   ///< the records of the log have been applied
+    bool stopping = false; ///< the lease is about to be released
     boot_time term_begin{};
-    boot_time last_log_contact{};
+    /// When the latest request was sent whose answer showed that no successor had begun.
+    boot_time term_confirmed{};
     boot_time lease_renewed{}; ///< when the last successful renewal was sent
     std::vector<scheduler_action> actions;
 
--- a/src/coordination/scheduler_jobs.cpp
+++ b/src/coordination/scheduler_jobs.cpp
@@ -16,6 +16,10 @@
 
 /// Maximum number of jobs whose records are dropped in one cleanup.
 constexpr std::size_t cleanup_batch = 200;
+/// Limit of one append, well below the 2 MB that the log accepts.
+constexpr std::size_t max_append_bytes = 1024 * 1024;
+/// Bytes of a record in an append besides key and value.
+constexpr std::size_t record_overhead = 8;
 /// Delay before a failed long-running task is placed again.
 constexpr milliseconds long_running_backoff{50};
 
@@ -46,7 +50,13 @@
 }
 
 void scheduler::impl::add_job(std::int32_t partition, const keyed_record& record, boot_time now) {
-    if (record.value.empty() || this->jobs.contains(record.key) || this->finals.contains(record.key)) {
+    if (record.value.empty() || this->jobs.contains(record.key)) {
+        return;
+    }
+    if (this->finals.contains(record.key)) {
+        // A repeated request stored the job again after its records were dropped. Without another drop a
+        // successor would run it once its final state is forgotten.
+        this->finished.push_back({.id = record.key, .partition = partition, .finished = now});
         return;
     }
     boost::system::error_code parse_failure;
@@ -296,9 +306,26 @@
         this->run_effects(batch, now);
         return;
     }
-    batch.sequence = ++this->commit_sequence;
-    this->add_action(commit_progress{.sequence = batch.sequence, .records = batch.records});
     this->batch_in_flight = std::move(batch);
+    this->append_next_part();
+}
+
+void scheduler::impl::append_next_part() {
+    auto& batch = *this->batch_in_flight;
+    std::size_t bytes = 0;
+    std::vector<keyed_record> part;
+    // From the end, because removal there moves no other record. Each key occurs once in a batch.
+    while (!batch.records.empty()) {
+        auto& record = batch.records.back();
+        bytes += record.key.size() + record.value.size() + record_overhead;
+        if (!part.empty() && bytes > max_append_bytes) {
+            break;
+        }
+        part.push_back(std::move(record));
+        batch.records.pop_back();
+    }
+    batch.sequence = ++this->commit_sequence;
+    this->add_action(commit_progress{.sequence = batch.sequence, .records = std::move(part)});
 }
 
 void scheduler::impl::run_effects(commit_batch& batch, boot_time now) {
--- a/src/coordination/scheduler_lease.cpp
+++ b/src/coordination/scheduler_lease.cpp
@@ -51,7 +51,9 @@
     this->last_record = now;
     this->known_end = record.offset + 1;
     const bool is_own = this->holder_incarnation == this->options.incarnation;
-    if (this->held && (!is_own || this->holder_term != this->own_term)) {
+    if (this->held && is_own && this->holder_node.empty()) {
+        this->held = false; // the release succeeded, but its answer was lost
+    } else if (this->held && (!is_own || this->holder_term != this->own_term)) {
         write_log(
             severity::warning, "lease_lost",
             {{"term", this->own_term}, {"holder", this->holder_node}, {"holder_term", this->holder_term}});
@@ -151,6 +153,9 @@
 }
 
 void scheduler_lease::begin_stop() {
+    if (this->stopping) {
+        return;
+    }
     this->stopping = true;
     this->next_append = {};
 }
--- a/src/coordination/scheduler_vms.cpp
+++ b/src/coordination/scheduler_vms.cpp
@@ -20,14 +20,21 @@
 
 } // namespace
 
+boot_time scheduler::impl::vm_orders_allowed_until() const {
+    return this->stopping ? boot_time{} : this->lease_renewed + this->timings.vm_order_window;
+}
+
 bool scheduler::impl::is_reserved(const std::string& worker) const {
     const auto vm = this->vm_of_worker.find(worker);
     if (vm == this->vm_of_worker.end()) {
         return false;
     }
-    return this->has_pending_vm_order(vm->second) ||
-           std::any_of(this->waves.begin(), this->waves.end(),
-                       [&vm](const auto& item) { return item.second.draining.contains(vm->second); });
+    return this->has_pending_vm_order(vm->second) || this->is_next_in_wave(vm->second);
+}
+
+bool scheduler::impl::is_next_in_wave(const std::string& vm) const {
+    return std::any_of(this->waves.begin(), this->waves.end(),
+                       [&vm](const auto& item) { return item.second.draining.contains(vm); });
 }
 
 bool scheduler::impl::has_pending_vm_order(const std::string& vm) const {
@@ -209,7 +216,8 @@
         this->add_action(order_maintenance{.order = {.vm = vm,
                                                      .wave = wave.request.number,
                                                      .holder = this->options.node_id,
-                                                     .fence = this->term}});
+                                                     .fence = this->term,
+                                                     .send_before = this->vm_orders_allowed_until()}});
     }
 }
 
@@ -286,7 +294,7 @@
             updated[number].request = std::move(request);
         } else {
             updated[number].request = std::move(request);
-            updated[number].started_at = state.last_log_contact;
+            updated[number].started_at = state.term_confirmed;
         }
     }
     state.waves = std::move(updated);
--- a/src/coordination/scheduler_workers.cpp
+++ b/src/coordination/scheduler_workers.cpp
@@ -16,6 +16,8 @@
 /// Maximum number of ended tasks in one report. A report with fewer lists all of them; the rest of a longer
 /// list follows in the next report.
 constexpr std::size_t max_ends_per_report = 500;
+/// Least number of renewals during one lease.
+constexpr int renewals_per_lease = 4;
 /// Reported progress of a long-running task that has completed its startup.
 constexpr std::int32_t startup_complete_percent = 100;
 
@@ -48,13 +50,22 @@
     }
 }
 
+bool scheduler::impl::may_extend_leases(boot_time now) const {
+    return now <= this->term_confirmed + this->timings.hold_without_log;
+}
+
 void scheduler::impl::hold_workers(boot_time now) {
-    if (now > this->last_log_contact + this->timings.hold_without_log) {
-        return; // a successor may rely on the expiry of the leases
+    if (!this->may_extend_leases(now)) {
+        return;
     }
+    const auto renewal_interval = this->options.limits.max_lease_duration / renewals_per_lease;
     for (auto& [id, worker] : this->workers) {
+        // Ends that are not recorded yet cannot be acknowledged, so the worker would answer at once with the
+        // same list. While the log is down this lasts long, and the leases must be renewed nevertheless.
         const bool has_unrecorded_ends = worker.applied_end > worker.recorded_end;
-        if (worker.hold_in_flight || now < worker.next_hold || has_unrecorded_ends) {
+        const auto due = has_unrecorded_ends ? std::max(worker.next_hold, worker.hold_sent + renewal_interval)
+                                             : worker.next_hold;
+        if (worker.hold_in_flight || now < due) {
             continue;
         }
         hold_order order{.fence = this->fence_of(worker), .acknowledged_end = worker.recorded_end};
@@ -62,7 +73,7 @@
             order.lease_until = this->lease_end(worker, this->options.limits.max_lease_duration, now);
             this->extend_lease_bound(worker, this->options.limits.max_lease_duration, now);
         }
-        if (worker.confirmed && !worker.is_unresponsive()) {
+        if (worker.confirmed && !worker.is_unresponsive() && !has_unrecorded_ends) {
             order.wait = this->timings.hold_wait;
         }
         worker.hold_in_flight = true;
@@ -142,6 +153,9 @@
 void scheduler::impl::accept_report(worker_control& worker, const hold_order& order,
                                     const hold_report& report, boot_time now) {
     worker.unanswered_holds = 0;
+    if (!report.complete) {
+        write_log(severity::warning, "worker_report_unreadable", {{"worker", worker.entry.id}});
+    }
     this->update_clock(worker, report.worker_clock, now);
     if (order.fence == this->fence_of(worker)) {
         if (!worker.confirmed) {
@@ -203,7 +217,7 @@
     // A run that is neither listed as running nor as ended does not exist: the fence of this hold rejects
     // unacknowledged orders that arrive later, and the worker lists a confirmed run until it lists its end.
     std::vector<task_id> missing;
-    const bool complete = report.ended.size() < max_ends_per_report;
+    const bool complete = report.complete && report.ended.size() < max_ends_per_report;
     for (const auto& [id, placed] : worker.tasks) {
         const bool settled =
             (placed.stage == start_stage::unacknowledged && placed.fence < order.fence) ||
@@ -310,9 +324,16 @@
 void scheduler::on_worker(const worker_entry& entry, boot_time now) {
     auto& state = *this->self;
     auto found = state.workers.find(entry.id);
-    if (found != state.workers.end() &&
-        found->second.entry.instance_started_ms != entry.instance_started_ms &&
-        entry.instance_started_ms != 0 && found->second.entry.instance_started_ms != 0) {
+    const auto known_start =
+        found == state.workers.end() ? std::int64_t{0} : found->second.entry.instance_started_ms;
+    const bool is_other_instance =
+        known_start != 0 && entry.instance_started_ms != 0 && entry.instance_started_ms != known_start;
+    if (is_other_instance && entry.instance_started_ms < known_start) {
+        // The log may deliver the entry of an instance after the worker itself reported its restart.
+        write_log(severity::info, "worker_entry_outdated", {{"worker", entry.id}});
+        return;
+    }
+    if (is_other_instance) {
         state.declare_worker_lost(entry.id, "the worker process has restarted", now);
         found = state.workers.end();
     }
--- a/src/node/log_tail.hpp
+++ b/src/node/log_tail.hpp
@@ -11,6 +11,7 @@
 #include <string>
 #include <utility>
 #include <variant>
+#include <vector>
 
 namespace hornbeamrail {
 
@@ -22,6 +23,24 @@
     std::chrono::milliseconds pause{0};     ///< between an answer and the next read
     std::chrono::milliseconds timeout{900}; ///< of a read, in addition to `wait`
     std::chrono::milliseconds retry_delay{150}; ///< after a read that failed
+    /// A read without an answer this long after `wait` is repeated on another connection: a connection may
+    /// have fallen silent while others work.
+    std::chrono::milliseconds hedge_delay{150};
+    std::chrono::milliseconds newest_hedge_delay{600}; ///< the same for a page of newest records
+};
+
+/// Identifies one request of a `log_tail`.
+struct tail_ticket {
+    std::uint64_t number = 0;
+    boot_time sent_at{};
+    std::chrono::milliseconds wait{0}; ///< time for which the log may hold the request open
+};
+
+/// What an answer meant to a `log_tail`.
+enum class tail_outcome {
+    advanced, ///< its records were delivered
+    failed,   ///< no request is outstanding any more; the next one follows after `retry_delay`
+    ignored,  ///< another request was answered first, or is still outstanding, or the tail was restarted
 };
 
 /// Follows one partition of the log: loads the newest record of each key, then reads every later record.
@@ -38,11 +57,10 @@
     /// Discards the position and reloads the newest record of each key. Answers to earlier requests are
     /// ignored.
     void restart() {
-        ++this->epoch;
         this->loaded = false;
         this->after_key.clear();
         this->next_offset.reset();
-        this->in_flight = false;
+        this->outstanding.clear();
         this->not_before = {};
     }
 
@@ -53,13 +71,16 @@
         this->options.pause = pause;
     }
 
-    /// @return the request to send now, if any; at most one is in flight
+    /// @return the request to send now, if any; its ticket is `latest_ticket()`
     std::optional<read_request> tick(boot_time now) {
-        if (this->in_flight || now < this->not_before) {
+        const bool is_due = this->outstanding.empty() ? now >= this->not_before : this->needs_hedge(now);
+        if (!is_due) {
             return std::nullopt;
         }
-        this->in_flight = true;
-        this->request_sent_at = now;
+        // A hedge does not wait, so that its answer shows at once whether the log can be reached.
+        const bool may_wait = this->loaded && this->outstanding.empty();
+        const auto wait = may_wait ? this->options.wait : std::chrono::milliseconds(0);
+        this->outstanding.push_back({.number = ++this->requests, .sent_at = now, .wait = wait});
         if (!this->loaded) {
             this->load_started_at = this->after_key.empty() ? now : this->load_started_at;
             return newest_call{.topic = this->options.topic,
@@ -69,22 +90,22 @@
         return read_call{.topic = this->options.topic,
                          .partition = this->options.partition,
                          .from = *this->next_offset,
-                         .wait = this->options.wait};
+                         .wait = wait};
+    }
+
+    /// @return the ticket of the request that `tick` returned last
+    [[nodiscard]] tail_ticket latest_ticket() const {
+        return this->outstanding.empty() ? tail_ticket{} : this->outstanding.back();
     }
 
     /// Handles the answer to a `newest_call`.
-    /// @param request_epoch `current_epoch()` when the request was sent
+    /// @param ticket of the request
     /// @param deliver called with each record
-    /// @return false when the request failed; it is then retried after `retry_delay`
     template <class Deliver>
-    bool on_newest(std::uint64_t request_epoch, const newest_answer& answer, boot_time now, Deliver deliver) {
-        if (request_epoch != this->epoch) {
-            return true; // sent before a restart
-        }
-        this->in_flight = false;
-        if (!answer.done) {
-            this->not_before = now + this->options.retry_delay;
-            return false;
+    tail_outcome on_newest(const tail_ticket& ticket, const newest_answer& answer, Deliver deliver,
+                           boot_time now) {
+        if (const auto refused = this->settle(ticket, answer.done, now)) {
+            return *refused;
         }
         for (const auto& record : answer.records) {
             deliver(record);
@@ -95,42 +116,42 @@
         }
         if (answer.more && !answer.records.empty()) {
             this->after_key = answer.records.back().key;
-            return true; // The snapshot is incomplete until its last page.
+            return tail_outcome::advanced; // keys beyond this page are not known yet
         }
         this->loaded = true;
         this->confirmed_at = this->load_started_at;
         this->complete_at = this->load_started_at;
-        return true;
+        return tail_outcome::advanced;
     }
 
     /// Handles the answer to a `read_call`. Restarts when the records have expired.
-    /// @param request_epoch `current_epoch()` when the request was sent
+    /// @param ticket of the request
     /// @param deliver called with each record
-    /// @return false when the request failed; it is then retried after `retry_delay`
     template <class Deliver>
-    bool on_read(std::uint64_t request_epoch, const read_answer& answer, boot_time now, Deliver deliver) {
-        if (request_epoch != this->epoch) {
-            return true;
+    tail_outcome on_read(const tail_ticket& ticket, const read_answer& answer, Deliver deliver,
+                         boot_time now) {
+        const bool is_usable = answer.outcome != read_outcome_kind::unavailable;
+        if (const auto refused = this->settle(ticket, is_usable, now)) {
+            return *refused;
         }
-        this->in_flight = false;
         if (answer.outcome == read_outcome_kind::expired) {
             this->restart();
-            return true;
-        }
-        if (answer.outcome != read_outcome_kind::records) {
-            this->not_before = now + this->options.retry_delay;
-            return false;
+            return tail_outcome::advanced;
         }
         for (const auto& record : answer.records) {
             deliver(record);
         }
         this->next_offset = std::max(*this->next_offset, answer.next);
-        this->confirmed_at = this->request_sent_at;
+        const bool stopped_early = answer.next < answer.end;
+        if (stopped_early) {
+            return tail_outcome::advanced; // later records exist already; the next read follows at once
+        }
+        this->confirmed_at = ticket.sent_at;
         // An empty answer means that no record arrived while the log held the read open.
-        this->complete_at = answer.records.empty() ? std::min(now, this->request_sent_at + this->options.wait)
-                                                   : this->request_sent_at;
+        this->complete_at =
+            answer.records.empty() ? std::min(now, ticket.sent_at + ticket.wait) : ticket.sent_at;
         this->not_before = now + this->options.pause;
-        return true;
+        return tail_outcome::advanced;
     }
 
     /// @return whether the newest record of each key has been read
@@ -141,23 +162,49 @@
 
     /// @return the time up to which the tail has every record, assuming that long polls return new records
     [[nodiscard]] boot_time complete_until() const noexcept { return this->complete_at; }
-    /// @return when the latest request was sent, answered or not
-    [[nodiscard]] boot_time last_request_sent() const noexcept { return this->request_sent_at; }
     /// @return offset of the next record to read; 0 before the first answer
     [[nodiscard]] std::int64_t position() const noexcept { return this->next_offset.value_or(0); }
-    /// @return number of restarts; identifies the requests sent since the latest one
-    [[nodiscard]] std::uint64_t current_epoch() const noexcept { return this->epoch; }
     [[nodiscard]] const log_tail_options& settings() const noexcept { return this->options; }
 
 private:
+    /// @return whether the only outstanding request is overdue
+    [[nodiscard]] bool needs_hedge(boot_time now) const {
+        const auto& request = this->outstanding.front();
+        const auto patience =
+            this->loaded ? request.wait + this->options.hedge_delay : this->options.newest_hedge_delay;
+        return this->outstanding.size() == 1 && this->may_hedge && now >= request.sent_at + patience;
+    }
+
+    /// Removes the request from the outstanding ones, or all of them if its answer is usable.
+    /// @return the outcome of an answer that delivers nothing, or nothing if its records are to be delivered
+    std::optional<tail_outcome> settle(const tail_ticket& ticket, bool is_usable, boot_time now) {
+        const auto found =
+            std::find_if(this->outstanding.begin(), this->outstanding.end(),
+                         [&ticket](const auto& request) { return request.number == ticket.number; });
+        if (found == this->outstanding.end()) {
+            return tail_outcome::ignored;
+        }
+        this->may_hedge = is_usable; // while the log is down, one request at a time
+        if (is_usable) {
+            this->outstanding.clear();
+            return std::nullopt;
+        }
+        this->outstanding.erase(found);
+        if (!this->outstanding.empty()) {
+            return tail_outcome::ignored;
+        }
+        this->not_before = now + this->options.retry_delay;
+        return tail_outcome::failed;
+    }
+
     log_tail_options options;
-    std::uint64_t epoch = 0; ///< counts restarts
+    std::uint64_t requests = 0;           ///< number of the latest request
+    std::vector<tail_ticket> outstanding; ///< at most two: a request and its hedge
+    bool may_hedge = true;                ///< the latest answer was usable
     bool loaded = false;
     std::string after_key; ///< last key of the latest page of newest records
     std::optional<std::int64_t> next_offset;
-    bool in_flight = false;
     boot_time not_before{};
-    boot_time request_sent_at{};
     boot_time load_started_at{}; ///< when the first page of the newest records was requested
     boot_time confirmed_at{};
     boot_time complete_at{};
--- a/src/node/site_node.hpp
+++ b/src/node/site_node.hpp
@@ -71,7 +71,7 @@
     // The log.
     void read_tail(log_tail& tail, boot_time now, outbox& out);
     template <class Answer>
-    void on_read_answer(log_tail& tail, std::uint64_t epoch, const Answer& answer);
+    void on_read_answer(log_tail& tail, const tail_ticket& ticket, const Answer& answer);
     /// Applies one record of the log.
     void deliver(const log_tail& tail, const keyed_record& record, boot_time now);
     void on_tail_loaded(log_tail& tail, boot_time now);
@@ -83,7 +83,8 @@
     void append_fence(log_topic topic, outbox& out);
     void append_as_scheduler(append_call call, std::int64_t sequence, outbox& out);
     void send_append(append_call call, std::int64_t sequence);
-    void on_scheduler_append(const append_call& call, std::int64_t sequence, const append_answer& answer);
+    void on_scheduler_append(const append_call& call, std::int64_t sequence, boot_time sent_at,
+                             const append_answer& answer);
     void execute(scheduler_action& action, outbox& out);
     void execute_order(scheduler_action& action, outbox& out);
     void read_vms(boot_time requested_at, std::string page, std::shared_ptr<std::vector<vm_entry>> vms);
@@ -94,10 +95,11 @@
     http_response handle_call(const typename Codec::call& call, const queue_config& queue,
                               const std::string& id, const http_request& request, const http_reply& reply,
                               bool& is_deferred, boot_time now);
-    /// Stores a record and answers the caller when the log has answered or the deadline has passed.
+    /// Stores a record of a job and answers the caller when the log has answered or the deadline has passed.
     /// @param on_stored called under the mutex when the record was stored
-    void store(keyed_record record, const typename Codec::call& call, const http_reply& reply,
-               int success_status, std::function<void()> on_stored);
+    void store(const std::string& job, keyed_record record, const typename Codec::call& call,
+               const http_reply& reply, int success_status, std::function<void()> on_stored);
+    [[nodiscard]] std::size_t submissions_waiting() const;
     [[nodiscard]] bool is_ready(boot_time now) const;
     [[nodiscard]] bool keys_are_fresh(boot_time now) const;
     [[nodiscard]] bool jobs_are_fresh(boot_time now) const;
@@ -125,7 +127,9 @@
     scheduler schedule;
     job_index index;
     operator_view operators;
-    submission_queue submissions;
+    /// One per partition of the jobs topic. A job and its cancellation go to the partition of its id, so that
+    /// a request that is repeated at another node replaces the first record.
+    std::vector<submission_queue> submissions;
     std::deque<log_tail> tails; ///< not resized after construction: pointers and references stay valid
     log_tail* operators_tail = nullptr;
     log_tail* leader_tail = nullptr;
@@ -139,9 +143,12 @@
     std::set<std::string> listed_workers; ///< workers in the topic since its latest reload
     bool appending = false;
     boot_time last_cycle{};
-    boot_time last_log_contact{}; ///< lower bound on when the latest successful log request was sent
+    /// When the latest request was sent whose answer showed that this node is the scheduler: a fenced append,
+    /// or a read of the leader topic.
+    boot_time term_confirmed{};
     std::optional<boot_time> log_lost_since; ///< first failed read since the latest successful one
     bool stopping = false;
+    boot_time stop_begun{};
     bool was_ready = false;
     outbox replies; ///< answers and calls to send once the mutex is released
     counter_registry counters;
--- a/src/node/site_node_callers.hpp
+++ b/src/node/site_node_callers.hpp
@@ -28,29 +28,41 @@
 
 template <class Port, class Codec>
 void site_node<Port, Codec>::tick_submissions(boot_time now, outbox& out) {
-    auto append = this->submissions.tick(now);
-    if (!append) {
-        return;
-    }
     const auto self = this->shared_from_this();
-    out.push_back([self, call = std::move(*append)] {
-        self->port.append(call, [self](append_answer answer) {
-            self->with_lock([&](boot_time at) { self->submissions.on_append(answer, at); });
+    for (auto& queue : this->submissions) {
+        auto append = queue.tick(now);
+        if (!append) {
+            continue;
+        }
+        out.push_back([self, &queue, call = std::move(*append)] {
+            self->port.append(call, [self, &queue](append_answer answer) {
+                self->with_lock([&](boot_time at) { queue.on_append(answer, at); });
+            });
         });
-    });
+    }
+}
+
+template <class Port, class Codec>
+std::size_t site_node<Port, Codec>::submissions_waiting() const {
+    std::size_t waiting = 0;
+    for (const auto& queue : this->submissions) {
+        waiting += queue.size();
+    }
+    return waiting;
 }
 
 template <class Port, class Codec>
-void site_node<Port, Codec>::store(keyed_record record, const typename Codec::call& call,
-                                   const http_reply& reply, int success_status,
-                                   std::function<void()> on_stored) {
+void site_node<Port, Codec>::store(const std::string& job, keyed_record record,
+                                   const typename Codec::call& call, const http_reply& reply,
+                                   int success_status, std::function<void()> on_stored) {
     const auto& timings = this->options.timings;
     const auto caller_timeout = call.caller_timeout.value_or(timings.default_caller_timeout);
     const auto max_wait = std::min(caller_timeout - timings.answer_reserve, timings.max_store_wait);
     const auto started_at = clock::now();
     const auto deadline = started_at + std::max(max_wait, timings.answer_reserve);
     const auto key = record.key;
-    this->submissions.add(
+    const auto partition = partition_of_job(job, this->options.settings.limits.job_partitions);
+    this->submissions[static_cast<std::size_t>(partition)].add(
         std::move(record), deadline,
         [this, reply, success_status, started_at, key,
          on_stored = std::move(on_stored)](store_outcome outcome) {
@@ -148,11 +160,14 @@
     if (call.method == method::cancel) {
         is_deferred = true;
         // Stored even if the job is unknown here: its record may not have been read yet.
-        this->store({.key = id + std::string(cancel_suffix), .value = "1"}, call, reply,
+        this->store(id, {.key = id + std::string(cancel_suffix), .value = "1"}, call, reply,
                     known_job == nullptr ? 410 : 200, [this, id] { this->index.note_cancelled(id); });
         return {};
     }
-    if (known_job != nullptr && !known_job->queue.empty()) {
+    // A final job has no record in the jobs topic any more, so its queue may be unknown.
+    const bool is_accepted =
+        known_job != nullptr && (!known_job->queue.empty() || is_final(known_job->state));
+    if (is_accepted) {
         return site_node_detail::json_answer(200, "{}");
     }
     error problem;
@@ -167,7 +182,7 @@
     job->account = account == nullptr ? std::string() : account->name;
     job->submitted = site_node_detail::wall_clock_now();
     is_deferred = true;
-    this->store({.key = id, .value = boost::json::serialize(to_json(*job))}, call, reply, 200,
+    this->store(id, {.key = id, .value = boost::json::serialize(to_json(*job))}, call, reply, 200,
                 [this, stored_job = *job] {
                     write_log(severity::info, "job_accepted",
                               {{"job", stored_job.id},
--- a/src/node/site_node_impl.hpp
+++ b/src/node/site_node_impl.hpp
@@ -51,10 +51,6 @@
              .incarnation = this->options.incarnation,
              .weak_node_delay = lease_claim_delay(this->options.settings)}),
       schedule({.node_id = this->options.settings.node_id, .limits = this->options.settings.limits}),
-      submissions({.producer = this->options.settings.node_id + "-" + this->options.incarnation,
-                   .partition = static_cast<std::int32_t>(
-                       std::hash<std::string>()(this->options.settings.node_id) %
-                       static_cast<std::size_t>(this->options.settings.limits.job_partitions))}),
       store_latency(this->counters.latency_of("submission_store_seconds")),
       start_latency(this->counters.latency_of("start_order_seconds")),
       commit_latency(this->counters.latency_of("progress_commit_seconds")) {
@@ -73,6 +69,9 @@
                                             .partition = partition,
                                             .wait = timings.follower_wait,
                                             .pause = timings.jobs_pause}));
+        this->submissions.emplace_back(submission_queue_options{.producer = this->options.settings.node_id +
+                                                                            "-" + this->options.incarnation,
+                                                                .partition = partition});
     }
     this->workers_tail = add_tail({.topic = log_topic::workers, .pause = timings.workers_pause});
     this->progress_tail = add_tail({.topic = log_topic::progress});
@@ -154,7 +153,8 @@
     };
     this->counters.counter_of("scheduler_term").set(this->schedule.term());
     this->counters.counter_of("jobs_known").set(static_cast<std::int64_t>(this->index.size()));
-    this->counters.counter_of("submissions_waiting").set(static_cast<std::int64_t>(this->submissions.size()));
+    this->counters.counter_of("submissions_waiting")
+        .set(static_cast<std::int64_t>(this->submissions_waiting()));
     this->counters.counter_of("config_version").set(this->operators.config()->version);
     this->counters.counter_of("config_age_ms").set(age_ms(this->operators_tail->confirmed()));
     this->counters.counter_of("states_age_ms").set(age_ms(this->states_tail->complete_until()));
@@ -215,7 +215,8 @@
     {
         const std::lock_guard lock(this->mutex);
         this->stopping = true;
-        this->lease.begin_stop();
+        this->stop_begun = clock::now();
+        this->schedule.begin_stop();
     }
     this->run_cycle(true);
     const auto weak = this->weak_from_this();
@@ -240,7 +241,7 @@
                                {"config_version", this->operators.config()->version},
                                {"scheduler", this->lease.holder()},
                                {"jobs_known", this->index.size()},
-                               {"submissions_waiting", this->submissions.size()},
+                               {"submissions_waiting", this->submissions_waiting()},
                                {"schedule", this->schedule.dump(now)}};
 }
 
--- a/src/node/site_node_log.hpp
+++ b/src/node/site_node_log.hpp
@@ -24,7 +24,7 @@
         return;
     }
     const auto self = this->shared_from_this();
-    const auto epoch = tail.current_epoch();
+    const auto ticket = tail.latest_ticket();
     if (const auto* newest = std::get_if<newest_call>(&*request)) {
         if (newest->after_key.empty() && &tail == this->operators_tail) {
             this->operators.begin_reload();
@@ -32,40 +32,40 @@
         if (newest->after_key.empty() && &tail == this->workers_tail) {
             this->listed_workers.clear();
         }
-        out.push_back([self, &tail, epoch, call = *newest] {
+        out.push_back([self, &tail, ticket, call = *newest] {
             self->port.newest(
-                call, self->options.timings.newest_timeout, [self, &tail, epoch](newest_answer answer) {
-                    self->with_lock([&](boot_time) { self->on_read_answer(tail, epoch, answer); });
+                call, self->options.timings.newest_timeout, [self, &tail, ticket](newest_answer answer) {
+                    self->with_lock([&](boot_time) { self->on_read_answer(tail, ticket, answer); });
                 });
         });
         return;
     }
-    out.push_back([self, &tail, epoch, call = std::get<read_call>(*request)] {
-        self->port.read(call, call.wait + tail.settings().timeout, [self, &tail, epoch](read_answer answer) {
-            self->with_lock([&](boot_time) { self->on_read_answer(tail, epoch, answer); });
+    out.push_back([self, &tail, ticket, call = std::get<read_call>(*request)] {
+        self->port.read(call, call.wait + tail.settings().timeout, [self, &tail, ticket](read_answer answer) {
+            self->with_lock([&](boot_time) { self->on_read_answer(tail, ticket, answer); });
         });
     });
 }
 
 template <class Port, class Codec>
 template <class Answer>
-void site_node<Port, Codec>::on_read_answer(log_tail& tail, std::uint64_t epoch, const Answer& answer) {
+void site_node<Port, Codec>::on_read_answer(log_tail& tail, const tail_ticket& ticket, const Answer& answer) {
     const auto now = clock::now();
-    if (epoch != tail.current_epoch()) {
-        return;
-    }
     const bool was_loaded = tail.is_loaded();
     const auto deliver_record = [&](const keyed_record& record) {
         this->deliver(tail, record, now);
     };
-    bool succeeded = false;
+    tail_outcome outcome = tail_outcome::ignored;
     if constexpr (std::is_same_v<Answer, newest_answer>) {
-        succeeded = tail.on_newest(epoch, answer, now, deliver_record);
+        outcome = tail.on_newest(ticket, answer, deliver_record, now);
     } else {
-        succeeded = tail.on_read(epoch, answer, now, deliver_record);
+        outcome = tail.on_read(ticket, answer, deliver_record, now);
     }
+    if (outcome == tail_outcome::ignored) {
+        return;
+    }
+    const bool succeeded = outcome == tail_outcome::advanced;
     if (succeeded) {
-        this->last_log_contact = std::max(this->last_log_contact, tail.last_request_sent());
         if (this->log_lost_since) {
             write_log(severity::info, "log_regained",
                       {{"lost_ms",
@@ -80,7 +80,10 @@
     }
     if (&tail == this->leader_tail) {
         if (succeeded && tail.is_loaded()) {
-            this->lease.on_read(tail.position(), tail.last_request_sent(), now);
+            this->lease.on_read(tail.position(), ticket.sent_at, now);
+            if (this->lease.is_held()) {
+                this->term_confirmed = std::max(this->term_confirmed, ticket.sent_at);
+            }
         } else if (!succeeded) {
             this->lease.on_read_failed(now);
         }
--- a/src/node/site_node_scheduler.hpp
+++ b/src/node/site_node_scheduler.hpp
@@ -6,6 +6,11 @@
 
 template <class Port, class Codec>
 void site_node<Port, Codec>::tick_lease(boot_time now, outbox& out) {
+    const bool may_release = !this->schedule.has_vm_orders_in_flight() ||
+                             now >= this->stop_begun + this->options.timings.vm_timeout;
+    if (this->stopping && may_release) {
+        this->lease.begin_stop();
+    }
     auto append = this->lease.tick(now);
     if (!append) {
         return;
@@ -94,7 +99,7 @@
     if (this->phase != term_phase::running) {
         return;
     }
-    this->schedule.set_log_contact(this->last_log_contact);
+    this->schedule.set_term_confirmed(this->term_confirmed);
     this->schedule.set_lease_renewed(this->lease.renewed());
     for (auto& action : this->schedule.tick(now, site_node_detail::wall_clock_now())) {
         this->execute(action, out);
@@ -115,13 +120,13 @@
     const auto self = this->shared_from_this();
     this->port.append(call, [self, call, sequence, sent_at = clock::now()](append_answer answer) {
         self->commit_latency.record(clock::now() - sent_at);
-        self->with_lock([&](boot_time) { self->on_scheduler_append(call, sequence, answer); });
+        self->with_lock([&](boot_time) { self->on_scheduler_append(call, sequence, sent_at, answer); });
     });
 }
 
 template <class Port, class Codec>
 void site_node<Port, Codec>::on_scheduler_append(const append_call& call, std::int64_t sequence,
-                                                 const append_answer& answer) {
+                                                 boot_time sent_at, const append_answer& answer) {
     const auto now = clock::now();
     if (this->phase == term_phase::inactive || call.producer->epoch != this->schedule.term()) {
         return; // sent in an earlier term
@@ -129,7 +134,7 @@
     const bool already_appended =
         answer.outcome == append_outcome::wrong_sequence && answer.expected_sequence == sequence + 1;
     if (answer.outcome == append_outcome::appended || already_appended) {
-        this->last_log_contact = std::max(this->last_log_contact, now - call.timeout);
+        this->term_confirmed = std::max(this->term_confirmed, sent_at);
         if (call.records.empty()) {
             --this->pending_fences;
         } else if (call.topic == log_topic::progress) {
--- a/src/policy/vm_plan.cpp
+++ b/src/policy/vm_plan.cpp
@@ -58,7 +58,7 @@
     auto free_places = status.max_down - status.down;
     auto idle_places = behind_schedule ? free_places : max_idle_down(status) - status.down;
     const auto drain_limit = max_drains(status);
-    std::int32_t drains = 0;
+    std::vector<const wave_candidate*> later;
     for (const auto& candidate : candidates) {
         const bool may_interrupt = candidate.batch_tasks == 0 || behind_schedule;
         const bool has_place = free_places > 0 && (idle_places > 0 || candidate.long_running_tasks > 0);
@@ -66,11 +66,17 @@
             step.maintain.push_back(candidate.vm);
             --free_places;
             --idle_places;
-        } else if (drains < drain_limit) {
-            step.drain.push_back(candidate.vm);
-            ++drains;
+        } else {
+            later.push_back(&candidate);
         }
     }
+    // A VM that drains goes on: if another one with fewer tasks took its place at every plan, none would end
+    // its tasks while the pool is busy.
+    std::stable_partition(later.begin(), later.end(), [](const auto* vm) { return vm->draining; });
+    const auto drains = std::min(later.size(), static_cast<std::size_t>(std::max(0, drain_limit)));
+    for (std::size_t index = 0; index < drains; ++index) {
+        step.drain.push_back(later[index]->vm);
+    }
     return step;
 }
 
--- a/tests/job_policy_test.cpp
+++ b/tests/job_policy_test.cpp
@@ -5,6 +5,7 @@
 #include "policy/worker_choice.hpp"
 
 #include <boost/test/unit_test.hpp>
+#include <fmt/format.h>
 
 #include <algorithm>
 
@@ -142,8 +143,7 @@
     BOOST_TEST(
         needed_vms({.long_running_millicores = 10000, .long_running_vms = 5, .vm_millicores = 32000}) == 6);
     BOOST_TEST(
-        needed_vms({.running_millicores = 100000, .waiting_millicores = 100000, .vm_millicores = 32000}) ==
-        6);
+        needed_vms({.known_millicores = 100000, .arriving_millicores = 40000, .vm_millicores = 32000}) == 6);
 }
 
 // A pool with a surge gets VMs from the spare pool first, then from pools that have more than they need.
@@ -252,3 +252,24 @@
         plan_wave_step(status, {{.vm = "busy", .batch_tasks = 3}, {.vm = "blocked", .may_end_tasks = false}});
     BOOST_TEST(step.maintain == (std::vector<std::string>{"busy"}), boost::test_tools::per_element());
 }
+
+// In a busy pool the number of batch tasks of a VM changes all the time. Guards against a wave that starts to
+// drain another VM at every plan, so that none of them ever ends its tasks.
+BOOST_AUTO_TEST_CASE(draining_vm_keeps_its_turn) {
+    const wave_status status{.max_down = 1,
+                             .not_ordered = 40,
+                             .elapsed = milliseconds(0),
+                             .duration = milliseconds(600000),
+                             .maintenance = milliseconds(2000)};
+    std::vector<wave_candidate> candidates;
+    for (int vm = 0; vm < 40; ++vm) {
+        candidates.push_back({.vm = fmt::format("m{:02}", vm), .batch_tasks = 4});
+    }
+    auto first = plan_wave_step(status, candidates).drain;
+    BOOST_REQUIRE(!first.empty());
+    for (auto& candidate : candidates) {
+        candidate.draining = std::find(first.begin(), first.end(), candidate.vm) != first.end();
+        candidate.batch_tasks = candidate.draining ? 3 : 1; // the others have fewer tasks by chance
+    }
+    BOOST_TEST(plan_wave_step(status, candidates).drain == first, boost::test_tools::per_element());
+}
--- a/tests/scheduler_lease_test.cpp
+++ b/tests/scheduler_lease_test.cpp
@@ -163,3 +163,22 @@
     site.run(milliseconds(200));
     BOOST_TEST(node.lease->is_held());
 }
+
+// Guards against a stopping node that goes on as the scheduler after its successor was free to claim.
+BOOST_AUTO_TEST_CASE(release_with_a_lost_answer_ends_the_lease) {
+    lease_site site;
+    site.add("a");
+    site.run(milliseconds(1000));
+    auto& node = site.nodes[0];
+    BOOST_REQUIRE(node.lease->is_held());
+    node.lease->begin_stop();
+    const auto release = node.lease->tick(site.now);
+    BOOST_REQUIRE(release.has_value());
+    site.log.append(*release);
+    node.lease->on_append({.outcome = append_outcome::unknown}, site.now);
+    const auto read = site.log.read({.topic = log_topic::leader, .from = node.read_from});
+    for (const auto& record : read.records) {
+        node.lease->on_record(record, site.now);
+    }
+    BOOST_TEST(node.lease->is_released());
+}
--- a/tests/scheduler_site.hpp
+++ b/tests/scheduler_site.hpp
@@ -3,6 +3,7 @@
 // Runs a scheduler against fakes of the log, the workers and the VMs in simulated time, with seeded faults.
 
 #include "coordination/scheduler.hpp"
+#include "coordination/scheduler_lease.hpp"
 #include "fakes/fake_site.hpp"
 #include "run_checks.hpp"
 #include "state/job_index.hpp"
@@ -30,6 +31,8 @@
 
 /// Time from an order to its answer.
 inline constexpr milliseconds answer_delay{4};
+/// Time until an append that the log did not accept is repeated.
+inline constexpr milliseconds append_retry{60};
 /// Time after which a call without an answer is reported as unanswered.
 inline constexpr milliseconds call_timeout{900};
 
@@ -115,11 +118,19 @@
             this->site.set_long_running(job.id);
         }
         this->steps_of_job[job.id] = job.steps;
+        this->submitted_jobs[job.id] = job;
         this->log.append({.topic = log_topic::jobs,
                           .records = {{.key = job.id, .value = boost::json::serialize(to_json(job))}}});
         return job.id;
     }
 
+    /// Stores the job again, as a caller whose answer was lost does.
+    void repeat_submission(const std::string& id) {
+        auto job = this->submitted_jobs.at(id);
+        this->log.append({.topic = log_topic::jobs,
+                          .records = {{.key = id, .value = boost::json::serialize(to_json(job))}}});
+    }
+
     void cancel(const std::string& id) {
         this->log.append(
             {.topic = log_topic::jobs, .records = {{.key = id + std::string(cancel_suffix), .value = "1"}}});
@@ -138,6 +149,13 @@
         this->schedule->set_waves(this->waves);
     }
 
+    /// Advances the simulated time by @p span while the scheduler's process is suspended: answers wait, and
+    /// the workers and VMs go on.
+    void suspend(milliseconds span) {
+        this->now += span;
+        this->site.advance(this->now);
+    }
+
     /// Advances the simulated time by @p span.
     void run(milliseconds span) {
         const auto until = this->now + span;
@@ -146,13 +164,13 @@
             this->inject_faults();
             this->deliver_due();
             this->refresh_workers();
-            const auto read = this->log.read({.topic = log_topic::jobs, .from = this->jobs_read});
-            for (const auto& record : read.records) {
-                this->schedule->on_job_record(0, record, this->now);
+            if (this->log_is_up) {
+                this->read_jobs();
+            }
+            if (this->log_is_up) {
+                this->schedule->set_term_confirmed(this->now);
             }
-            this->jobs_read = read.next;
-            this->schedule->set_log_contact(this->now);
-            if (this->can_renew_lease) {
+            if (this->can_renew_lease && this->log_is_up) {
                 this->schedule->set_lease_renewed(this->now);
             }
             for (auto& action : this->schedule->tick(this->now, this->clock())) {
@@ -189,6 +207,9 @@
         });
     }
 
+    /// @return whether the answer to an append of the scheduler is outstanding
+    [[nodiscard]] bool has_unconfirmed_append() const { return this->unconfirmed_appends > 0; }
+
     [[nodiscard]] std::vector<std::string> duplicate_runs() const {
         return test::duplicate_runs(this->site.history());
     }
@@ -207,8 +228,13 @@
     std::int64_t starts = 0;
     std::int64_t moves = 0;
     std::int64_t maintenance_orders = 0;
+    std::vector<std::pair<boot_time, vm_order>> vm_orders; ///< maintenance orders with their times
     bool can_renew_lease = true;
-    std::int64_t early_drops = 0; ///< job records dropped before the final state was stored
+    bool reports_are_unreadable = false; ///< reports of workers arrive without their rows
+    bool log_is_up = true;          ///< false: reads fail, and appends are repeated until it is true again
+    std::int64_t holds_sent = 0;    ///< holds that renewed a lease
+    std::size_t largest_append = 0; ///< bytes of the values in the largest append of progress
+    std::int64_t early_drops = 0;   ///< job records dropped before the final state was stored
 
     [[nodiscard]] unix_time clock() const {
         return unix_time(std::chrono::duration_cast<milliseconds>(this->now.time_since_epoch()));
@@ -243,7 +269,12 @@
     }
 
     void answer_hold(const send_hold& hold) {
-        const auto report = this->site.hold(hold.worker, hold.order, this->now);
+        auto report = this->site.hold(hold.worker, hold.order, this->now);
+        if (this->reports_are_unreadable) {
+            report.running.clear();
+            report.ended.clear();
+            report.complete = false;
+        }
         this->reply([hold, report, this] {
             this->schedule->on_hold_report(hold.worker, hold.order, report, this->now);
         });
@@ -258,6 +289,14 @@
         });
     }
 
+    void read_jobs() {
+        const auto read = this->log.read({.topic = log_topic::jobs, .from = this->jobs_read});
+        for (const auto& record : read.records) {
+            this->schedule->on_job_record(0, record, this->now);
+        }
+        this->jobs_read = read.next;
+    }
+
     void inject_faults() {
         constexpr double round_s = 0.002;
         if (this->occurs(this->faults.crash * round_s)) {
@@ -342,6 +381,7 @@
                         },
                         {});
         } else if (auto* hold = std::get_if<send_hold>(&action)) {
+            this->holds_sent += hold->order.lease_until ? 1 : 0;
             if (hold->order.wait.count() == 0) {
                 this->answer_hold(*hold);
             } else {
@@ -354,6 +394,7 @@
             });
         } else if (auto* maintain = std::get_if<order_maintenance>(&action)) {
             ++this->maintenance_orders;
+            this->vm_orders.emplace_back(this->now, maintain->order);
             const auto outcome = this->site.maintain(maintain->order, this->now);
             this->reply([this, order = maintain->order, outcome] {
                 this->schedule->on_vm_order(order, outcome, this->now);
@@ -381,12 +422,29 @@
 
     template <class Done>
     void append(log_topic topic, std::int64_t sequence, std::vector<keyed_record> records, Done done) {
+        if (!this->log_is_up) {
+            this->schedule_event(append_retry, [this, topic, sequence, records, done, term = this->term] {
+                if (term == this->term) {
+                    this->append(topic, sequence, records, done);
+                }
+            });
+            return;
+        }
+        std::size_t bytes = 0;
+        for (const auto& record : records) {
+            bytes += record.value.size();
+        }
+        this->largest_append = std::max(this->largest_append, bytes);
         const auto answer = this->log.append(
             {.topic = topic,
              .records = std::move(records),
              .producer = append_producer{.name = "s", .epoch = this->term, .sequence = sequence}});
         if (answer.outcome == append_outcome::appended) {
-            this->reply([done, sequence] { done(sequence); });
+            ++this->unconfirmed_appends;
+            this->reply([this, done, sequence] {
+                --this->unconfirmed_appends;
+                done(sequence);
+            });
         }
     }
 
@@ -399,6 +457,8 @@
     std::vector<wave_request> waves;
     std::vector<std::string> vm_names;
     std::map<std::string, std::vector<step_spec>> steps_of_job;
+    std::map<std::string, job_spec> submitted_jobs;
+    std::int64_t unconfirmed_appends = 0;
     std::multimap<boot_time, std::function<void()>> events;
     std::map<std::string, pending_hold> holds;
     std::set<std::string> listed;
--- a/tests/site_node_test.cpp
+++ b/tests/site_node_test.cpp
@@ -262,3 +262,26 @@
     BOOST_TEST(refused.response.status == 503);
     BOOST_TEST(refused.response.headers.value_or("Retry-After", "") == "1");
 }
+
+// A caller whose answer was lost repeats its request at another node. Guards against a second record of the
+// job, which would outlive the first one.
+BOOST_FIXTURE_TEST_CASE(repeated_submission_replaces_the_first_record, fixture) {
+    BOOST_REQUIRE(this->becomes_ready(0) && this->becomes_ready(1));
+    for (int digit = 0; digit < 8; ++digit) {
+        const auto path = fmt::format("/q/00000000000000b{}", digit);
+        this->call(this->addresses[0], "POST", path, std::string(job_body));
+        this->call(this->addresses[1], "POST", path, std::string(job_body));
+    }
+    const std::lock_guard lock(this->shared.mutex);
+    std::map<std::string, std::set<std::int32_t>> partitions;
+    for (std::int32_t partition = 0; partition < 2; ++partition) {
+        const auto read = this->shared.log.read({.topic = log_topic::jobs, .partition = partition});
+        for (const auto& record : read.records) {
+            partitions[record.key].insert(partition);
+        }
+    }
+    BOOST_TEST(partitions.size() == 8);
+    for (const auto& [key, holders] : partitions) {
+        BOOST_TEST(holders.size() == 1, key);
+    }
+}
--- a/tests/submission_queue_test.cpp
+++ b/tests/submission_queue_test.cpp
@@ -28,6 +28,13 @@
     fake_keyed_log log;
 };
 
+/// Loads the newest records into the tail.
+template <class Deliver>
+void load(log_tail& tail, const fake_keyed_log& log, boot_time now, Deliver deliver) {
+    const auto request = std::get<newest_call>(*tail.tick(now));
+    tail.on_newest(tail.latest_ticket(), log.newest(request), deliver, now);
+}
+
 } // namespace
 
 BOOST_FIXTURE_TEST_CASE(records_are_stored_in_groups, fixture) {
@@ -98,11 +105,11 @@
     boot_time now{milliseconds(1000)};
     const auto first = tail.tick(now);
     BOOST_REQUIRE(first.has_value());
-    tail.on_newest(tail.current_epoch(), log.newest(std::get<newest_call>(*first)), now, deliver);
+    tail.on_newest(tail.latest_ticket(), log.newest(std::get<newest_call>(*first)), deliver, now);
     BOOST_TEST(tail.is_loaded());
     log.append({.topic = log_topic::jobs, .records = {{.key = "b", .value = "3"}}});
     const auto second = tail.tick(now);
-    tail.on_read(tail.current_epoch(), log.read(std::get<read_call>(*second)), now, deliver);
+    tail.on_read(tail.latest_ticket(), log.read(std::get<read_call>(*second)), deliver, now);
     BOOST_TEST(seen == (std::vector<std::string>{"a2", "b3"}), boost::test_tools::per_element());
 }
 
@@ -114,13 +121,13 @@
         seen.push_back(record.key);
     };
     boot_time now{milliseconds(1000)};
-    tail.on_newest(tail.current_epoch(), log.newest(std::get<newest_call>(*tail.tick(now))), now, deliver);
+    load(tail, log, now, deliver);
     log.append({.topic = log_topic::jobs, .records = {{.key = "a", .value = "1"}}});
     log.drop_history(log_topic::jobs, 0);
     const auto read = std::get<read_call>(*tail.tick(now));
-    tail.on_read(tail.current_epoch(), log.read(read), now, deliver);
+    tail.on_read(tail.latest_ticket(), log.read(read), deliver, now);
     BOOST_TEST(!tail.is_loaded());
-    tail.on_newest(tail.current_epoch(), log.newest(std::get<newest_call>(*tail.tick(now))), now, deliver);
+    load(tail, log, now, deliver);
     BOOST_TEST(seen == (std::vector<std::string>{"a"}), boost::test_tools::per_element());
 }
 
@@ -130,11 +137,11 @@
     const auto ignore = [](const keyed_record&) {
     };
     boot_time now{milliseconds(1000)};
-    tail.on_newest(tail.current_epoch(), log.newest(std::get<newest_call>(*tail.tick(now))), now, ignore);
+    load(tail, log, now, ignore);
     const auto request_time = now;
     const auto read = std::get<read_call>(*tail.tick(now));
     now += milliseconds(705);
-    tail.on_read(tail.current_epoch(), log.read(read), now, ignore);
+    tail.on_read(tail.latest_ticket(), log.read(read), ignore, now);
     BOOST_TEST((tail.complete_until() == request_time + milliseconds(700)));
     BOOST_TEST((tail.confirmed() == request_time));
 }
@@ -147,15 +154,87 @@
     boot_time now{milliseconds(1000)};
     const auto load_start = now;
     tail.tick(now);
-    tail.on_newest(tail.current_epoch(),
+    tail.on_newest(tail.latest_ticket(),
                    {.done = true, .records = {{.key = "a", .value = "completed"}}, .more = true, .end = 2},
-                   now, ignore);
+                   ignore, now);
     BOOST_TEST((tail.confirmed() == boot_time{}));
     BOOST_TEST((tail.complete_until() == boot_time{}));
     now += milliseconds(100);
     BOOST_TEST(std::get<newest_call>(*tail.tick(now)).after_key == "a");
-    tail.on_newest(tail.current_epoch(),
-                   {.done = true, .records = {{.key = "b", .value = "completed"}}, .end = 2}, now, ignore);
+    tail.on_newest(tail.latest_ticket(),
+                   {.done = true, .records = {{.key = "b", .value = "completed"}}, .end = 2}, ignore, now);
     BOOST_TEST(tail.is_loaded());
     BOOST_TEST((tail.confirmed() == load_start));
 }
+
+// A read returns at most one page. Guards against a view that counts as current although later records, for
+// example a withdrawn key, are already in the log.
+BOOST_AUTO_TEST_CASE(tail_is_not_confirmed_by_a_read_that_stopped_early) {
+    log_tail tail({.topic = log_topic::operators});
+    const auto ignore = [](const keyed_record&) {
+    };
+    boot_time now{milliseconds(1000)};
+    tail.tick(now);
+    tail.on_newest(tail.latest_ticket(), {.done = true, .end = 5}, ignore, now);
+    const auto loaded_at = tail.confirmed();
+    now += milliseconds(100);
+    tail.tick(now);
+    tail.on_read(tail.latest_ticket(),
+                 {.outcome = read_outcome_kind::records, .records = {{.key = "a"}}, .next = 6, .end = 8},
+                 ignore, now);
+    BOOST_TEST((tail.confirmed() == loaded_at));
+    BOOST_TEST(std::get<read_call>(*tail.tick(now)).from == 6);
+    tail.on_read(tail.latest_ticket(),
+                 {.outcome = read_outcome_kind::records, .records = {{.key = "b"}}, .next = 8, .end = 8},
+                 ignore, now);
+    BOOST_TEST((tail.confirmed() == now));
+}
+
+// A connection may fall silent while others work. Guards against a node that learns nothing until its read
+// has timed out.
+BOOST_AUTO_TEST_CASE(overdue_read_is_repeated_and_delivers_once) {
+    fake_keyed_log log;
+    log_tail tail({.topic = log_topic::jobs, .wait = milliseconds(200)});
+    std::vector<std::string> seen;
+    const auto deliver = [&seen](const keyed_record& record) {
+        seen.push_back(record.key);
+    };
+    boot_time now{milliseconds(1000)};
+    load(tail, log, now, deliver);
+    const auto first = std::get<read_call>(*tail.tick(now));
+    const auto first_ticket = tail.latest_ticket();
+    log.append({.topic = log_topic::jobs, .records = {{.key = "a", .value = "1"}}});
+    now += milliseconds(300);
+    BOOST_TEST(!tail.tick(now).has_value()); // the log may hold the read open, and answers take time
+    now += milliseconds(100);
+    const auto hedge = tail.tick(now);
+    BOOST_REQUIRE(hedge.has_value());
+    BOOST_TEST(std::get<read_call>(*hedge).wait.count() == 0);
+    const auto hedge_ticket = tail.latest_ticket();
+    BOOST_TEST((tail.on_read(hedge_ticket, log.read(std::get<read_call>(*hedge)), deliver, now) ==
+                tail_outcome::advanced));
+    BOOST_TEST((tail.on_read(first_ticket, log.read(first), deliver, now) == tail_outcome::ignored));
+    BOOST_TEST(seen == (std::vector<std::string>{"a"}), boost::test_tools::per_element());
+    BOOST_TEST((tail.confirmed() == hedge_ticket.sent_at));
+}
+
+// While the log is down, hedges must neither hide the failure nor double the load.
+BOOST_AUTO_TEST_CASE(failed_read_is_reported_and_not_hedged_again) {
+    fake_keyed_log log;
+    log_tail tail({.topic = log_topic::jobs, .wait = milliseconds(200)});
+    const auto ignore = [](const keyed_record&) {
+    };
+    boot_time now{milliseconds(1000)};
+    load(tail, log, now, ignore);
+    tail.tick(now);
+    const auto first = tail.latest_ticket();
+    now += milliseconds(400);
+    BOOST_REQUIRE(tail.tick(now).has_value());
+    const auto hedge = tail.latest_ticket();
+    BOOST_TEST((tail.on_read(first, {}, ignore, now) == tail_outcome::ignored));
+    BOOST_TEST(!tail.tick(now + milliseconds(900)).has_value());
+    BOOST_TEST((tail.on_read(hedge, {}, ignore, now) == tail_outcome::failed));
+    now += milliseconds(200);
+    BOOST_REQUIRE(tail.tick(now).has_value());
+    BOOST_TEST(!tail.tick(now + milliseconds(900)).has_value());
+}
