Pools keep their VMs until demand was seen; the load forecast is taken out again

Change: releases begin 3 s after the first batch job, or after a minute without any; need of a pool as before; workers are read every 100 ms by the scheduler.

--- a/src/coordination/scheduler.cpp
+++ b/src/coordination/scheduler.cpp
@@ -148,7 +148,8 @@
     }
     state.loaded = true;
     state.dispatch_due = true;
-    state.releases_allowed_from = now + state.timings.move_warmup;
+    state.releases_allowed_from =
+        now + (state.has_batch_jobs() ? state.timings.move_warmup : state.timings.longest_warmup);
     write_log(severity::info, "schedule_loaded",
               {{"term", state.term},
                {"jobs", state.jobs.size()},
--- a/src/coordination/scheduler_impl.hpp
+++ b/src/coordination/scheduler_impl.hpp
@@ -5,7 +5,6 @@
 #include "coordination/scheduler.hpp"
 #include "policy/account_share.hpp"
 #include "policy/job_order.hpp"
-#include "policy/load_forecast.hpp"
 #include "policy/pool_moves.hpp"
 #include "policy/vm_plan.hpp"
 #include "policy/worker_choice.hpp"
@@ -52,7 +51,11 @@
     std::chrono::milliseconds move_interval{150};        ///< between two plans of VM moves
     std::chrono::milliseconds wave_interval{60};         ///< between two plans of maintenance waves
     std::chrono::milliseconds need_window{800};          ///< a pool keeps its highest need over this window
-    std::chrono::milliseconds move_warmup{3000};    ///< pools release no VM for this time after a term begins
+    /// Pools release no VM for this time after a term begins with jobs, or after the first job if there are
+    /// none: until then nothing is known of the demand.
+    std::chrono::milliseconds move_warmup{3000};
+    /// Pools release VMs after this time even if no job has arrived.
+    std::chrono::milliseconds longest_warmup{60000};
     std::chrono::milliseconds move_lead_time{2200}; ///< from the order of a move to the first task on the VM
 };
 
@@ -286,13 +289,11 @@
     // scheduler_moves.cpp: moves of VMs between pools
     /// Adds a new job to the demand of its pool, unless it is beyond the share of its account.
     void count_arrival(job_progress& job, boot_time now);
+    /// @return whether a job is known that has tasks which end by themselves
+    [[nodiscard]] bool has_batch_jobs() const;
     /// Counts the jobs that the log held when the term began as arrivals at the time of their submission.
     void count_known_arrivals(boot_time now);
     void plan_moves(boot_time now);
-    /// @return the step with its expected duration and no tasks; without CPU if the forecast leaves it out
-    [[nodiscard]] forecast_step make_forecast_step(const job_progress& job, const step_spec& step) const;
-    /// @return CPU that the job will use after `move_lead_time`, in thousandths of a core
-    [[nodiscard]] double forecast_job(const job_progress& job, boot_time now) const;
     [[nodiscard]] std::map<std::string, pool_load> compute_pool_loads(boot_time now);
     void update_need(pool_need& entry, const pool_load& load, boot_time now);
     [[nodiscard]] pool_need compute_need(const worker_pool_config& pool, const pool_load& load,
--- a/src/coordination/scheduler_moves.cpp
+++ b/src/coordination/scheduler_moves.cpp
@@ -16,31 +16,18 @@
 /// A move that does not show in a VM list within this time is no longer expected.
 constexpr milliseconds move_timeout{4000};
 
-milliseconds mean_time_since_placement(const step_progress& step, boot_time now) {
-    std::chrono::microseconds total{0};
-    std::int64_t active = 0;
-    for (const auto& task : step.tasks) {
-        if (task.phase == run_phase::placed || task.phase == run_phase::running) {
-            total += now - task.placed_at;
-            ++active;
-        }
-    }
-    return active == 0 ? milliseconds(0) : to_millis(total / active);
-}
-
-/// Adds the VMs that the long-running steps of the job need to stay apart, and the CPU of their tasks that
-/// wait.
-void add_long_running_load(pool_load& load, const job_progress& job) {
+/// Adds the needs of the job's tasks that are ready to start. Best-effort tasks need no VM of their own.
+void add_waiting_load(pool_load& load, const job_progress& job) {
     for (const auto& occurrence : job.occurrences) {
         for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
             const auto& spec = job.spec.steps[step];
-            if (!spec.long_running || !job.is_released(occurrence, static_cast<std::int32_t>(step))) {
+            if (spec.best_effort || !job.is_released(occurrence, static_cast<std::int32_t>(step))) {
                 continue;
             }
-            load.long_running_vms = std::max(load.long_running_vms, spec.count);
-            if (!spec.best_effort) {
-                load.long_running_millicores += static_cast<double>(occurrence.steps[step].waiting) *
-                                                static_cast<double>(spec.need.cpu_millicores);
+            load.waiting_millicores += static_cast<double>(occurrence.steps[step].waiting) *
+                                       static_cast<double>(spec.need.cpu_millicores);
+            if (spec.long_running) {
+                load.long_running_vms = std::max(load.long_running_vms, spec.count);
             }
         }
     }
@@ -52,6 +39,7 @@
     if (job.is_long_running()) {
         return;
     }
+    this->releases_allowed_from = std::min(this->releases_allowed_from, now + this->timings.move_warmup);
     const auto* account = this->config->find_account(job.spec.account);
     job.beyond_share = account != nullptr && !this->shares.admit(account->name, account->weight, now);
     if (job.beyond_share) {
@@ -59,38 +47,21 @@
                   {{"job", job.spec.id}, {"account", account->name}, {"weight", account->weight}});
         return;
     }
-    std::vector<forecast_step> steps;
+    const auto learned = this->durations.find(job.spec.queue);
+    double work = 0;
     for (const auto& step : job.spec.steps) {
-        steps.push_back(this->make_forecast_step(job, step));
-        steps.back().waiting = step.count;
+        const auto duration =
+            learned == this->durations.end() ? step.estimate : learned->second.predict(step.estimate);
+        work += static_cast<double>(step.count) * static_cast<double>(step.need.cpu_millicores) *
+                seconds_of(duration);
     }
-    this->demand[this->pool_of(job)].arrivals.add(work_within(steps, this->timings.move_lead_time), now);
-}
-
-forecast_step scheduler::impl::make_forecast_step(const job_progress& job, const step_spec& step) const {
-    const auto learned = this->durations.find(job.spec.queue);
-    const bool counts = !step.best_effort && !step.long_running;
-    return {.task_millicores = counts ? static_cast<double>(step.need.cpu_millicores) : 0,
-            .duration =
-                learned == this->durations.end() ? step.estimate : learned->second.predict(step.estimate),
-            .after = step.after};
+    this->demand[this->pool_of(job)].arrivals.add(work, now);
 }
 
-double scheduler::impl::forecast_job(const job_progress& job, boot_time now) const {
-    double millicores = 0;
-    std::vector<forecast_step> steps;
-    for (const auto& occurrence : job.occurrences) {
-        steps.clear();
-        for (std::size_t number = 0; number < occurrence.steps.size(); ++number) {
-            auto& step = steps.emplace_back(this->make_forecast_step(job, job.spec.steps[number]));
-            const auto& progress = occurrence.steps[number];
-            step.waiting = progress.waiting;
-            step.running = progress.active();
-            step.elapsed = mean_time_since_placement(progress, now);
-        }
-        millicores += forecast_millicores(steps, this->timings.move_lead_time);
-    }
-    return millicores;
+bool scheduler::impl::has_batch_jobs() const {
+    return !this->finals.empty() || std::any_of(this->jobs.begin(), this->jobs.end(), [](const auto& item) {
+        return !item.second->is_long_running();
+    });
 }
 
 void scheduler::impl::count_known_arrivals(boot_time now) {
@@ -110,18 +81,19 @@
 std::map<std::string, pool_load> scheduler::impl::compute_pool_loads(boot_time now) {
     std::map<std::string, pool_load> loads;
     for (const auto& pool : this->config->pools) {
-        // The jobs arrive evenly spread over the time until then, so the rate at half that time counts.
         loads[pool.name].arriving_millicores =
-            this->demand[pool.name].arrivals.expected_millicores(now, this->timings.move_lead_time / 2);
+            this->demand[pool.name].arrivals.expected_millicores(now, this->timings.move_lead_time);
     }
     for (const auto& [id, worker] : this->workers) {
         auto& load = loads[worker.entry.pool];
         load.vm_millicores =
             std::max(load.vm_millicores, static_cast<double>(worker.entry.capacity.cpu_millicores));
         for (const auto& [task, placed] : worker.tasks) {
-            if (placed.long_running && !placed.beyond_share) {
-                load.long_running_millicores += static_cast<double>(placed.need.cpu_millicores);
+            if (placed.beyond_share) {
+                continue; // uses free capacity and causes no move
             }
+            (placed.long_running ? load.long_running_millicores : load.running_millicores) +=
+                static_cast<double>(placed.need.cpu_millicores);
         }
     }
     for (const auto& [name, vm] : this->vms) {
@@ -129,12 +101,9 @@
         load.vm_millicores = std::max(load.vm_millicores, static_cast<double>(vm.capacity.cpu_millicores));
     }
     for (const auto& [id, job] : this->jobs) {
-        if (is_final(job->state) || job->beyond_share) {
-            continue; // a job beyond its share uses free capacity and causes no move
+        if (!is_final(job->state) && !job->beyond_share) {
+            add_waiting_load(loads[this->pool_of(*job)], *job);
         }
-        auto& load = loads[this->pool_of(*job)];
-        add_long_running_load(load, *job);
-        load.known_millicores += this->forecast_job(*job, now);
     }
     return loads;
 }
@@ -205,8 +174,9 @@
                       {{"pool", pool.pool},
                        {"vms", pool.vms},
                        {"needed", pool.needed},
-                       {"lasting_cores", std::llround(load.long_running_millicores / 1000)},
-                       {"known_cores", std::llround(load.known_millicores / 1000)},
+                       {"long_running_cores", std::llround(load.long_running_millicores / 1000)},
+                       {"running_cores", std::llround(load.running_millicores / 1000)},
+                       {"waiting_cores", std::llround(load.waiting_millicores / 1000)},
                        {"arriving_cores", std::llround(load.arriving_millicores / 1000)}});
         }
     }
--- a/src/node/site_node_options.hpp
+++ b/src/node/site_node_options.hpp
@@ -24,7 +24,7 @@
     /// log reorganizes; the next read finds them.
     std::chrono::milliseconds scheduler_wait{200};
     /// Pause between reads of the workers topic.
-    std::chrono::milliseconds workers_pause{250};
+    std::chrono::milliseconds workers_pause{100};
     std::chrono::milliseconds start_timeout{600};
     /// Timeout of a hold, in addition to the time that the worker keeps the call open.
     std::chrono::milliseconds hold_timeout{500};
--- a/src/policy/pool_moves.cpp
+++ b/src/policy/pool_moves.cpp
@@ -19,6 +19,8 @@
 constexpr double min_span_s = 0.2;
 /// A longer span does not indicate a surge.
 constexpr double max_span_s = 1.0;
+/// Fraction of the waiting work that counts: the rest ends before a VM that is ordered now arrives.
+constexpr double backlog_fraction = 0.4;
 /// Limit of the extrapolated rise, as a fraction of the rate: a few large jobs look like a steep rise.
 constexpr double max_rise_fraction = 0.6;
 /// Fraction of a VM that is planned to be used; the rest absorbs uneven task sizes.
@@ -91,7 +93,8 @@
     if (load.vm_millicores <= 0) {
         return 0;
     }
-    const double batch = load.known_millicores + load.arriving_millicores;
+    const double batch = std::max(load.arriving_millicores,
+                                  load.running_millicores + backlog_fraction * load.waiting_millicores);
     const auto by_millicores = static_cast<std::int32_t>(
         std::ceil((load.long_running_millicores + batch) / (load.vm_millicores * planned_utilization)));
     return std::max(by_millicores, load.long_running_vms) + 1;
--- a/src/policy/pool_moves.hpp
+++ b/src/policy/pool_moves.hpp
@@ -56,10 +56,11 @@
 /// Demand on a pool at one moment. CPU is in thousandths of a core.
 struct pool_load {
     double long_running_millicores = 0; ///< of tasks that run until their job is cancelled
-    double known_millicores = 0;       ///< of other tasks of known jobs when a VM that is ordered now arrives
-    double arriving_millicores = 0;    ///< of jobs that will arrive until then
-    std::int32_t long_running_vms = 0; ///< VMs required to keep long-running tasks apart
-    double vm_millicores = 0;          ///< of one VM of the pool
+    double running_millicores = 0;      ///< of other tasks
+    double waiting_millicores = 0;      ///< of all tasks that are ready to start, except best-effort ones
+    double arriving_millicores = 0;     ///< expected at the time when a VM ordered now arrives
+    std::int32_t long_running_vms = 0;  ///< VMs required to keep long-running tasks apart
+    double vm_millicores = 0;           ///< of one VM of the pool
 };
 
 /// @return number of VMs that the pool needs, including one in reserve; 0 when the size of its VMs is unknown
--- a/tests/scheduler_test.cpp
+++ b/tests/scheduler_test.cpp
@@ -318,3 +318,20 @@
     }
     BOOST_TEST(site.early_drops == 0);
 }
+
+// Nothing is known of the demand when a site starts for the first time. Guards against switching off the VMs
+// that the first jobs need, which would then wait for VMs to come back.
+BOOST_AUTO_TEST_CASE(vms_stay_until_demand_was_seen) {
+    scheduler_site site(14);
+    site.add_vms(8);
+    site.add_vms(1, "spare");
+    site.take_over();
+    site.submit(long_running_job(2, 1));
+    site.run(milliseconds(20000));
+    BOOST_TEST(site.moves == 0);
+    site.submit(batch_job(2));
+    site.run(milliseconds(2000));
+    BOOST_TEST(site.moves == 0);
+    site.run(milliseconds(8000));
+    BOOST_TEST(site.moves > 0);
+}
