Folders for the two systems: src/scheduler and src/site beside src/coordination and src/node

Cause: src/coordination and src/node held two systems side by side, and a path did not say which one a file serves.

--- a/src/cli/serve_site.cpp
+++ b/src/cli/serve_site.cpp
@@ -2,11 +2,11 @@
 
 #include "cli/command.hpp"
 #include "cli/stop_signals.hpp"
-#include "node/site_node.hpp"
 #include "platform/adapter.hpp"
 #include "platform/codec.hpp"
 #include "platform/settings.hpp"
 #include "protocol/json_log.hpp"
+#include "site/site_node.hpp"
 
 #include <boost/json/object.hpp>
 #include <fmt/format.h>
--- a/src/coordination/scheduler.cpp
+++ b/src/scheduler/scheduler.cpp
@@ -1,7 +1,7 @@
-#include "coordination/scheduler.hpp"
+#include "scheduler/scheduler.hpp"
 
-#include "coordination/scheduler_impl.hpp"
 #include "protocol/json_log.hpp"
+#include "scheduler/scheduler_impl.hpp"
 #include "state/job_index.hpp"
 
 #include <boost/json/array.hpp>
--- a/src/coordination/scheduler_impl.hpp
+++ b/src/scheduler/scheduler_impl.hpp
@@ -1,13 +1,13 @@
 #pragma once
 
-// Internal to src/coordination: the state of `scheduler`. Each scheduler_*.cpp file implements one subject.
+// Internal to src/scheduler: the state of `scheduler`. Each scheduler_*.cpp file implements one subject.
 
-#include "coordination/scheduler.hpp"
 #include "policy/account_share.hpp"
 #include "policy/job_order.hpp"
 #include "policy/pool_moves.hpp"
 #include "policy/vm_plan.hpp"
 #include "policy/worker_choice.hpp"
+#include "scheduler/scheduler.hpp"
 #include "state/job_progress.hpp"
 
 #include <deque>
--- a/src/coordination/scheduler_lease.cpp
+++ b/src/scheduler/scheduler_lease.cpp
@@ -1,4 +1,4 @@
-#include "coordination/scheduler_lease.hpp"
+#include "scheduler/scheduler_lease.hpp"
 
 #include "protocol/json_log.hpp"
 
--- a/src/coordination/scheduler_workers.cpp
+++ b/src/scheduler/scheduler_workers.cpp
@@ -1,4 +1,4 @@
-#include "coordination/scheduler_impl.hpp"
+#include "scheduler/scheduler_impl.hpp"
 
 #include "protocol/durations.hpp"
 #include "protocol/json_log.hpp"
--- a/src/node/operator_view.cpp
+++ b/src/site/operator_view.cpp
@@ -1,4 +1,4 @@
-#include "node/operator_view.hpp"
+#include "site/operator_view.hpp"
 
 namespace hornbeamrail {
 
--- a/src/node/site_node.hpp
+++ b/src/site/site_node.hpp
@@ -1,12 +1,12 @@
 #pragma once
 
-#include "coordination/scheduler.hpp"
-#include "coordination/scheduler_lease.hpp"
-#include "node/log_tail.hpp"
-#include "node/operator_view.hpp"
-#include "node/site_node_options.hpp"
-#include "node/submission_queue.hpp"
 #include "protocol/json_log.hpp"
+#include "scheduler/scheduler.hpp"
+#include "scheduler/scheduler_lease.hpp"
+#include "site/log_tail.hpp"
+#include "site/operator_view.hpp"
+#include "site/site_node_options.hpp"
+#include "site/submission_queue.hpp"
 #include "state/counters.hpp"
 #include "state/job_index.hpp"
 #include "transport/http_server.hpp"
@@ -162,8 +162,8 @@
 
 } // namespace hornbeamrail
 
-#include "node/site_node_impl.hpp"
+#include "site/site_node_impl.hpp"
 
-#include "node/site_node_callers.hpp"
-#include "node/site_node_log.hpp"
-#include "node/site_node_scheduler.hpp"
+#include "site/site_node_callers.hpp"
+#include "site/site_node_log.hpp"
+#include "site/site_node_scheduler.hpp"
--- a/src/node/submission_queue.cpp
+++ b/src/site/submission_queue.cpp
@@ -1,4 +1,4 @@
-#include "node/submission_queue.hpp"
+#include "site/submission_queue.hpp"
 
 #include "protocol/json_log.hpp"
 
--- a/tests/scheduler_lease_test.cpp
+++ b/tests/scheduler_lease_test.cpp
@@ -1,5 +1,5 @@
-#include "coordination/scheduler_lease.hpp"
 #include "fakes/fake_site.hpp"
+#include "scheduler/scheduler_lease.hpp"
 
 #include <boost/test/unit_test.hpp>
 
--- a/tests/scheduler_site.hpp
+++ b/tests/scheduler_site.hpp
@@ -2,10 +2,10 @@
 
 // Runs a scheduler against fakes of the log, the workers and the VMs in simulated time, with seeded faults.
 
-#include "coordination/scheduler.hpp"
-#include "coordination/scheduler_lease.hpp"
 #include "fakes/fake_site.hpp"
 #include "run_checks.hpp"
+#include "scheduler/scheduler.hpp"
+#include "scheduler/scheduler_lease.hpp"
 #include "state/job_index.hpp"
 
 #include <boost/json/serialize.hpp>
--- a/tests/site_node_test.cpp
+++ b/tests/site_node_test.cpp
@@ -1,6 +1,6 @@
 #include "fakes/fake_site.hpp"
-#include "node/site_node.hpp"
 #include "platform/codec.hpp"
+#include "site/site_node.hpp"
 #include "transport/http_client_pool.hpp"
 #include "transport/io_types.hpp"
 
--- a/tests/submission_queue_test.cpp
+++ b/tests/submission_queue_test.cpp
@@ -1,6 +1,6 @@
 #include "fakes/fake_site.hpp"
-#include "node/log_tail.hpp"
-#include "node/submission_queue.hpp"
+#include "site/log_tail.hpp"
+#include "site/submission_queue.hpp"
 
 #include <boost/test/unit_test.hpp>
 
