--- a/src/scheduler/scheduler_impl.hpp
+++ b/src/scheduler/scheduler_impl.hpp
@@ -306,6 +306,8 @@
     [[nodiscard]] const std::string& pool_of(const job_progress& job) const;
     [[nodiscard]] job_rank rank_of(const job_progress& job, const occurrence_progress& occurrence,
                                    unix_time clock) const;
+
+    // scheduler_orders.cpp: orders for single tasks
     void send_start_order(worker_control& worker, const task_id& id, placement& placed, boot_time now);
     /// Paces the best-effort tasks of workers that also run latency-sensitive tasks: a third of the last pace
     /// while one of these approaches its target, else 10 percentage points more, up to full speed.
--- /dev/null
+++ b/src/scheduler/scheduler_orders.cpp
@@ -0,0 +1,174 @@
+#include "scheduler/scheduler_impl.hpp"
+
+#include "protocol/json_log.hpp"
+
+#include <algorithm>
+
+// Orders to workers for single tasks, and the answers to them.
+
+namespace hornbeamrail {
+
+using std::chrono::milliseconds;
+
+void scheduler::impl::send_start_order(worker_control& worker, const task_id& id, placement& placed,
+                                       boot_time now) {
+    auto* job = this->find_job(id.job);
+    auto* task = job == nullptr ? nullptr : job->find_task(id);
+    // The record may have been confirmed long after it was appended, if the process was paused meanwhile.
+    const bool valid = task != nullptr && task->run == placed.run && task->phase == run_phase::placed &&
+                       !is_final(job->state) && !worker.entry.draining &&
+                       !this->zones_out.contains(worker.entry.zone) && this->may_extend_leases(now);
+    const auto until = this->lease_end(worker, this->timings.start_lease, now);
+    if (!valid || !until) {
+        this->remove_placement(worker, id, job == nullptr ? "" : job->spec.account);
+        if (task != nullptr && task->run == placed.run && task->phase == run_phase::placed) {
+            this->requeue(*job, id, *task, now);
+            this->advance_job(*job, now);
+        }
+        return;
+    }
+    placed.stage = start_stage::sent;
+    placed.fence = this->fence_of(worker);
+    placed.stage_entered = now;
+    this->extend_lease_bound(worker, this->timings.start_lease, now);
+    this->add_action(send_start{.worker = {.id = worker.entry.id, .address = worker.entry.address},
+                                .order = {.task = id,
+                                          .run = placed.run,
+                                          .payload = job->spec.payload,
+                                          .checkpoint = task->checkpoint,
+                                          .ticket = placed.ticket,
+                                          .lease_until = *until,
+                                          .fence = placed.fence}});
+}
+
+void scheduler::on_start_answer(const worker_target& target, const start_order& order,
+                                const order_answer& answer, boot_time now) {
+    auto& state = *this->self;
+    const auto found = state.workers.find(target.id);
+    const auto placed = found == state.workers.end() ? std::map<task_id, placement>::iterator()
+                                                     : found->second.tasks.find(order.task);
+    if (state.term == 0 || found == state.workers.end() || placed == found->second.tasks.end() ||
+        placed->second.run != order.run || placed->second.stage != start_stage::sent) {
+        return;
+    }
+    auto& worker = found->second;
+    state.update_clock(worker, answer.worker_clock, now);
+    auto* job = state.find_job(order.task.job);
+    auto* task = job == nullptr ? nullptr : job->find_task(order.task);
+    if (answer.outcome == order_outcome::done) {
+        placed->second.stage = start_stage::confirmed;
+        placed->second.stage_entered = now;
+        if (task != nullptr && task->phase == run_phase::placed) {
+            job->set_phase(order.task, *task, run_phase::running);
+            task->placed_at = now;
+            if (job->state == job_state::pending) {
+                state.set_state(*job, job_state::running);
+            }
+            if (is_final(job->state)) {
+                task->stop_sent = now;
+                state.send_stop_order(worker, order.task, order.run);
+            }
+        }
+        return;
+    }
+    write_log(severity::info, "start_not_done",
+              {{"job", order.task.job},
+               {"step", order.task.step},
+               {"index", order.task.index},
+               {"run", order.run},
+               {"worker", target.id},
+               {"outcome", to_string(answer.outcome)},
+               {"reason", answer.reason}});
+    if (answer.outcome == order_outcome::unknown) {
+        placed->second.stage = start_stage::unacknowledged;
+        state.raise_fence(worker, now);
+        return;
+    }
+    if (answer.outcome == order_outcome::fenced && order.fence < state.fence_of(worker)) {
+        state.send_start_order(worker, order.task, placed->second, now);
+        return;
+    }
+    if (answer.outcome == order_outcome::no_ticket) {
+        task_id step_id = order.task;
+        step_id.index = 0;
+        state.advice.erase(step_id);
+    }
+    if (answer.outcome == order_outcome::unhealthy || answer.outcome == order_outcome::unsent ||
+        answer.outcome == order_outcome::no_room) {
+        worker.avoid_until = std::max(worker.avoid_until, now + state.timings.retry_after_refusal);
+    }
+    state.remove_placement(worker, order.task, job == nullptr ? "" : job->spec.account);
+    if (task != nullptr) {
+        state.requeue(*job, order.task, *task, now + state.timings.retry_after_refusal);
+        state.advance_job(*job, now);
+    }
+}
+
+void scheduler::on_stop_answer(const worker_target& target, const stop_order& order,
+                               const order_answer& answer, boot_time now) {
+    auto& state = *this->self;
+    const auto found = state.workers.find(target.id);
+    if (found == state.workers.end()) {
+        return;
+    }
+    state.update_clock(found->second, answer.worker_clock, now);
+    if (answer.outcome != order_outcome::done) {
+        write_log(severity::info, "stop_not_done",
+                  {{"job", order.task.job},
+                   {"run", order.run},
+                   {"worker", target.id},
+                   {"outcome", to_string(answer.outcome)},
+                   {"reason", answer.reason}});
+    }
+}
+
+void scheduler::impl::pace_best_effort_tasks(boot_time now) {
+    constexpr milliseconds pace_settle_time{600}; // between two changes of the pace of one task
+    for (auto& [id, worker] : this->workers) {
+        if (worker.best_effort_tasks == 0 || worker.latency_sensitive_tasks == 0 || !worker.confirmed) {
+            continue;
+        }
+        bool target_at_risk = false;
+        for (const auto& [task_name, placed] : worker.tasks) {
+            const auto* job = placed.latency_sensitive ? this->find_job(task_name.job) : nullptr;
+            if (job != nullptr) {
+                // Best-effort tasks slow down once the tail latency exceeds 80 % of the target, before it is
+                // missed.
+                const auto target = job->spec.steps[static_cast<std::size_t>(task_name.step)].latency_target;
+                target_at_risk = target_at_risk || placed.latest_load * 10 > target.count() * 8;
+            }
+        }
+        for (auto& [task_name, placed] : worker.tasks) {
+            if (!placed.best_effort || placed.stage != start_stage::confirmed ||
+                now < placed.pace_sent + pace_settle_time) {
+                continue;
+            }
+            const auto percent = target_at_risk ? placed.pace / 3 : std::min(100, placed.pace + 10);
+            if (percent == placed.pace) {
+                continue;
+            }
+            placed.pace_sent = now;
+            this->add_action(send_pace{.worker = {.id = id, .address = worker.entry.address},
+                                       .order = {.task = task_name,
+                                                 .run = placed.run,
+                                                 .percent = percent,
+                                                 .fence = this->fence_of(worker)}});
+        }
+    }
+}
+
+void scheduler::on_pace_answer(const worker_target& target, const pace_order& order,
+                               const order_answer& answer, boot_time now) {
+    auto& state = *this->self;
+    const auto found = state.workers.find(target.id);
+    if (found == state.workers.end()) {
+        return;
+    }
+    state.update_clock(found->second, answer.worker_clock, now);
+    const auto placed = found->second.tasks.find(order.task);
+    if (answer.outcome == order_outcome::done && placed != found->second.tasks.end()) {
+        placed->second.pace = order.percent;
+    }
+}
+
+} // namespace hornbeamrail
