Appends of a commit keep the order of its records

Cause: splitting a commit took its records from the end, so of several states of one wave the oldest won; a successor ordered the maintenance of VMs again. Change: records are appended in order. Result: successor_repeats_no_recorded_maintenance failed first (11 orders for 8 VMs), passes now.

--- a/src/scheduler/scheduler.cpp
+++ b/src/scheduler/scheduler.cpp
@@ -209,7 +209,7 @@
     if (!state.batch_in_flight || state.batch_in_flight->sequence != sequence) {
         return;
     }
-    if (!state.batch_in_flight->records.empty()) {
+    if (state.batch_in_flight->records_appended < state.batch_in_flight->records.size()) {
         state.append_next_part();
         return;
     }
--- a/src/scheduler/scheduler_impl.hpp
+++ b/src/scheduler/scheduler_impl.hpp
@@ -128,7 +128,8 @@
 /// Effects to run once the records that they depend on are in the log.
 struct commit_batch {
     std::int64_t sequence = 0;
-    std::vector<keyed_record> records; ///< not appended yet; too many for one append if there are many jobs
+    std::vector<keyed_record> records;
+    std::size_t records_appended = 0; ///< leading records that earlier appends of the batch hold
     std::vector<std::pair<std::string, task_id>> starts;   ///< worker, task
     std::map<std::string, std::int64_t> ends;              ///< number of the last recorded end, by worker
     std::vector<std::pair<std::string, job_state>> states; ///< to publish
--- a/src/scheduler/scheduler_jobs.cpp
+++ b/src/scheduler/scheduler_jobs.cpp
@@ -322,15 +322,14 @@
     auto& batch = *this->batch_in_flight;
     std::size_t bytes = 0;
     std::vector<keyed_record> part;
-    // From the end, because removal there moves no other record. Each key occurs once in a batch.
-    while (!batch.records.empty()) {
-        auto& record = batch.records.back();
+    // In order, because the last record of a key replaces the others.
+    for (; batch.records_appended < batch.records.size(); ++batch.records_appended) {
+        auto& record = batch.records[batch.records_appended];
         bytes += record.key.size() + record.value.size() + record_overhead;
         if (!part.empty() && bytes > max_append_bytes) {
             break;
         }
         part.push_back(std::move(record));
-        batch.records.pop_back();
     }
     batch.sequence = ++this->commit_sequence;
     this->add_action(commit_progress{.sequence = batch.sequence, .records = std::move(part)});
--- a/tests/scheduler_outage_test.cpp
+++ b/tests/scheduler_outage_test.cpp
@@ -294,3 +294,23 @@
     BOOST_TEST(site.state_of(id) == "completed");
     BOOST_TEST(site.site.history().size() == 4);
 }
+
+// Several orders of a wave may be recorded in one append. Guards against an earlier state of the wave that
+// replaces a later one: a successor would order the maintenance of some VMs again.
+BOOST_AUTO_TEST_CASE(successor_repeats_no_recorded_maintenance) {
+    scheduler_site site(12);
+    site.add_vms(8);
+    site.take_over();
+    site.run(milliseconds(500));
+    site.request_wave(wave_over_pool(8, milliseconds(20000), 4));
+    for (int round = 0; round < 500 && site.maintenance_orders < 4; ++round) {
+        site.run(milliseconds(2));
+    }
+    BOOST_REQUIRE(site.maintenance_orders >= 4);
+    site.run(milliseconds(100));
+    site.take_over();
+    site.run(milliseconds(12000));
+    BOOST_REQUIRE(!site.reports.empty());
+    BOOST_TEST(site.reports.back().second);
+    BOOST_TEST(site.maintenance_orders == 8);
+}
