A timed-out call resets its connection, so that a held-back order does not arrive later

An order written before the cut, whose call had timed out: an orderly close leaves the delivery of written bytes to the system. Change: a call past its deadline sets SO_LINGER to zero before it ends its connection, which discards what was not delivered.

--- a/src/transport/call_pool.hpp
+++ b/src/transport/call_pool.hpp
@@ -372,7 +372,7 @@
                         boost::system::error_code ignored;
                         conn->stream.socket.cancel(ignored);
                     } else {
-                        conn->stream.interrupt(SHUT_RDWR); // its coroutine reads the end of the stream
+                        conn->stream.abort(); // its coroutine reads the end of the stream
                     }
                 }
                 while (!group.idle.empty() && group.idle.front()->deadline <= now) {
--- a/src/transport/socket_stream.hpp
+++ b/src/transport/socket_stream.hpp
@@ -71,6 +71,14 @@
     /// @param direction SHUT_RD, SHUT_WR or SHUT_RDWR
     void interrupt(int direction) noexcept { ::shutdown(this->socket.native_handle(), direction); }
 
+    /// Ends all operations like `interrupt`, and makes the close of the socket discard what was written and
+    /// not delivered. Otherwise the system delivers it when the link works again, which may be seconds later.
+    void abort() noexcept {
+        const linger discard{.l_onoff = 1, .l_linger = 0};
+        ::setsockopt(this->socket.native_handle(), SOL_SOCKET, SO_LINGER, &discard, sizeof discard);
+        this->interrupt(SHUT_RDWR);
+    }
+
     /// @return whether an idle connection can be reused: it is not closed and has no unread data
     [[nodiscard]] bool is_reusable() noexcept {
         char byte = 0;
--- a/tests/http_client_pool_test.cpp
+++ b/tests/http_client_pool_test.cpp
@@ -130,6 +130,19 @@
     BOOST_TEST(requests.load() == 1);
 }
 
+// An order that a cut link holds back must not arrive after its call has timed out: its permission may have
+// ended. Guards against a close that leaves the delivery to the system.
+BOOST_AUTO_TEST_CASE(timed_out_call_resets_its_connection) {
+    const auto reset = std::make_shared<async_result<bool>>();
+    raw_server server([reset](raw_socket& peer, int) {
+        peer.receive_until("body");
+        reset->set(peer.ends_with_reset());
+    });
+    const auto result = this->call(server.address(), "", std::chrono::milliseconds(50));
+    BOOST_TEST((result.status == call_status::unknown));
+    BOOST_TEST(reset->get());
+}
+
 // Guards against an error in the handler of one answer that ends the process or leaks its connection.
 BOOST_AUTO_TEST_CASE(exception_in_a_callback_ends_only_that_callback) {
     raw_server server([&](raw_socket& peer, int) {
--- a/tests/raw_socket.hpp
+++ b/tests/raw_socket.hpp
@@ -6,6 +6,7 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <sys/time.h>
 #include <unistd.h>
@@ -97,6 +98,23 @@
         return text;
     }
 
+    /// Waits for the end of the stream.
+    /// @return whether the peer reset the connection instead of closing it in order
+    bool ends_with_reset() {
+        char chunk[4096];
+        ssize_t bytes_read = 0;
+        do {
+            bytes_read = ::recv(this->handle, chunk, sizeof chunk, 0);
+        } while (bytes_read > 0);
+        if (bytes_read < 0) {
+            return errno == ECONNRESET;
+        }
+        // A reset that follows the end of the stream shows as an error of the socket.
+        pollfd state{.fd = this->handle, .events = 0, .revents = 0};
+        constexpr int reset_timeout_ms = 2000;
+        return ::poll(&state, 1, reset_timeout_ms) > 0 && (state.revents & POLLERR) != 0;
+    }
+
     /// @return the received bytes until the peer closes the connection
     std::string receive_all() { return this->receive_until(std::string_view("\0no such text\0", 14)); }
 
