An order that is not sent any more reads nothing of its removed placement

Cause: send_start_order compared the run of a placement that it had just removed (an older fault, found by the address sanitizer in suspended_scheduler_extends_no_lease, which is the first test to take this path). Change: the number of the run is kept before the removal. Result: scheduler_outage_test reported a use after free with the address sanitizer, and is clean with it now.

--- a/src/scheduler/scheduler_orders.cpp
+++ b/src/scheduler/scheduler_orders.cpp
@@ -20,8 +20,9 @@
                        !this->zones_out.contains(worker.entry.zone) && this->may_extend_leases(now);
     const auto until = this->lease_end(worker, this->timings.start_lease, now);
     if (!valid || !until) {
+        const auto run = placed.run; // `placed` ends with its removal
         this->remove_placement(worker, id, job == nullptr ? "" : job->spec.account);
-        if (task != nullptr && task->run == placed.run && task->phase == run_phase::placed) {
+        if (task != nullptr && task->run == run && task->phase == run_phase::placed) {
             this->requeue(*job, id, *task, now);
             this->advance_job(*job, now);
         }
