A loaded tail is confirmed from its first request, not from its hedge

Change: only the first request of a load sets its start. Result: loaded_tail_is_confirmed_from_its_first_request failed first; submission_queue_test and site_node_test pass, format is clean.

--- a/src/site/log_tail.hpp
+++ b/src/site/log_tail.hpp
@@ -82,7 +82,8 @@
         const auto wait = may_wait ? this->options.wait : std::chrono::milliseconds(0);
         this->outstanding.push_back({.number = ++this->requests, .sent_at = now, .wait = wait});
         if (!this->loaded) {
-            this->load_started_at = this->after_key.empty() ? now : this->load_started_at;
+            const bool begins_load = this->after_key.empty() && this->outstanding.size() == 1;
+            this->load_started_at = begins_load ? now : this->load_started_at;
             return newest_call{.topic = this->options.topic,
                                .partition = this->options.partition,
                                .after_key = this->after_key};
--- a/tests/submission_queue_test.cpp
+++ b/tests/submission_queue_test.cpp
@@ -238,3 +238,19 @@
     BOOST_REQUIRE(tail.tick(now).has_value());
     BOOST_TEST(!tail.tick(now + milliseconds(900)).has_value());
 }
+
+// Guards against a view that counts as current up to the sending of a hedge, although the first request, sent
+// earlier, brought its records.
+BOOST_AUTO_TEST_CASE(loaded_tail_is_confirmed_from_its_first_request) {
+    log_tail tail({.topic = log_topic::operators});
+    const auto ignore = [](const keyed_record&) {
+    };
+    boot_time now{milliseconds(1000)};
+    const auto load_start = now;
+    tail.tick(now);
+    const auto first = tail.latest_ticket();
+    now += milliseconds(700);
+    BOOST_REQUIRE(tail.tick(now).has_value());
+    tail.on_newest(first, {.done = true, .end = 5}, ignore, now);
+    BOOST_TEST((tail.confirmed() == load_start));
+}
