Overdue long-running tasks are logged and counted, with what holds back the workers

Change: one reason per worker (worker_block) decides whether it receives new tasks and is what dump, metrics (workers_blocked, tasks_overdue) and the new line task_overdue report. Stand-in of tests: entries that lapse, workers whose answers are lost. Choices are unchanged.

--- a/src/scheduler/scheduler.cpp
+++ b/src/scheduler/scheduler.cpp
@@ -242,6 +242,7 @@
     }
     state.open_occurrences(clock);
     state.dispatch(now, clock);
+    state.report_overdue_tasks(now);
     state.pace_best_effort_tasks(now);
     state.drop_finished(now);
     state.commit(now);
@@ -260,7 +261,8 @@
                                               {"used_cpu_millis", worker.used.cpu_millicores},
                                               {"confirmed", worker.confirmed},
                                               {"unanswered", worker.unanswered_holds},
-                                              {"avoided", now < worker.avoid_until}});
+                                              {"fence_increments", worker.fence_increments},
+                                              {"block", to_string(state.find_block(worker, now))}});
     }
     boost::json::array jobs;
     for (const auto& [id, job] : state.jobs) {
--- a/src/scheduler/scheduler.hpp
+++ b/src/scheduler/scheduler.hpp
@@ -11,6 +11,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -94,6 +95,18 @@
     site_limits limits;
 };
 
+/// Number of workers that receive no new tasks for one reason.
+struct blocked_workers {
+    std::string_view reason;
+    std::int64_t workers = 0;
+};
+
+/// Figures for the metrics of the process.
+struct scheduler_statistics {
+    std::int64_t overdue_tasks = 0; ///< long-running tasks that have waited too long for a worker
+    std::vector<blocked_workers> blocked;
+};
+
 /// Schedules the tasks of the whole site: their order and placement, the leases of workers, VM moves and
 /// maintenance waves. One node at a time holds the scheduler's lease; its term fences every order and record.
 ///
@@ -204,6 +217,9 @@
     /// @return actions for the driver, to be started in this order; empty outside a term
     std::vector<scheduler_action> tick(boot_time now, unix_time clock);
 
+    /// @return figures of the current term; zero outside a term
+    [[nodiscard]] scheduler_statistics statistics(boot_time now) const;
+
     /// @return term, workers and jobs as JSON, for the diagnostic dump of the process
     [[nodiscard]] boost::json::value dump(boot_time now) const;
 
--- a/src/scheduler/scheduler_dispatch.cpp
+++ b/src/scheduler/scheduler_dispatch.cpp
@@ -87,10 +87,70 @@
            fits_upper_limit(used.accelerators, need.accelerators, config_entry->upper_limit.accelerators);
 }
 
-bool scheduler::impl::accepts_new_tasks(const worker_control& worker, boot_time now) const {
-    return worker.listed && worker.confirmed && worker.clock && !worker.is_unresponsive() &&
-           !worker.entry.draining && now >= worker.avoid_until &&
-           !this->zones_out.contains(worker.entry.zone) && !this->is_reserved(worker.entry.id);
+worker_block scheduler::impl::find_block(const worker_control& worker, boot_time now) const {
+    if (!worker.listed) {
+        return worker_block::not_listed;
+    }
+    if (worker.is_unresponsive()) {
+        return worker_block::unresponsive;
+    }
+    if (!worker.confirmed || !worker.clock) {
+        return worker_block::unconfirmed;
+    }
+    if (worker.entry.draining) {
+        return worker_block::draining;
+    }
+    if (this->zones_out.contains(worker.entry.zone)) {
+        return worker_block::zone_out;
+    }
+    if (this->is_reserved(worker.entry.id)) {
+        return worker_block::vm_reserved;
+    }
+    return now < worker.avoid_until ? worker_block::avoided : worker_block::none;
+}
+
+accepting_workers scheduler::impl::find_accepting_workers(const std::string& pool, boot_time now) {
+    accepting_workers found;
+    for (auto& [id, worker] : this->workers) {
+        if (worker.entry.pool != pool || this->find_block(worker, now) != worker_block::none) {
+            continue;
+        }
+        auto available = worker.entry.capacity;
+        available -= worker.used;
+        found.views.push_back({.id = id,
+                               .rack = worker.entry.rack(),
+                               .available = available,
+                               .capacity = worker.entry.capacity,
+                               .latency_sensitive_tasks = worker.latency_sensitive_tasks,
+                               .best_effort_tasks = worker.best_effort_tasks,
+                               .long_running_tasks = worker.long_running_tasks});
+        found.controls.push_back(&worker);
+    }
+    return found;
+}
+
+void scheduler::impl::apply_step_rules(accepting_workers& candidates, const step_spec& step,
+                                       const task_id& step_id) {
+    for (std::size_t index = 0; index < candidates.views.size(); ++index) {
+        auto& view = candidates.views[index];
+        const auto& worker = *candidates.controls[index];
+        view.same_step_tasks =
+            step.max_per_worker > 0 || step.long_running ? tasks_of_step(worker, step_id) : 0;
+        view.allowed = step.required_label.empty() || worker.entry.has_label(step.required_label);
+    }
+}
+
+placement_request scheduler::impl::make_request(const step_spec& step) {
+    placement_request request{.need = step.need,
+                              .data_rack = step.data_rack,
+                              .max_per_worker = step.max_per_worker,
+                              .best_effort = step.best_effort,
+                              .latency_sensitive = step.latency_target.count() > 0,
+                              .spread = step.long_running};
+    if (step.best_effort) {
+        request.need.cpu_millicores = 0;
+    }
+    return request;
 }
 
 job_rank scheduler::impl::rank_of(const job_progress& job, const occurrence_progress& occurrence,
@@ -164,25 +224,9 @@
         return std::tie(left.rank, left.job->spec.id, left.occurrence) <
                std::tie(right.rank, right.job->spec.id, right.occurrence);
     });
-    std::vector<worker_view> views;
-    std::vector<worker_control*> controls;
-    for (auto& [id, worker] : this->workers) {
-        if (worker.entry.pool != pool || !this->accepts_new_tasks(worker, now)) {
-            continue;
-        }
-        auto available = worker.entry.capacity;
-        available -= worker.used;
-        views.push_back({.id = id,
-                         .rack = worker.entry.rack(),
-                         .available = available,
-                         .capacity = worker.entry.capacity,
-                         .latency_sensitive_tasks = worker.latency_sensitive_tasks,
-                         .best_effort_tasks = worker.best_effort_tasks,
-                         .long_running_tasks = worker.long_running_tasks});
-        controls.push_back(&worker);
-    }
+    auto candidates = this->find_accepting_workers(pool, now);
     // Skips steps that fit on no worker, so a full pool is not searched once per waiting job.
-    auto largest_cpu = largest_available_cpu(views);
+    auto largest_cpu = largest_available_cpu(candidates.views);
     for (const auto& item : pending) {
         auto& occurrence = item.job->occurrence(item.occurrence);
         for (std::int32_t step = 0; step < static_cast<std::int32_t>(occurrence.steps.size()); ++step) {
@@ -192,24 +236,19 @@
                 (!spec.best_effort && spec.need.cpu_millicores > largest_cpu)) {
                 continue;
             }
-            if (!this->place_step(*item.job, occurrence, step, views, controls, now)) {
-                largest_cpu = largest_available_cpu(views);
+            if (!this->place_step(*item.job, occurrence, step, candidates, now)) {
+                largest_cpu = largest_available_cpu(candidates.views);
             }
         }
     }
 }
 
 bool scheduler::impl::place_step(job_progress& job, occurrence_progress& occurrence, std::int32_t number,
-                                 std::vector<worker_view>& views,
-                                 const std::vector<worker_control*>& controls, boot_time now) {
+                                 accepting_workers& candidates, boot_time now) {
     const auto& step = job.spec.steps[static_cast<std::size_t>(number)];
     const task_id step_id{.job = job.spec.id, .occurrence = occurrence.number, .step = number};
-    for (std::size_t index = 0; index < views.size(); ++index) {
-        views[index].same_step_tasks =
-            step.max_per_worker > 0 || step.long_running ? tasks_of_step(*controls[index], step_id) : 0;
-        views[index].allowed =
-            step.required_label.empty() || controls[index]->entry.has_label(step.required_label);
-    }
+    auto& [views, controls] = candidates;
+    apply_step_rules(candidates, step, step_id);
     const auto* queue = this->find_queue(job.spec.queue);
     if (queue != nullptr && queue->advice) {
         const auto* granted_advice = this->get_advice(step_id, controls, now);
@@ -221,15 +260,7 @@
     if (step.gang) {
         return !this->log_is_late(now) && this->place_gang(job, occurrence, number, views, controls, now);
     }
-    placement_request request{.need = step.need,
-                              .data_rack = step.data_rack,
-                              .max_per_worker = step.max_per_worker,
-                              .best_effort = step.best_effort,
-                              .latency_sensitive = step.latency_target.count() > 0,
-                              .spread = step.long_running};
-    if (step.best_effort) {
-        request.need.cpu_millicores = 0;
-    }
+    auto request = make_request(step);
     if (step.rack_sensitive) {
         request.preferred_rack = choose_rack(views, request.need, step.count);
     }
--- a/src/scheduler/scheduler_impl.hpp
+++ b/src/scheduler/scheduler_impl.hpp
@@ -60,6 +60,9 @@
     /// Pools release VMs after this time even if no job has arrived.
     std::chrono::milliseconds longest_warmup{60000};
     std::chrono::milliseconds move_lead_time{2200}; ///< from the order of a move to the first task on the VM
+    /// A long-running task that has waited for a worker for this time is reported.
+    std::chrono::milliseconds overdue_after{2000};
+    std::chrono::milliseconds overdue_report_interval{1000};
 };
 
 /// A worker's clock may run slow by at most this factor, so its leases may last that much longer by the clock
@@ -94,6 +97,22 @@
     boot_time pace_sent{};
 };
 
+/// Why a worker receives no new tasks.
+enum class worker_block : std::uint8_t {
+    none,         ///< it receives new tasks
+    not_listed,   ///< its entry is not in the workers topic
+    unresponsive, ///< the latest hold was not answered
+    unconfirmed,  ///< it has not answered a hold with the current fence
+    draining,
+    zone_out,    ///< its availability zone is out of service
+    vm_reserved, ///< its VM has a pending order or is next in a wave
+    avoided,     ///< tasks failed or were refused there
+};
+inline constexpr std::size_t worker_block_count = 8;
+
+/// @return the name of the enumerator
+std::string_view to_string(worker_block block) noexcept;
+
 /// The scheduler's view of one worker instance.
 struct worker_control {
     worker_entry entry;
@@ -179,6 +198,19 @@
     bool report_in_flight = false;
 };
 
+/// The workers of a pool that receive new tasks; `views` and `controls` have the same order.
+struct accepting_workers {
+    std::vector<worker_view> views;
+    std::vector<worker_control*> controls;
+};
+
+/// A long-running task that has waited for a worker longer than `overdue_after`.
+struct overdue_task {
+    task_id id;
+    const job_progress* job = nullptr;
+    boot_time waiting_since{};
+};
+
 /// An occurrence that has tasks ready to start, with its rank.
 struct pending_occurrence {
     job_rank rank;
@@ -264,8 +296,7 @@
     void dispatch_pool(const std::string& pool, std::vector<pending_occurrence> pending, boot_time now);
     /// @return false if the account or the workers have no capacity for one of the tasks
     bool place_step(job_progress& job, occurrence_progress& occurrence, std::int32_t step,
-                    std::vector<worker_view>& views, const std::vector<worker_control*>& workers,
-                    boot_time now);
+                    accepting_workers& candidates, boot_time now);
     /// Places the waiting tasks of the step; while the log is late, only where they are reserved.
     /// @return false if the account or the workers have no capacity for one of the tasks
     bool place_tasks(job_progress& job, occurrence_progress& occurrence, std::int32_t step,
@@ -303,7 +334,14 @@
     placement& assign(job_progress& job, const task_id& id, task_progress& task, worker_control& worker,
                       std::int64_t run, boot_time now);
     [[nodiscard]] bool is_within_upper_limit(const std::string& account, const resources& need) const;
-    [[nodiscard]] bool accepts_new_tasks(const worker_control& worker, boot_time now) const;
+    /// @return the first reason for which the worker receives no new tasks, in the order of `worker_block`
+    [[nodiscard]] worker_block find_block(const worker_control& worker, boot_time now) const;
+    [[nodiscard]] accepting_workers find_accepting_workers(const std::string& pool, boot_time now);
+    /// Sets for each worker how many tasks of the step it has and whether its labels permit the step.
+    static void apply_step_rules(accepting_workers& candidates, const step_spec& step,
+                                 const task_id& step_id);
+    /// @return what the step requires of a worker, without the rules of `apply_step_rules`
+    static placement_request make_request(const step_spec& step);
     [[nodiscard]] const std::string& pool_of(const job_progress& job) const;
     [[nodiscard]] job_rank rank_of(const job_progress& job, const occurrence_progress& occurrence,
                                    unix_time clock) const;
@@ -314,6 +352,14 @@
     /// while one of these approaches its target, else 10 percentage points more, up to full speed.
     void pace_best_effort_tasks(boot_time now);
 
+    // scheduler_waiting.cpp: long-running tasks that wait for a worker
+    /// Logs the long-running tasks that have waited too long, with what keeps the workers from running them.
+    void report_overdue_tasks(boot_time now);
+    /// Updates `waiting_since` and returns the tasks that are overdue, the longest wait first.
+    std::vector<overdue_task> find_overdue_tasks(boot_time now);
+    /// Writes one log line about an overdue task.
+    void log_overdue_task(const overdue_task& overdue, std::size_t total, boot_time now);
+
     // scheduler_advice.cpp: queues that need placement advice
     /// Requests new advice for the step if there is no valid one.
     /// @return the valid advice, or null
@@ -420,6 +466,10 @@
     boot_time last_cleanup{};
     std::size_t finished_dropped = 0; ///< leading items of `finished` whose job records are dropped
 
+    std::map<task_id, boot_time> waiting_since; ///< long-running tasks that wait in a released step
+    std::int64_t overdue_tasks = 0;             ///< as of the latest report
+    boot_time last_overdue_report{};
+
     bool dispatch_due = false; ///< something changed that may let a task start
     boot_time last_dispatch{};
 
--- a/src/site/site_node_impl.hpp
+++ b/src/site/site_node_impl.hpp
@@ -152,6 +152,12 @@
         return std::chrono::duration_cast<std::chrono::milliseconds>(now - since).count();
     };
     this->counters.counter_of("scheduler_term").set(this->schedule.term());
+    const auto figures = this->schedule.statistics(now);
+    this->counters.counter_of("tasks_overdue").set(figures.overdue_tasks);
+    for (const auto& blocked : figures.blocked) {
+        this->counters.counter_of("workers_blocked", {{"reason", std::string(blocked.reason)}})
+            .set(blocked.workers);
+    }
     this->counters.counter_of("jobs_known").set(static_cast<std::int64_t>(this->index.size()));
     this->counters.counter_of("submissions_waiting")
         .set(static_cast<std::int64_t>(this->submissions_waiting()));
--- a/tests/scheduler_site.hpp
+++ b/tests/scheduler_site.hpp
@@ -259,7 +259,9 @@
     std::int64_t maintenance_orders = 0;
     std::vector<std::pair<boot_time, vm_order>> vm_orders; ///< maintenance orders with their times
     bool can_renew_lease = true;
-    bool reports_are_unreadable = false; ///< reports of workers arrive without their rows
+    std::set<std::string> lapsed_entries;     ///< workers that run but whose entry is not in the log
+    std::set<std::string> unanswered_workers; ///< workers that execute orders and whose answers are lost
+    bool reports_are_unreadable = false;      ///< reports of workers arrive without their rows
     bool log_is_up = true;          ///< false: reads fail, and appends are repeated until it is true again
     std::int64_t holds_sent = 0;    ///< holds that renewed a lease
     std::size_t largest_append = 0; ///< bytes of the values in the largest append of progress
@@ -299,6 +301,14 @@
 
     void answer_hold(const send_hold& hold) {
         auto report = this->site.hold(hold.worker, hold.order, this->now);
+        if (this->unanswered_workers.contains(hold.worker.id)) {
+            this->schedule_event(call_timeout, [this, hold, sending_term = this->term] {
+                if (sending_term == this->term) {
+                    this->schedule->on_hold_report(hold.worker, hold.order, {}, this->now);
+                }
+            });
+            return;
+        }
         if (this->reports_are_unreadable) {
             report.running.clear();
             report.ended.clear();
@@ -351,6 +361,9 @@
     void refresh_workers() {
         std::set<std::string> ids;
         for (const auto& entry : this->site.workers()) {
+            if (this->lapsed_entries.contains(entry.id)) {
+                continue;
+            }
             ids.insert(entry.id);
             if (!this->listed.contains(entry.id)) {
                 this->schedule->on_worker(entry, this->now);
@@ -363,7 +376,7 @@
     }
 
     template <class Send, class Answer>
-    void order(Send send, Answer answer, order_answer unknown_answer) {
+    void order(const std::string& worker, Send send, Answer answer, order_answer unknown_answer) {
         if (this->occurs(this->faults.late_order)) {
             const auto delay = milliseconds(2000 + static_cast<std::int64_t>(this->random() % 6000));
             this->schedule_event(delay, [send] { send(); });
@@ -375,9 +388,10 @@
             return;
         }
         this->schedule_event(
-            milliseconds(1), [this, sending_term = this->term, send, answer, unknown_answer] {
+            milliseconds(1), [this, worker, sending_term = this->term, send, answer, unknown_answer] {
                 const auto result = send();
-                const bool lost = this->occurs(this->faults.lost_answer);
+                const bool lost =
+                    this->occurs(this->faults.lost_answer) || this->unanswered_workers.contains(worker);
                 this->schedule_event(lost ? call_timeout : answer_delay,
                                      [this, sending_term, answer, result, lost, unknown_answer] {
                                          if (sending_term == this->term) {
@@ -409,18 +423,23 @@
             const auto need =
                 this->steps_of_job[start->order.task.job][static_cast<std::size_t>(start->order.task.step)]
                     .need;
-            this->order([this, sent = *start,
-                         need] { return this->site.start(sent.worker, sent.order, need, this->now); },
-                        [this, sent = *start](const order_answer& answer) {
-                            this->schedule->on_start_answer(sent.worker, sent.order, answer, this->now);
-                        },
-                        {});
+            this->order(
+                start->worker.id,
+                [this, sent = *start, need] {
+                    return this->site.start(sent.worker, sent.order, need, this->now);
+                },
+                [this, sent = *start](const order_answer& answer) {
+                    this->schedule->on_start_answer(sent.worker, sent.order, answer, this->now);
+                },
+                {});
         } else if (auto* stop = std::get_if<send_stop>(&action)) {
-            this->order([this, sent = *stop] { return this->site.stop(sent.worker, sent.order, this->now); },
-                        [this, sent = *stop](const order_answer& answer) {
-                            this->schedule->on_stop_answer(sent.worker, sent.order, answer, this->now);
-                        },
-                        {});
+            this->order(
+                stop->worker.id,
+                [this, sent = *stop] { return this->site.stop(sent.worker, sent.order, this->now); },
+                [this, sent = *stop](const order_answer& answer) {
+                    this->schedule->on_stop_answer(sent.worker, sent.order, answer, this->now);
+                },
+                {});
         } else if (auto* hold = std::get_if<send_hold>(&action)) {
             this->holds_sent += hold->order.lease_until ? 1 : 0;
             if (hold->order.wait.count() == 0) {
--- /dev/null
+++ b/tests/scheduler_waiting_test.cpp
@@ -0,0 +1,38 @@
+#include "scheduler_site.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+// Long-running tasks are at work again within 6 s of their last run wherever there is room.
+
+using namespace hornbeamrail;
+using namespace hornbeamrail::test;
+
+namespace {
+
+std::int64_t count_blocked(const scheduler_site& site, std::string_view reason) {
+    for (const auto& blocked : site.schedule->statistics(site.now).blocked) {
+        if (blocked.reason == reason) {
+            return blocked.workers;
+        }
+    }
+    return -1;
+}
+
+} // namespace
+
+// Guards against a task that waits without a trace: the figures of the process name it and what keeps the
+// workers of its pool from running it.
+BOOST_AUTO_TEST_CASE(overdue_task_is_counted_with_the_reason) {
+    scheduler_site site(1);
+    site.add_vms(2);
+    site.take_over();
+    site.run(milliseconds(100));
+    site.unanswered_workers = {"w-1", "w-2"};
+    site.run(milliseconds(3000));
+    site.submit(long_running_job(1, 1));
+    site.run(milliseconds(1000));
+    BOOST_TEST(site.schedule->statistics(site.now).overdue_tasks == 0);
+    site.run(milliseconds(3000));
+    BOOST_TEST(site.schedule->statistics(site.now).overdue_tasks == 1);
+    BOOST_TEST(count_blocked(site, "unresponsive") == 2);
+}
