A worker's fence does not fall back within a term when its record is made anew

Cause: an order without an answer raises the fence of its worker, and the worker refuses lower fences from then on. The number of raises was kept in the scheduler's record of the worker. While the log is away, entries of idle workers lapse; their records are removed and made anew on their return, with the number at 0. Every hold is then answered 'fenced', the worker stays unconfirmed until the term ends, and as a VM of its pool it keeps other VMs from being moved there. Class of fault: state that belongs to the life of a remote process was kept with the life of the local record of it. Change: the raises are kept by worker id for the whole term. Evidence: worker_whose_entry_lapsed_runs_tasks_again failed before (running_tasks 0, expected 1) and passes.

--- a/src/scheduler/scheduler.cpp
+++ b/src/scheduler/scheduler.cpp
@@ -261,7 +261,7 @@
                                               {"used_cpu_millis", worker.used.cpu_millicores},
                                               {"confirmed", worker.confirmed},
                                               {"unanswered", worker.unanswered_holds},
-                                              {"fence_increments", worker.fence_increments},
+                                              {"fence", state.fence_of(worker)},
                                               {"block", to_string(state.find_block(worker, now))}});
     }
     boost::json::array jobs;
--- a/src/scheduler/scheduler_impl.hpp
+++ b/src/scheduler/scheduler_impl.hpp
@@ -118,10 +118,7 @@
     worker_entry entry;
     bool listed = false;      ///< its entry is in the workers topic
     boot_time listed_since{}; ///< when `listed` last changed
-    /// Number of times the fence was raised within the term. The answer to a hold with the raised fence
-    /// resolves the unacknowledged orders.
-    std::int32_t fence_increments = 0;
-    bool confirmed = false; ///< has answered a hold with the current fence
+    bool confirmed = false;   ///< has answered a hold with the current fence
     bool hold_in_flight = false;
     boot_time hold_sent{};
     std::int64_t hold_fence = 0; ///< of the hold in flight
@@ -440,6 +437,9 @@
     std::map<std::string, learned_duration> durations;      ///< by queue
 
     std::map<std::string, worker_control> workers;
+    /// How often the fence of a worker was raised within the term, by worker id. Kept when the worker is
+    /// removed: its process may come back, and it refuses fences below the highest that it has seen.
+    std::unordered_map<std::string, std::int32_t> fence_increments;
     std::map<task_id, step_advice> advice; ///< by step; the index of the task is 0
     std::int32_t advice_in_flight = 0;
 
--- a/src/scheduler/scheduler_workers.cpp
+++ b/src/scheduler/scheduler_workers.cpp
@@ -24,7 +24,9 @@
 } // namespace
 
 std::int64_t scheduler::impl::fence_of(const worker_control& worker) const {
-    return this->term * fences_per_term + worker.fence_increments;
+    const auto found = this->fence_increments.find(worker.entry.id);
+    const std::int64_t increments = found == this->fence_increments.end() ? 0 : found->second;
+    return this->term * fences_per_term + increments;
 }
 
 std::optional<milliseconds> scheduler::impl::lease_end(const worker_control& worker, milliseconds length,
@@ -84,8 +86,9 @@
 }
 
 void scheduler::impl::raise_fence(worker_control& worker, boot_time now) {
-    if (worker.fence_increments + 1 < fences_per_term) {
-        ++worker.fence_increments;
+    auto& increments = this->fence_increments[worker.entry.id];
+    if (increments + 1 < fences_per_term) {
+        ++increments;
     }
     worker.confirmed = false;
     // A long-polling hold carries the old fence and resolves no order, so its answer is ignored.
--- a/tests/scheduler_waiting_test.cpp
+++ b/tests/scheduler_waiting_test.cpp
@@ -9,6 +9,9 @@
 
 namespace {
 
+/// Limit from the end of a run, or the submission, until a long-running task is at work again.
+constexpr milliseconds restart_limit{6000};
+
 std::int64_t count_blocked(const scheduler_site& site, std::string_view reason) {
     for (const auto& blocked : site.schedule->statistics(site.now).blocked) {
         if (blocked.reason == reason) {
@@ -36,3 +39,26 @@
     BOOST_TEST(site.schedule->statistics(site.now).overdue_tasks == 1);
     BOOST_TEST(count_blocked(site, "unresponsive") == 2);
 }
+
+// Guards against a worker that refuses every order for the rest of a term: its fence was raised after an
+// order without an answer, its entry lapsed while it was idle, and the worker returned with a lower fence.
+BOOST_AUTO_TEST_CASE(worker_whose_entry_lapsed_runs_tasks_again) {
+    scheduler_site site(2);
+    site.add_vms(1);
+    site.take_over();
+    site.run(milliseconds(100));
+    site.unanswered_workers = {"w-1"};
+    const auto first = site.submit(long_running_job(1, 1));
+    site.run(milliseconds(1500)); // the fence is raised and reaches the worker
+    site.unanswered_workers.clear();
+    site.run(milliseconds(1500));
+    BOOST_REQUIRE(site.running_tasks(first) == 1);
+    site.cancel(first);
+    site.run(milliseconds(1000));
+    site.lapsed_entries = {"w-1"};
+    site.run(milliseconds(1000));
+    site.lapsed_entries.clear();
+    const auto second = site.submit(long_running_job(1, 1));
+    site.run(restart_limit);
+    BOOST_TEST(site.running_tasks(second) == 1);
+}
