Tasks that wait are looked at again when a backoff ends or a worker answers again

Callers could see: a long-running task does not start although its workers are free again. Cause: the search for workers ran only after an event, and two ends are none: a worker answers again after unanswered holds (it stayed confirmed), and the time for which a worker is avoided is over. Entries that workers write by heartbeat hid this while the log could be read. Class of fault: a wake-up that depends on an event which nobody sends. Change: the first answer after silence triggers the search, and there is one at least every 200 ms. Evidence: returning_worker_runs_the_waiting_task and avoided_worker_runs_the_waiting_task_later failed before (0 tasks at work, expected 1) and pass; scheduler_test and scheduler_outage_test pass.

--- a/src/fakes/fake_site.cpp
+++ b/src/fakes/fake_site.cpp
@@ -146,6 +146,20 @@
     worker.tasks.erase(found);
 }
 
+void fake_site::fail_tasks(const std::string& job, boot_time now) {
+    for (auto& [id, worker] : this->instances) {
+        std::vector<task_id> failed;
+        for (const auto& [task, active] : worker.tasks) {
+            if (task.job == job) {
+                failed.push_back(task);
+            }
+        }
+        for (const auto& task : failed) {
+            this->finish(worker, task, task_end::failed, now);
+        }
+    }
+}
+
 order_answer fake_site::start(const worker_target& target, const start_order& order, resources need,
                               boot_time now) {
     this->advance(now);
--- a/src/fakes/fake_site.hpp
+++ b/src/fakes/fake_site.hpp
@@ -76,6 +76,9 @@
     /// Makes the tasks of a job run until they are stopped or their lease lapses.
     void set_long_running(const std::string& job) { this->long_running[job] = true; }
 
+    /// Ends the running tasks of a job as failed.
+    void fail_tasks(const std::string& job, boot_time now);
+
     order_answer start(const worker_target& worker, const start_order& order, resources need, boot_time now);
     order_answer stop(const worker_target& worker, const stop_order& order, boot_time now);
     hold_report hold(const worker_target& worker, const hold_order& order, boot_time now);
--- a/src/scheduler/scheduler_dispatch.cpp
+++ b/src/scheduler/scheduler_dispatch.cpp
@@ -190,7 +190,9 @@
     if (this->log_is_late(now)) {
         this->withdraw_unrecorded_starts();
     }
-    if (!this->dispatch_due || now < this->last_dispatch + this->timings.dispatch_interval) {
+    const auto interval =
+        this->dispatch_due ? this->timings.dispatch_interval : this->timings.dispatch_recheck;
+    if (now < this->last_dispatch + interval) {
         return;
     }
     this->dispatch_due = false;
--- a/src/scheduler/scheduler_impl.hpp
+++ b/src/scheduler/scheduler_impl.hpp
@@ -27,6 +27,8 @@
     std::chrono::milliseconds start_lease{1500};   ///< the worker rejects a start order that arrives later
     std::chrono::milliseconds commit_interval{10}; ///< least time between two progress appends
     std::chrono::milliseconds dispatch_interval{15};
+    /// A search for workers at least this often: the end of a backoff or of a reservation is no event.
+    std::chrono::milliseconds dispatch_recheck{200};
     std::chrono::milliseconds stop_retry{300};
     /// An append of progress without an answer for this time shows that the log is late. Until it answers,
     /// only reserved tasks start.
--- a/src/scheduler/scheduler_workers.cpp
+++ b/src/scheduler/scheduler_workers.cpp
@@ -155,6 +155,7 @@
 
 void scheduler::impl::accept_report(worker_control& worker, const hold_order& order,
                                     const hold_report& report, boot_time now) {
+    this->dispatch_due = this->dispatch_due || worker.is_unresponsive();
     worker.unanswered_holds = 0;
     if (!report.complete) {
         write_log(severity::warning, "worker_report_unreadable", {{"worker", worker.entry.id}});
--- a/tests/scheduler_waiting_test.cpp
+++ b/tests/scheduler_waiting_test.cpp
@@ -62,3 +62,34 @@
     site.run(restart_limit);
     BOOST_TEST(site.running_tasks(second) == 1);
 }
+
+// Guards against a task that waits for ever beside free workers: its workers did not answer when it became
+// ready, and nothing started the search again when they did.
+BOOST_AUTO_TEST_CASE(returning_worker_runs_the_waiting_task) {
+    scheduler_site site(4);
+    site.add_vms(2);
+    site.take_over();
+    site.run(milliseconds(100));
+    site.unanswered_workers = {"w-1", "w-2"};
+    site.run(milliseconds(3000));
+    const auto id = site.submit(long_running_job(1, 1));
+    site.run(milliseconds(1000));
+    site.unanswered_workers.clear();
+    site.run(restart_limit);
+    BOOST_TEST(site.running_tasks(id) == 1);
+}
+
+// Guards against a task that waits for ever after its worker was avoided for repeated failures: the end of
+// that time is no event of its own.
+BOOST_AUTO_TEST_CASE(avoided_worker_runs_the_waiting_task_later) {
+    scheduler_site site(5);
+    site.add_vms(1);
+    site.take_over();
+    const auto id = site.submit(long_running_job(1, 1));
+    for (int failure = 0; failure < 3; ++failure) {
+        site.run(milliseconds(1500));
+        site.site.fail_tasks(id, site.now);
+    }
+    site.run(restart_limit);
+    BOOST_TEST(site.running_tasks(id) == 1);
+}
