Failures on every worker no longer close a pool

Callers could see: nothing starts in a pool for up to 10 s, long-running tasks included, although its workers are free. Cause: two failed runs without a success in between exclude a worker for 2.5 s, more for up to 10 s. Jobs that can never be done fail on every worker, so all of them were excluded at once; runs of long-running tasks never counted as success. Class of fault: a local judgement without a limit on its sum (outlier ejection without a maximum). Change: a worker with repeated failures has a bad standing instead. It is chosen only if no good one can run the task; at most 0.3 of a pool is kept from batch tasks altogether, those with most failures; long-running tasks, whose failures have no limit, may use every worker. A long-running task past its startup clears the failures of its worker. The short pause after a refused start is a state of its own. Evidence: hopeless_jobs_do_not_close_the_pool failed before (0 of 4 long-running tasks at work, batch job pending) and passes; scheduler_test, scheduler_outage_test and job_policy_test pass.

--- a/src/fakes/fake_site.cpp
+++ b/src/fakes/fake_site.cpp
@@ -171,6 +171,9 @@
     if (order.fence < worker->fence) {
         return {.outcome = order_outcome::fenced, .worker_clock = clock};
     }
+    if (this->refusing.contains(target.id)) {
+        return {.outcome = order_outcome::unhealthy, .worker_clock = clock};
+    }
     worker->fence = order.fence;
     const auto present = worker->tasks.find(order.task);
     if (present != worker->tasks.end() && present->second.run == order.run) {
@@ -303,7 +306,8 @@
         std::vector<std::pair<task_id, task_end>> finished;
         for (const auto& [task, active] : worker.tasks) {
             if (active.ends_at <= now) {
-                finished.emplace_back(task, task_end::done);
+                finished.emplace_back(task,
+                                      this->failing.contains(task.job) ? task_end::failed : task_end::done);
             } else if (worker.lease_end <= now) {
                 finished.emplace_back(task, task_end::lapsed);
             }
@@ -311,7 +315,7 @@
         for (const auto& [task, outcome] : finished) {
             const auto ends_at = worker.tasks.at(task).ends_at;
             this->finish(worker, task, outcome,
-                         outcome == task_end::done ? std::min(ends_at, now) : worker.lease_end);
+                         outcome == task_end::lapsed ? worker.lease_end : std::min(ends_at, now));
         }
     }
     for (auto& [id, vm] : this->site_vms) {
--- a/src/fakes/fake_site.hpp
+++ b/src/fakes/fake_site.hpp
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -76,6 +77,14 @@
     /// Makes the tasks of a job run until they are stopped or their lease lapses.
     void set_long_running(const std::string& job) { this->long_running[job] = true; }
 
+    /// Makes the tasks of a job fail at the end of their run time.
+    void set_failing(const std::string& job) { this->failing.insert(job); }
+
+    /// Makes a worker refuse all starts as unhealthy, or accept them again. It goes on answering holds.
+    void set_refusing(const std::string& worker, bool refuses) {
+        refuses ? (void)this->refusing.insert(worker) : (void)this->refusing.erase(worker);
+    }
+
     /// Ends the running tasks of a job as failed.
     void fail_tasks(const std::string& job, boot_time now);
 
@@ -134,6 +143,8 @@
     options limits;
     std::chrono::milliseconds task_duration{1000};
     std::map<std::string, bool> long_running;
+    std::set<std::string> failing;             ///< jobs
+    std::set<std::string> refusing;            ///< workers
     std::map<std::string, instance> instances; ///< by worker id
     std::map<std::string, site_vm> site_vms;   ///< by VM id
     std::vector<observed_run> runs;
--- a/src/policy/worker_choice.cpp
+++ b/src/policy/worker_choice.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+/// Fraction of the workers of a pool that may be avoided for failed tasks; at least one of two or more is.
+constexpr double max_avoided_fraction = 0.3;
+
 /// @return unreserved CPU of a worker, in thousandths of its capacity
 std::int64_t free_cpu_permille(const worker_view& worker) {
     return worker.capacity.cpu_millicores <= 0
@@ -16,14 +19,17 @@
 }
 
 /// Scores a worker for a task; the highest score wins. The base is the free CPU in thousandths, negated, so
-/// that fuller workers are preferred. Each weight is at least the range of the base, 1000.
+/// that fuller workers are preferred. Each weight is at least the range of the base, 1000. The cost of a
+/// worker without good standing exceeds the sum of all others.
 std::int64_t score(const worker_view& worker, const placement_request& request) {
+    constexpr std::int64_t standing_cost = 1000000000;
     constexpr std::int64_t rack_bonus = 100000;
     constexpr std::int64_t interference_cost = 10000;
     constexpr std::int64_t spread_cost = 20000;
     constexpr std::int64_t long_running_bonus_if_spread = 5000;
     constexpr std::int64_t long_running_bonus = 1000;
     std::int64_t value = -free_cpu_permille(worker);
+    value -= worker.standing == worker_standing::good ? 0 : standing_cost;
     value += request.spread && worker.long_running_tasks > 0 ? long_running_bonus_if_spread : 0;
     value += !request.spread && worker.long_running_tasks > 0 ? long_running_bonus : 0;
     if (!request.data_rack.empty() && worker.rack == request.data_rack) {
@@ -59,10 +65,24 @@
 
 bool can_run(const worker_view& worker, const placement_request& request) {
     const bool under_limit = request.max_per_worker <= 0 || worker.same_step_tasks < request.max_per_worker;
-    return worker.allowed && under_limit && worker.id != request.avoided_worker &&
+    const bool has_standing = request.may_fail || worker.standing != worker_standing::avoided;
+    return worker.allowed && has_standing && under_limit && worker.id != request.avoided_worker &&
            fits(request.need, worker.available);
 }
 
+void set_standings(std::vector<worker_view>& workers, std::vector<failing_worker> failing) {
+    std::sort(failing.begin(), failing.end(), [](const auto& left, const auto& right) {
+        return left.recent_failures > right.recent_failures;
+    });
+    const auto fraction =
+        static_cast<std::size_t>(max_avoided_fraction * static_cast<double>(workers.size()));
+    const auto limit = workers.size() < 2 ? 0 : std::max<std::size_t>(1, fraction);
+    for (std::size_t rank = 0; rank < failing.size(); ++rank) {
+        workers[failing[rank].index].standing =
+            rank < limit ? worker_standing::avoided : worker_standing::doubtful;
+    }
+}
+
 std::optional<std::size_t> choose_worker(const std::vector<worker_view>& workers,
                                          const placement_request& request) {
     std::optional<std::size_t> best;
--- a/src/policy/worker_choice.hpp
+++ b/src/policy/worker_choice.hpp
@@ -11,6 +11,13 @@
 
 namespace hornbeamrail {
 
+/// How far recent failures speak against a worker, in ascending order.
+enum class worker_standing : std::uint8_t {
+    good,
+    doubtful, ///< chosen only if no good worker can run the task
+    avoided,  ///< like `doubtful`, and only for tasks that may fail any number of times
+};
+
 /// State of a worker on which `choose_worker` bases its decision. The strings are not owned.
 struct worker_view {
     std::string_view id;
@@ -21,7 +28,8 @@
     std::int32_t best_effort_tasks = 0;       ///< tasks that only use capacity that other tasks leave unused
     std::int32_t long_running_tasks = 0;      ///< tasks that run until their job is cancelled
     std::int32_t same_step_tasks = 0;         ///< tasks of the step to place that are on this worker
-    bool allowed = true;                      ///< labels, placement advice and health permit the step here
+    worker_standing standing = worker_standing::good;
+    bool allowed = true; ///< labels, placement advice and health permit the step here
 };
 
 /// Requirements and preferences of a task. The strings are not owned.
@@ -32,6 +40,7 @@
     std::int32_t max_per_worker = 0; ///< limit on tasks of the same step; 0: no limit
     bool best_effort = false;
     bool latency_sensitive = false;
+    bool may_fail = false;           ///< failed runs have no limit
     bool spread = false;             ///< distribute the step over as many workers as possible
     std::string_view preferred_rack; ///< rack chosen for a rack-sensitive step; empty: no preference
 };
@@ -44,11 +53,27 @@
 /// The demand on a pool varies, and idle VMs can move to another pool. Tasks are therefore packed:
 /// long-running tasks of different steps share a few workers, and other tasks fill those first, then one
 /// worker after another, so that the remaining workers stay idle. The rack of the task's data is preferred if
-/// it has capacity. Best-effort tasks and latency-sensitive tasks avoid each other.
+/// it has capacity. Best-effort tasks and latency-sensitive tasks avoid each other. Workers on which tasks
+/// failed repeatedly come last.
 /// @return index into @p workers, or nothing when no permitted worker has enough free resources
 std::optional<std::size_t> choose_worker(const std::vector<worker_view>& workers,
                                          const placement_request& request);
 
+/// A worker on which tasks failed repeatedly.
+struct failing_worker {
+    std::size_t index = 0;            ///< in the list of workers
+    std::int32_t recent_failures = 0; ///< failed runs since the last one that succeeded
+};
+
+/// Sets the standing of workers on which tasks failed repeatedly.
+///
+/// Jobs that can never be done fail on every worker, so failures speak against a worker only as far as most
+/// others have none. A limited fraction of the workers, those with the most failures, is avoided; the others
+/// are doubtful.
+/// @param workers that are not avoided for another reason
+/// @param failing those of @p workers on which tasks failed
+void set_standings(std::vector<worker_view>& workers, std::vector<failing_worker> failing);
+
 /// Chooses one rack for all tasks of a step.
 /// @param need resources of one task
 /// @param count number of tasks
--- a/src/scheduler/scheduler_dispatch.cpp
+++ b/src/scheduler/scheduler_dispatch.cpp
@@ -106,15 +106,24 @@
     if (this->is_reserved(worker.entry.id)) {
         return worker_block::vm_reserved;
     }
+    if (now < worker.refused_until) {
+        return worker_block::refusing;
+    }
     return now < worker.avoid_until ? worker_block::avoided : worker_block::none;
 }
 
 accepting_workers scheduler::impl::find_accepting_workers(const std::string& pool, boot_time now) {
     accepting_workers found;
+    std::vector<failing_worker> failing;
     for (auto& [id, worker] : this->workers) {
-        if (worker.entry.pool != pool || this->find_block(worker, now) != worker_block::none) {
+        const auto block =
+            worker.entry.pool == pool ? this->find_block(worker, now) : worker_block::not_listed;
+        if (block != worker_block::none && block != worker_block::avoided) {
             continue;
         }
+        if (block == worker_block::avoided) {
+            failing.push_back({.index = found.views.size(), .recent_failures = worker.recent_failures});
+        }
         auto available = worker.entry.capacity;
         available -= worker.used;
         found.views.push_back({.id = id,
@@ -126,6 +135,7 @@
                                .long_running_tasks = worker.long_running_tasks});
         found.controls.push_back(&worker);
     }
+    set_standings(found.views, std::move(failing));
     return found;
 }
 
@@ -146,6 +156,7 @@
                               .max_per_worker = step.max_per_worker,
                               .best_effort = step.best_effort,
                               .latency_sensitive = step.latency_target.count() > 0,
+                              .may_fail = step.long_running,
                               .spread = step.long_running};
     if (step.best_effort) {
         request.need.cpu_millicores = 0;
--- a/src/scheduler/scheduler_impl.hpp
+++ b/src/scheduler/scheduler_impl.hpp
@@ -45,10 +45,10 @@
     /// rejects a predecessor only after the first order of its successor, so orders must stop well before
     /// another node may claim the lease.
     std::chrono::milliseconds vm_order_window{800};
-    /// Before a task whose start order was refused is placed again, and least time for which its worker
-    /// receives no new tasks if the worker was the cause.
+    /// Before a task whose start order was refused is placed again, and time for which its worker receives no
+    /// new tasks if the worker was the cause.
     std::chrono::milliseconds retry_after_refusal{150};
-    /// Unit of the time without new tasks for a worker on which tasks fail repeatedly.
+    /// Unit of the time for which a worker is avoided on which tasks fail repeatedly.
     std::chrono::milliseconds avoid_after_failure{2500};
     std::chrono::milliseconds state_cleanup_interval{1000}; ///< between two drops of records of final jobs
     std::chrono::milliseconds advice_retry{300};         ///< between two requests for the advice of one step
@@ -108,9 +108,10 @@
     draining,
     zone_out,    ///< its availability zone is out of service
     vm_reserved, ///< its VM has a pending order or is next in a wave
-    avoided,     ///< tasks failed or were refused there
+    refusing,    ///< it refused a start a moment ago
+    avoided,     ///< tasks failed there repeatedly; used only if no other worker can run a task
 };
-inline constexpr std::size_t worker_block_count = 8;
+inline constexpr std::size_t worker_block_count = 9;
 
 /// @return the name of the enumerator
 std::string_view to_string(worker_block block) noexcept;
@@ -133,7 +134,8 @@
     std::int32_t unanswered_holds = 0; ///< consecutive holds without an answer
     boot_time unanswered_since{};
     std::int32_t recent_failures = 0; ///< failed runs since the last one that succeeded
-    boot_time avoid_until{};          ///< no new tasks until then
+    boot_time avoid_until{};          ///< its standing is bad until then
+    boot_time refused_until{};        ///< no new tasks until then
     std::map<task_id, placement> tasks;
     resources used; ///< sum of the needs of `tasks`
     std::int32_t latency_sensitive_tasks = 0;
@@ -197,7 +199,8 @@
     bool report_in_flight = false;
 };
 
-/// The workers of a pool that receive new tasks; `views` and `controls` have the same order.
+/// The workers of a pool that receive new tasks, those with bad standing included; `views` and `controls`
+/// have the same order.
 struct accepting_workers {
     std::vector<worker_view> views;
     std::vector<worker_control*> controls;
@@ -280,7 +283,7 @@
     placement* add_placement(worker_control& worker, const job_progress& job, const task_id& id,
                              std::int64_t run, boot_time now);
     void remove_placement(worker_control& worker, const task_id& id, std::string_view account);
-    /// Counts a failed run; the worker receives no new tasks for a while after repeated failures.
+    /// Counts a failed run; the worker is avoided for a while after repeated failures.
     void count_failure(worker_control& worker, boot_time now);
 
     // scheduler_dispatch.cpp: order and placement of tasks
--- a/src/scheduler/scheduler_orders.cpp
+++ b/src/scheduler/scheduler_orders.cpp
@@ -96,7 +96,7 @@
     }
     if (answer.outcome == order_outcome::unhealthy || answer.outcome == order_outcome::unsent ||
         answer.outcome == order_outcome::no_room) {
-        worker.avoid_until = std::max(worker.avoid_until, now + state.timings.retry_after_refusal);
+        worker.refused_until = std::max(worker.refused_until, now + state.timings.retry_after_refusal);
     }
     state.remove_placement(worker, order.task, job == nullptr ? "" : job->spec.account);
     if (task != nullptr) {
--- a/src/scheduler/scheduler_waiting.cpp
+++ b/src/scheduler/scheduler_waiting.cpp
@@ -36,6 +36,8 @@
         return "zone_out";
     case worker_block::vm_reserved:
         return "vm_reserved";
+    case worker_block::refusing:
+        return "refusing";
     case worker_block::avoided:
         break;
     }
--- a/src/scheduler/scheduler_workers.cpp
+++ b/src/scheduler/scheduler_workers.cpp
@@ -202,7 +202,11 @@
             placed->second.stage = start_stage::confirmed;
             placed->second.stage_entered = now;
         }
+        const bool was_ready = placed->second.ready;
         placed->second.ready = running.percent >= startup_complete_percent;
+        if (placed->second.long_running && placed->second.ready && !was_ready) {
+            worker.recent_failures = 0; // long-running tasks have no other sign of success
+        }
         placed->second.latest_load = running.latest_load;
         if (task->phase == run_phase::placed) {
             job->set_phase(running.task, *task, run_phase::running);
--- a/tests/scheduler_waiting_test.cpp
+++ b/tests/scheduler_waiting_test.cpp
@@ -93,3 +93,39 @@
     site.run(restart_limit);
     BOOST_TEST(site.running_tasks(id) == 1);
 }
+
+// Guards against a pool in which nothing starts for seconds: jobs that can never be done fail on every
+// worker, and all workers are avoided at the same time.
+BOOST_AUTO_TEST_CASE(hopeless_jobs_do_not_close_the_pool) {
+    scheduler_site site(6);
+    site.add_vms(4);
+    site.site.set_duration(milliseconds(200));
+    site.take_over();
+    for (int number = 0; number < 60; ++number) {
+        auto hopeless = batch_job(4);
+        hopeless.account.clear();
+        site.site.set_failing(site.submit(hopeless));
+        site.run(milliseconds(50));
+    }
+    site.run(milliseconds(1000));
+    const auto lasting = site.submit(long_running_job(4, 1));
+    const auto batch = site.submit(batch_job(4));
+    site.run(milliseconds(2000));
+    BOOST_TEST(site.running_tasks(lasting) == 4);
+    BOOST_TEST(site.state_of(batch) == "completed");
+}
+
+// Guards against a worker that is avoided for the failures of long-running tasks that worked in between.
+BOOST_AUTO_TEST_CASE(long_running_task_at_work_clears_earlier_failures) {
+    scheduler_site site(10);
+    site.add_vms(1);
+    site.take_over();
+    const auto id = site.submit(long_running_job(1, 1));
+    for (int failure = 0; failure < 3; ++failure) {
+        site.run(milliseconds(3000));
+        BOOST_REQUIRE(site.ready_tasks(id) == 1);
+        site.site.fail_tasks(id, site.now);
+    }
+    site.run(milliseconds(100));
+    BOOST_TEST(count_blocked(site, "avoided") == 0);
+}
