A failed task may return to the worker where it failed if no other can run it

Callers could see: a task of an accepted job does not run again although a worker has room: the only one that permits it is the one where its last run failed. Cause: that worker was never chosen again, and the first task of a step without a worker ended the search for the other tasks of the step. Change: other workers go first; a long-running task returns at once, a batch task after 1 s, because each failure costs it an attempt. The search goes on with the other tasks of the step. Evidence: failed_task_returns_to_the_only_worker_with_room and failed_batch_task_returns_to_the_only_permitted_worker failed before (0 tasks at work, expected 1; job running, expected completed) and pass; scheduler_test and scheduler_outage_test pass.

--- a/src/scheduler/scheduler_dispatch.cpp
+++ b/src/scheduler/scheduler_dispatch.cpp
@@ -289,6 +289,7 @@
                                   const std::vector<worker_control*>& controls, boot_time now) {
     const auto& step = job.spec.steps[static_cast<std::size_t>(number)];
     const bool log_late = this->log_is_late(now);
+    bool placed_all = true;
     auto& tasks = occurrence.steps[static_cast<std::size_t>(number)].tasks;
     for (std::size_t index = 0; index < tasks.size(); ++index) {
         auto& task = tasks[index];
@@ -299,10 +300,11 @@
         if (!this->is_within_upper_limit(job.spec.account, step.need)) {
             return false;
         }
-        request.avoided_worker = views.size() > 1 ? std::string_view(task.worker) : std::string_view();
-        const auto choice =
-            log_late ? this->find_reserved_worker(task, views, request) : choose_worker(views, request);
-        if (!choice && log_late) {
+        const auto choice = log_late ? this->find_reserved_worker(task, views, request)
+                                     : this->find_worker(task, views, request, now);
+        const bool others_may_fit = log_late || !task.worker.empty(); // they may have failed elsewhere
+        if (!choice && others_may_fit) {
+            placed_all = placed_all && log_late;
             continue;
         }
         if (!choice) {
@@ -324,7 +326,20 @@
             this->place(job, id, task, *controls[*choice], task.run + 1, now);
         }
     }
-    return true;
+    return placed_all;
+}
+
+std::optional<std::size_t> scheduler::impl::find_worker(const task_progress& task,
+                                                        const std::vector<worker_view>& views,
+                                                        placement_request request, boot_time now) const {
+    request.avoided_worker = task.worker; // where its last run failed, else empty
+    auto choice = choose_worker(views, request);
+    const bool may_return = request.may_fail || now >= task.retry_at + this->timings.return_after_failure;
+    if (!choice && !task.worker.empty() && may_return) {
+        request.avoided_worker = {};
+        choice = choose_worker(views, request);
+    }
+    return choice;
 }
 
 bool scheduler::impl::place_gang(job_progress& job, occurrence_progress& occurrence, std::int32_t number,
--- a/src/scheduler/scheduler_impl.hpp
+++ b/src/scheduler/scheduler_impl.hpp
@@ -48,6 +48,8 @@
     /// Before a task whose start order was refused is placed again, and time for which its worker receives no
     /// new tasks if the worker was the cause.
     std::chrono::milliseconds retry_after_refusal{150};
+    /// A batch task is placed on the worker where it failed only after this time, if no other can run it.
+    std::chrono::milliseconds return_after_failure{1000};
     /// Unit of the time for which a worker is avoided on which tasks fail repeatedly.
     std::chrono::milliseconds avoid_after_failure{2500};
     std::chrono::milliseconds state_cleanup_interval{1000}; ///< between two drops of records of final jobs
@@ -322,6 +324,12 @@
                                                                   const std::vector<worker_view>& views,
                                                                   const placement_request& request) const;
 
+    /// Chooses the worker for one task, which may return to the worker where it failed if no other can run
+    /// it.
+    [[nodiscard]] std::optional<std::size_t> find_worker(const task_progress& task,
+                                                         const std::vector<worker_view>& views,
+                                                         placement_request request, boot_time now) const;
+
     /// Places all tasks of the step or none.
     bool place_gang(job_progress& job, occurrence_progress& occurrence, std::int32_t step,
                     std::vector<worker_view>& views, const std::vector<worker_control*>& workers,
--- a/tests/scheduler_waiting_test.cpp
+++ b/tests/scheduler_waiting_test.cpp
@@ -129,3 +129,35 @@
     site.run(milliseconds(100));
     BOOST_TEST(count_blocked(site, "avoided") == 0);
 }
+
+// Guards against a long-running task that may never return to the worker where it failed, although no other
+// has room.
+BOOST_AUTO_TEST_CASE(failed_task_returns_to_the_only_worker_with_room) {
+    scheduler_site site(8);
+    site.add_vms(2);
+    site.take_over();
+    auto large = long_running_job(1, 1);
+    large.steps.front().need.cpu_millicores = 31000;
+    site.submit(large);
+    site.run(milliseconds(500));
+    const auto id = site.submit(long_running_job(1, 1));
+    site.run(milliseconds(2000));
+    BOOST_REQUIRE(site.running_tasks(id) == 1);
+    site.site.fail_tasks(id, site.now);
+    site.run(restart_limit);
+    BOOST_TEST(site.running_tasks(id) == 1);
+}
+
+// The same for a batch task whose only permitted worker is the one where it failed: it has another attempt.
+BOOST_AUTO_TEST_CASE(failed_batch_task_returns_to_the_only_permitted_worker) {
+    scheduler_site site(9);
+    site.add_vms(2);
+    site.take_over();
+    auto job = batch_job(1);
+    job.steps.front().required_label = "r0"; // of the first VM
+    const auto id = site.submit(job);
+    site.run(milliseconds(500));
+    site.site.fail_tasks(id, site.now);
+    site.run(milliseconds(4000));
+    BOOST_TEST(site.state_of(id) == "completed");
+}
