A worker that refuses starts backs off longer than the task that it refused

Callers could see: a task is sent to the same worker for ever while others have room. Cause: after a refusal (unhealthy, no room, not sent) the task and the worker became eligible at the same moment, so the same inputs gave the same choice. Class of fault: a retry that repeats its decision. Change: the pause of the worker doubles with each refusal up to 2.4 s, until it accepts a start. Evidence: refused_task_starts_elsewhere failed before (0 tasks at work, expected 1) and passes; scheduler_test and scheduler_outage_test pass.

--- a/src/scheduler/scheduler_impl.hpp
+++ b/src/scheduler/scheduler_impl.hpp
@@ -45,9 +45,11 @@
     /// rejects a predecessor only after the first order of its successor, so orders must stop well before
     /// another node may claim the lease.
     std::chrono::milliseconds vm_order_window{800};
-    /// Before a task whose start order was refused is placed again, and time for which its worker receives no
-    /// new tasks if the worker was the cause.
+    /// Before a task whose start order was refused is placed again. If the worker was the cause, it receives
+    /// no new tasks for this time, which doubles with each refusal that follows, up to
+    /// `longest_refusal_backoff`.
     std::chrono::milliseconds retry_after_refusal{150};
+    std::chrono::milliseconds longest_refusal_backoff{2400};
     /// A batch task is placed on the worker where it failed only after this time, if no other can run it.
     std::chrono::milliseconds return_after_failure{1000};
     /// Unit of the time for which a worker is avoided on which tasks fail repeatedly.
@@ -137,6 +139,7 @@
     boot_time unanswered_since{};
     std::int32_t recent_failures = 0; ///< failed runs since the last one that succeeded
     boot_time avoid_until{};          ///< its standing is bad until then
+    std::int32_t refused_starts = 0;  ///< since the last start that it accepted
     boot_time refused_until{};        ///< no new tasks until then
     std::map<task_id, placement> tasks;
     resources used; ///< sum of the needs of `tasks`
@@ -287,6 +290,8 @@
     void remove_placement(worker_control& worker, const task_id& id, std::string_view account);
     /// Counts a failed run; the worker is avoided for a while after repeated failures.
     void count_failure(worker_control& worker, boot_time now);
+    /// Counts a refused start; the worker receives no new tasks for a while, longer with each refusal.
+    void count_refusal(worker_control& worker, boot_time now);
 
     // scheduler_dispatch.cpp: order and placement of tasks
     void apply_config(std::shared_ptr<const site_config> updated_config);
--- a/src/scheduler/scheduler_orders.cpp
+++ b/src/scheduler/scheduler_orders.cpp
@@ -59,6 +59,7 @@
     if (answer.outcome == order_outcome::done) {
         placed->second.stage = start_stage::confirmed;
         placed->second.stage_entered = now;
+        worker.refused_starts = 0;
         if (task != nullptr && task->phase == run_phase::placed) {
             job->set_phase(order.task, *task, run_phase::running);
             task->placed_at = now;
@@ -96,7 +97,7 @@
     }
     if (answer.outcome == order_outcome::unhealthy || answer.outcome == order_outcome::unsent ||
         answer.outcome == order_outcome::no_room) {
-        worker.refused_until = std::max(worker.refused_until, now + state.timings.retry_after_refusal);
+        state.count_refusal(worker, now);
     }
     state.remove_placement(worker, order.task, job == nullptr ? "" : job->spec.account);
     if (task != nullptr) {
--- a/src/scheduler/scheduler_workers.cpp
+++ b/src/scheduler/scheduler_workers.cpp
@@ -148,6 +148,15 @@
     }
 }
 
+void scheduler::impl::count_refusal(worker_control& worker, boot_time now) {
+    auto backoff = this->timings.retry_after_refusal;
+    for (int refusal = 0; refusal < worker.refused_starts; ++refusal) {
+        backoff = std::min(backoff * 2, this->timings.longest_refusal_backoff);
+    }
+    ++worker.refused_starts;
+    worker.refused_until = now + backoff;
+}
+
 void scheduler::impl::send_stop_order(worker_control& worker, const task_id& task, std::int64_t run) {
     this->add_action(send_stop{.worker = {.id = worker.entry.id, .address = worker.entry.address},
                                .order = {.task = task, .run = run, .fence = this->fence_of(worker)}});
--- a/tests/scheduler_waiting_test.cpp
+++ b/tests/scheduler_waiting_test.cpp
@@ -130,6 +130,21 @@
     BOOST_TEST(count_blocked(site, "avoided") == 0);
 }
 
+// Guards against a task that is sent to the same worker for ever although others have room: the worker
+// refuses every start, and its backoff ended at the same moment as that of the task.
+BOOST_AUTO_TEST_CASE(refused_task_starts_elsewhere) {
+    scheduler_site site(7);
+    site.add_vms(2);
+    site.take_over();
+    const auto first = site.submit(long_running_job(1, 1));
+    site.run(milliseconds(2000));
+    BOOST_REQUIRE(site.running_tasks(first) == 1);
+    site.site.set_refusing(site.site.history().front().worker, true); // long-running tasks share this worker
+    const auto second = site.submit(long_running_job(1, 1));
+    site.run(restart_limit);
+    BOOST_TEST(site.running_tasks(second) == 1);
+}
+
 // Guards against a long-running task that may never return to the worker where it failed, although no other
 // has room.
 BOOST_AUTO_TEST_CASE(failed_task_returns_to_the_only_worker_with_room) {
