Tasks of a worker that stays cut off are started elsewhere

Callers could see: a long-running task, or a step, never runs again when its worker is cut off for good while the list of VMs shows it as up. Cause: the tasks count as running until every lease of the worker may have ended, and each hold without an answer prolonged that time. Class of fault: a wait whose end is moved by the waiting itself. Change: leases are renewed for one lease without an answer (the answers may be what is lost), then holds only ask. Evidence: tasks_of_a_worker_that_stays_cut_off_run_elsewhere failed before (0 tasks at work after three leases, expected 1) and passes; short_silence_of_a_worker_ends_no_task passes before and after, so silence of 9 s still ends no running task. scheduler_test and scheduler_outage_test pass.

--- a/src/scheduler/scheduler_workers.cpp
+++ b/src/scheduler/scheduler_workers.cpp
@@ -71,7 +71,11 @@
             continue;
         }
         hold_order order{.fence = this->fence_of(worker), .acknowledged_end = worker.recorded_end};
-        if (worker.clock) {
+        // A worker that stays silent may be cut off for good. Renewals that may not reach it would keep its
+        // tasks from running elsewhere.
+        const bool is_silent = worker.is_unresponsive() &&
+                               now > worker.unanswered_since + this->options.limits.max_lease_duration;
+        if (worker.clock && !is_silent) {
             order.lease_until = this->lease_end(worker, this->options.limits.max_lease_duration, now);
             this->extend_lease_bound(worker, this->options.limits.max_lease_duration, now);
         }
--- a/tests/scheduler_site.hpp
+++ b/tests/scheduler_site.hpp
@@ -260,6 +260,7 @@
     std::vector<std::pair<boot_time, vm_order>> vm_orders; ///< maintenance orders with their times
     bool can_renew_lease = true;
     std::set<std::string> lapsed_entries;     ///< workers that run but whose entry is not in the log
+    std::set<std::string> cut_workers;        ///< workers that no order reaches
     std::set<std::string> unanswered_workers; ///< workers that execute orders and whose answers are lost
     bool reports_are_unreadable = false;      ///< reports of workers arrive without their rows
     bool log_is_up = true;          ///< false: reads fail, and appends are repeated until it is true again
@@ -300,8 +301,9 @@
     }
 
     void answer_hold(const send_hold& hold) {
-        auto report = this->site.hold(hold.worker, hold.order, this->now);
-        if (this->unanswered_workers.contains(hold.worker.id)) {
+        const bool is_cut = this->cut_workers.contains(hold.worker.id);
+        auto report = is_cut ? hold_report{} : this->site.hold(hold.worker, hold.order, this->now);
+        if (is_cut || this->unanswered_workers.contains(hold.worker.id)) {
             this->schedule_event(call_timeout, [this, hold, sending_term = this->term] {
                 if (sending_term == this->term) {
                     this->schedule->on_hold_report(hold.worker, hold.order, {}, this->now);
@@ -389,9 +391,10 @@
         }
         this->schedule_event(
             milliseconds(1), [this, worker, sending_term = this->term, send, answer, unknown_answer] {
-                const auto result = send();
-                const bool lost =
-                    this->occurs(this->faults.lost_answer) || this->unanswered_workers.contains(worker);
+                const bool is_cut = this->cut_workers.contains(worker);
+                const auto result = is_cut ? unknown_answer : send();
+                const bool lost = is_cut || this->occurs(this->faults.lost_answer) ||
+                                  this->unanswered_workers.contains(worker);
                 this->schedule_event(lost ? call_timeout : answer_delay,
                                      [this, sending_term, answer, result, lost, unknown_answer] {
                                          if (sending_term == this->term) {
--- a/tests/scheduler_waiting_test.cpp
+++ b/tests/scheduler_waiting_test.cpp
@@ -176,3 +176,35 @@
     site.run(milliseconds(4000));
     BOOST_TEST(site.state_of(id) == "completed");
 }
+
+// Guards against a task that counts as running for ever on a worker that is cut off: each hold that it did
+// not answer prolonged the lease that it might have.
+BOOST_AUTO_TEST_CASE(tasks_of_a_worker_that_stays_cut_off_run_elsewhere) {
+    scheduler_site site(11);
+    site.add_vms(2);
+    site.take_over();
+    const auto id = site.submit(long_running_job(1, 1));
+    site.run(milliseconds(2000));
+    BOOST_REQUIRE(site.running_tasks(id) == 1);
+    site.cut_workers = {site.site.history().front().worker};
+    // Its leases are renewed for one lease without an answer, and end within another one.
+    site.run(fake_site::options().longest_lease * 3);
+    BOOST_TEST(site.running_tasks(id) == 1);
+    BOOST_TEST(site.duplicate_runs().empty());
+}
+
+// Guards against work that is started elsewhere because its worker was silent for a while.
+BOOST_AUTO_TEST_CASE(short_silence_of_a_worker_ends_no_task) {
+    scheduler_site site(12);
+    site.add_vms(2);
+    site.take_over();
+    const auto id = site.submit(long_running_job(1, 1));
+    site.run(milliseconds(2000));
+    const auto worker = site.site.history().front().worker;
+    site.unanswered_workers = {worker};
+    site.run(milliseconds(9000));
+    site.unanswered_workers.clear();
+    site.run(milliseconds(2000));
+    BOOST_TEST(site.running_tasks(id) == 1);
+    BOOST_TEST(site.site.history().size() == 1);
+}
