An answer belongs to one hold, not to any hold with the same fence

Callers could see: a task runs twice at the same time. Cause: answers to holds were told apart by the fence. After the record of a worker was made anew, the late answer to an earlier hold was taken for that of the hold in flight; its older list lacked a run that had been confirmed since, so the run counted as missing and started again. Change: holds of a term are numbered. Evidence: answer_to_an_earlier_hold_ends_no_run failed before (2 starts, expected 1) and passes; scheduler_test, scheduler_outage_test, scheduler_waiting_test pass. Found by reading.

--- a/src/scheduler/scheduler_impl.hpp
+++ b/src/scheduler/scheduler_impl.hpp
@@ -128,7 +128,7 @@
     bool confirmed = false;   ///< has answered a hold with the current fence
     bool hold_in_flight = false;
     boot_time hold_sent{};
-    std::int64_t hold_fence = 0; ///< of the hold in flight
+    std::int64_t hold_number = 0; ///< of the hold in flight
     boot_time next_hold{};
     std::int64_t applied_end = 0;                   ///< number of the last end that was applied in memory
     std::int64_t recorded_end = 0;                  ///< number of the last end that is in the log
@@ -455,6 +455,7 @@
     std::map<std::string, learned_duration> durations;      ///< by queue
 
     std::map<std::string, worker_control> workers;
+    std::int64_t latest_hold = 0; ///< number of the latest hold of the term
     /// How often the fence of a worker was raised within the term, by worker id. Kept when the worker is
     /// removed: its process may come back, and it refuses fences below the highest that it has seen.
     std::unordered_map<std::string, std::int32_t> fence_increments;
--- a/src/scheduler/scheduler_workers.cpp
+++ b/src/scheduler/scheduler_workers.cpp
@@ -70,7 +70,9 @@
         if (worker.hold_in_flight || now < due) {
             continue;
         }
-        hold_order order{.fence = this->fence_of(worker), .acknowledged_end = worker.recorded_end};
+        hold_order order{.number = ++this->latest_hold,
+                         .fence = this->fence_of(worker),
+                         .acknowledged_end = worker.recorded_end};
         // A worker that stays silent may be cut off for good. Renewals that may not reach it would keep its
         // tasks from running elsewhere.
         const bool is_silent = worker.is_unresponsive() &&
@@ -84,7 +86,7 @@
         }
         worker.hold_in_flight = true;
         worker.hold_sent = now;
-        worker.hold_fence = order.fence;
+        worker.hold_number = order.number;
         this->add_action(send_hold{.worker = {.id = id, .address = worker.entry.address}, .order = order});
     }
 }
@@ -414,8 +416,8 @@
         return;
     }
     auto& worker = found->second;
-    if (order.fence != worker.hold_fence || !worker.hold_in_flight) {
-        return; // a hold with a higher fence replaced this one
+    if (order.number != worker.hold_number || !worker.hold_in_flight) {
+        return; // a later hold replaced this one, or the record of the worker was made anew
     }
     worker.hold_in_flight = false;
     switch (report.outcome) {
--- a/tests/scheduler_answers_test.cpp
+++ b/tests/scheduler_answers_test.cpp
@@ -88,10 +88,10 @@
             this->starts.push_back(std::move(*start));
         } else if (auto* hold = std::get_if<send_hold>(&action)) {
             this->holds[hold->worker.id].push_back(std::move(*hold));
-        } else if (auto* advice = std::get_if<request_advice>(&action)) {
-            this->advice.push_back(std::move(*advice));
-        } else if (auto* maintain = std::get_if<order_maintenance>(&action)) {
-            this->maintenance.push_back(std::move(*maintain));
+        } else if (auto* request = std::get_if<request_advice>(&action)) {
+            this->advice.push_back(std::move(*request));
+        } else if (auto* order = std::get_if<order_maintenance>(&action)) {
+            this->maintenance.push_back(std::move(*order));
         } else if (std::holds_alternative<drop_job_records>(action)) {
             ++this->drops;
         } else if (std::holds_alternative<read_vm_list>(action)) {
@@ -153,6 +153,23 @@
     std::int64_t drops = 0;          ///< appends that drop records of jobs; the log does not answer them
 };
 
+step_spec long_running_step(std::int32_t count) {
+    return {.count = count,
+            .need = {.cpu_millicores = 20000, .memory_mb = 1000},
+            .long_running = true,
+            .max_per_worker = 1,
+            .max_unavailable = 1};
+}
+
+vm_entry vm_of(const std::string& id, const std::string& worker) {
+    return {.id = id,
+            .pool = "pool",
+            .condition = vm_condition::up,
+            .zone = "zone-a",
+            .capacity = {.cpu_millicores = 32000, .memory_mb = 65536},
+            .worker = worker};
+}
+
 } // namespace
 
 // Guards against a count of calls for advice in flight that never falls again: after four tickets refused
@@ -179,3 +196,35 @@
         site.answer(refused[1], order_outcome::no_ticket);
     }
 }
+
+// Guards against two runs of a task: the late answer to a hold of an earlier record of the worker was taken
+// for that of the hold in flight, whose list would have named the run.
+BOOST_AUTO_TEST_CASE(answer_to_an_earlier_hold_ends_no_run) {
+    manual_site site;
+    site.add_worker("w-1");
+    site.run(milliseconds(20));
+    const auto first = site.holds["w-1"].back();
+    site.schedule.on_worker_removed("w-1", site.now);
+    site.add_worker("w-1");
+    site.run(milliseconds(20));
+    BOOST_REQUIRE(site.holds["w-1"].size() == 2);
+    const auto second = site.holds["w-1"].back();
+    site.answer(first); // overtakes the answer to the second one
+    site.run(milliseconds(20));
+    if (site.holds["w-1"].size() == 2) {
+        site.answer(second);
+        site.run(milliseconds(20));
+    }
+    site.answer_hold("w-1");
+    site.run(milliseconds(40));
+    const auto job = site.submit(long_running_step(1));
+    site.run(milliseconds(100));
+    BOOST_REQUIRE(site.starts.size() == 1);
+    site.answer(site.starts.front(), order_outcome::done);
+    const running_task run{.task = site.starts.front().order.task, .run = 1};
+    site.answer_hold("w-1", {run});
+    site.run(milliseconds(40));
+    site.answer(second);
+    site.run(milliseconds(500));
+    BOOST_TEST(site.starts.size() == 1);
+}
