An older list of VMs does not replace a newer one

Callers could see: a task runs twice, because its live worker was declared replaced. Cause: the list that an earlier term had requested on the same node was accepted in the next term, also after a newer list; it named the earlier worker of a VM. Change: a list requested before the term, or before the known list, is ignored. Evidence: earlier_vm_list_replaces_no_worker failed before (no worker left, expected 1). Found by reading.

--- a/src/scheduler/scheduler_workers.cpp
+++ b/src/scheduler/scheduler_workers.cpp
@@ -459,6 +459,9 @@
 
 void scheduler::on_vm_list(const std::vector<vm_entry>& vms, boot_time requested_at, boot_time now) {
     auto& state = *this->self;
+    if (requested_at < state.term_begin || requested_at < state.vm_list_as_of) {
+        return; // requested in an earlier term, or older than the list that is known
+    }
     state.vm_list_in_flight = false;
     state.vm_list_as_of = requested_at;
     const auto before = std::exchange(state.vm_of_worker, {});
--- a/tests/scheduler_answers_test.cpp
+++ b/tests/scheduler_answers_test.cpp
@@ -228,3 +228,24 @@
     site.run(milliseconds(500));
     BOOST_TEST(site.starts.size() == 1);
 }
+
+// Guards against a live worker that is taken for replaced: the list that an earlier term requested arrived
+// after a newer one.
+BOOST_AUTO_TEST_CASE(earlier_vm_list_replaces_no_worker) {
+    manual_site site;
+    site.run(milliseconds(10));
+    const auto before = site.now;
+    site.begin_term();
+    site.add_worker("w-2");
+    site.confirm("w-2");
+    site.set_vms({vm_of("m-1", "w-2")}, site.now);
+    site.submit(long_running_step(1));
+    site.run(milliseconds(100));
+    BOOST_REQUIRE(site.starts.size() == 1);
+    site.answer(site.starts.front(), order_outcome::done);
+    site.set_vms({vm_of("m-1", "w-1")}, before);
+    site.run(milliseconds(500));
+    const auto workers = site.schedule.dump(site.now).at("workers").as_array();
+    BOOST_REQUIRE(workers.size() == 1);
+    BOOST_TEST(workers.front().at("tasks").to_number<std::int64_t>() == 1);
+}
