A restart of a worker under its id ends neither runs of the new process nor counts its ends as known

Callers could see: a task runs twice: at the same time, or again after its end. Cause: a new process under a known id made the scheduler requeue all placements of the worker, also those whose order the new process had already accepted. And an append that recorded ends of the earlier process acknowledged the same numbers to the new one, whose ends were then dropped before they were listed. Change: the record goes on with a raised fence; the next hold, which the new process alone can answer, decides which placements exist. Acknowledgements that are not recorded yet are dropped with the process, and with each removed record. Evidence: run_that_a_restarted_worker_lists_is_not_started_again (2 starts, expected 1) and restarted_worker_gets_no_acknowledgement_of_earlier_ends failed before and pass; scheduler_test, scheduler_outage_test and scheduler_waiting_test pass.

--- a/src/scheduler/scheduler_impl.hpp
+++ b/src/scheduler/scheduler_impl.hpp
@@ -277,6 +277,12 @@
                        boot_time now);
     /// Compares the runs in the report with the placements: stops unknown runs, requeues missing ones.
     void reconcile(worker_control& worker, const hold_order& order, const hold_report& report, boot_time now);
+    /// Continues with a new process of the worker. Runs of the earlier process have ended; the new one may
+    /// have accepted orders that were meant for it, so the next hold decides which placements exist.
+    /// @param entry of the new process
+    void restart_worker(worker_control& worker, const worker_entry& entry, boot_time now);
+    /// Forgets which ends are to be acknowledged to the worker: the numbers belong to one process.
+    void drop_acknowledgements(const std::string& worker);
     /// Removes the worker and requeues its tasks. Its runs must have ended.
     void declare_worker_lost(const std::string& id, std::string_view reason, boot_time now);
     /// Raises the worker's fence, so that the next hold resolves its unacknowledged orders.
--- a/src/scheduler/scheduler_workers.cpp
+++ b/src/scheduler/scheduler_workers.cpp
@@ -266,6 +266,35 @@
     }
 }
 
+void scheduler::impl::drop_acknowledgements(const std::string& worker) {
+    this->next_batch.ends.erase(worker);
+    if (this->batch_in_flight) {
+        this->batch_in_flight->ends.erase(worker);
+    }
+}
+
+void scheduler::impl::restart_worker(worker_control& worker, const worker_entry& entry, boot_time now) {
+    write_log(severity::warning, "worker_restarted",
+              {{"worker", entry.id}, {"tasks", worker.tasks.size()}, {"fence", this->fence_of(worker)}});
+    this->drop_acknowledgements(entry.id);
+    worker.entry = entry;
+    worker.applied_end = 0;
+    worker.recorded_end = 0;
+    worker.clock.reset();
+    worker.recent_failures = 0;
+    worker.avoid_until = {};
+    worker.refused_starts = 0;
+    worker.refused_until = {};
+    for (auto& [id, placed] : worker.tasks) {
+        placed.ready = false;
+        if (placed.stage != start_stage::recording) {
+            placed.stage = start_stage::unacknowledged;
+            placed.fence = this->fence_of(worker);
+        }
+    }
+    this->raise_fence(worker, now);
+}
+
 void scheduler::impl::declare_worker_lost(const std::string& id, std::string_view reason, boot_time now) {
     const auto found = this->workers.find(id);
     if (found == this->workers.end()) {
@@ -284,6 +313,7 @@
             this->advance_job(*job, now);
         }
     }
+    this->drop_acknowledgements(id);
     this->workers.erase(found);
 }
 
@@ -346,7 +376,7 @@
 
 void scheduler::on_worker(const worker_entry& entry, boot_time now) {
     auto& state = *this->self;
-    auto found = state.workers.find(entry.id);
+    const auto found = state.workers.find(entry.id);
     const auto known_start =
         found == state.workers.end() ? std::int64_t{0} : found->second.entry.instance_started_ms;
     const bool is_other_instance =
@@ -357,8 +387,7 @@
         return;
     }
     if (is_other_instance) {
-        state.declare_worker_lost(entry.id, "the worker process has restarted", now);
-        found = state.workers.end();
+        state.restart_worker(found->second, entry, now);
     }
     const bool is_new = found == state.workers.end();
     auto& worker = is_new ? state.workers[entry.id] : found->second;
@@ -392,6 +421,7 @@
     found->second.listed = false;
     found->second.listed_since = now;
     if (found->second.tasks.empty()) {
+        state.drop_acknowledgements(id);
         state.workers.erase(found);
     }
 }
@@ -426,8 +456,7 @@
             report.instance_started_ms != worker.entry.instance_started_ms) {
             auto entry = worker.entry;
             entry.instance_started_ms = report.instance_started_ms;
-            state.declare_worker_lost(target.id, "the worker process has restarted", now);
-            this->on_worker(entry, now);
+            state.restart_worker(worker, entry, now);
             return;
         }
         state.accept_report(worker, order, report, now);
--- a/tests/scheduler_answers_test.cpp
+++ b/tests/scheduler_answers_test.cpp
@@ -16,7 +16,8 @@
 
 namespace {
 
-/// A scheduler whose appends succeed at once and whose other calls the test answers.
+/// A scheduler whose appends of progress succeed at once while `log_answers` is true, and whose other calls
+/// the test answers.
 struct manual_site {
     manual_site() {
         auto config = std::make_shared<site_config>();
@@ -76,7 +77,10 @@
 
     void execute(scheduler_action& action) {
         if (const auto* commit = std::get_if<commit_progress>(&action)) {
-            this->schedule.on_committed(commit->sequence, this->now);
+            this->commits.push_back(commit->sequence);
+            if (this->log_answers) {
+                this->answer_appends();
+            }
         } else if (const auto* states = std::get_if<publish_states>(&action)) {
             for (const auto& record : states->records) {
                 this->deleted_states += record.value.empty() ? 1 : 0;
@@ -99,12 +103,22 @@
         }
     }
 
+    /// Confirms the appends of progress that the log has not answered.
+    void answer_appends() {
+        for (const auto sequence : std::exchange(this->commits, {})) {
+            this->schedule.on_committed(sequence, this->now);
+        }
+    }
+
+    static hold_report report_of(std::vector<running_task> running, std::int64_t instance) {
+        return {.outcome = order_outcome::done,
+                .worker_clock = milliseconds(1000),
+                .instance_started_ms = instance,
+                .running = std::move(running)};
+    }
+
     void answer(const send_hold& hold, std::vector<running_task> running = {}, std::int64_t instance = 1) {
-        this->schedule.on_hold_report(hold.worker, hold.order,
-                                      {.outcome = order_outcome::done,
-                                       .worker_clock = milliseconds(1000),
-                                       .instance_started_ms = instance,
-                                       .running = std::move(running)},
+        this->schedule.on_hold_report(hold.worker, hold.order, report_of(std::move(running), instance),
                                       this->now);
     }
 
@@ -149,8 +163,10 @@
     std::vector<request_advice> advice;
     std::vector<order_maintenance> maintenance;
     std::vector<boot_time> vm_lists_requested;
-    std::int64_t deleted_states = 0; ///< states dropped from the states topic
-    std::int64_t drops = 0;          ///< appends that drop records of jobs; the log does not answer them
+    bool log_answers = true;
+    std::vector<std::int64_t> commits; ///< appends of progress without an answer
+    std::int64_t deleted_states = 0;   ///< states dropped from the states topic
+    std::int64_t drops = 0;            ///< appends that drop records of jobs; the log does not answer them
 };
 
 step_spec long_running_step(std::int32_t count) {
@@ -249,3 +265,45 @@
     BOOST_REQUIRE(workers.size() == 1);
     BOOST_TEST(workers.front().at("tasks").to_number<std::int64_t>() == 1);
 }
+
+// Guards against two runs of a task that was started while its worker restarted: the report that shows the
+// restart lists the run.
+BOOST_AUTO_TEST_CASE(run_that_a_restarted_worker_lists_is_not_started_again) {
+    manual_site site;
+    for (const auto* worker : {"w-1", "w-2"}) {
+        site.add_worker(worker);
+        site.confirm(worker);
+    }
+    site.submit(long_running_step(1));
+    site.run(milliseconds(100));
+    BOOST_REQUIRE(site.starts.size() == 1);
+    const auto start = site.starts.front();
+    site.answer(start, order_outcome::done); // the new process accepted it
+    site.answer_hold(start.worker.id, {{.task = start.order.task, .run = 1}}, 2);
+    site.run(milliseconds(500));
+    BOOST_TEST(site.starts.size() == 1);
+}
+
+// Guards against a second run of a task that had ended: the scheduler acknowledged the end to a new process
+// of the worker before it was listed, because the end of the earlier process had the same number.
+BOOST_AUTO_TEST_CASE(restarted_worker_gets_no_acknowledgement_of_earlier_ends) {
+    manual_site site;
+    site.add_worker("w-1");
+    site.confirm("w-1");
+    site.submit({.count = 1, .need = {.cpu_millicores = 2000, .memory_mb = 1000}});
+    site.run(milliseconds(100));
+    BOOST_REQUIRE(site.starts.size() == 1);
+    site.answer(site.starts.front(), order_outcome::done);
+    site.run(milliseconds(40));
+    site.log_answers = false;
+    auto report = site.report_of({}, 1);
+    report.ended = {
+        {.number = 1, .task = site.starts.front().order.task, .run = 1, .outcome = task_end::failed}};
+    site.schedule.on_hold_report(site.holds["w-1"].back().worker, site.holds["w-1"].back().order, report,
+                                 site.now);
+    site.run(milliseconds(1600)); // the append that records the end is not answered yet
+    site.answer_hold("w-1", {}, 2);
+    site.answer_appends();
+    site.run(milliseconds(100));
+    BOOST_TEST(site.holds["w-1"].back().order.acknowledged_end == 0);
+}
