A recorded start sends the order of that run only

Callers could see: after a takeover a task runs twice, because a run exists that the log does not hold. Cause: the effects of an append were matched by worker and task. If the worker was lost and listed again while the append was in flight, and the task was placed there again, the record of the earlier run sent the start of the new one. Change: a start is matched by worker, task and run. Evidence: record_of_an_earlier_run_starts_no_later_one failed before (a start was sent) and passes; scheduler_test, scheduler_outage_test, scheduler_waiting_test pass. Found by reading.

--- a/src/scheduler/scheduler_dispatch.cpp
+++ b/src/scheduler/scheduler_dispatch.cpp
@@ -410,7 +410,7 @@
         const auto ticket = found->second.tickets.find(worker.entry.id);
         placed.ticket = ticket == found->second.tickets.end() ? std::string() : ticket->second;
     }
-    this->next_batch.starts.emplace_back(worker.entry.id, id);
+    this->next_batch.starts.push_back({.worker = worker.entry.id, .task = id, .run = run});
 }
 
 void scheduler::impl::place_reserved(job_progress& job, const task_id& id, task_progress& task,
--- a/src/scheduler/scheduler_impl.hpp
+++ b/src/scheduler/scheduler_impl.hpp
@@ -150,12 +150,19 @@
     [[nodiscard]] bool is_unresponsive() const noexcept { return this->unanswered_holds > 0; }
 };
 
+/// A run whose start order is sent once its record is in the log.
+struct recorded_start {
+    std::string worker;
+    task_id task;
+    std::int64_t run = 0;
+};
+
 /// Effects to run once the records that they depend on are in the log.
 struct commit_batch {
     std::int64_t sequence = 0;
     std::vector<keyed_record> records;
     std::size_t records_appended = 0; ///< leading records that earlier appends of the batch hold
-    std::vector<std::pair<std::string, task_id>> starts;   ///< worker, task
+    std::vector<recorded_start> starts;
     std::map<std::string, std::int64_t> ends;              ///< number of the last recorded end, by worker
     std::vector<std::pair<std::string, job_state>> states; ///< to publish
 };
--- a/src/scheduler/scheduler_jobs.cpp
+++ b/src/scheduler/scheduler_jobs.cpp
@@ -294,9 +294,9 @@
     commit_batch batch = std::move(this->next_batch);
     this->next_batch = {};
     ++this->commits_begun;
-    for (const auto& [worker, id] : batch.starts) {
-        auto* job = this->find_job(id.job);
-        if (auto* task = job == nullptr ? nullptr : job->find_task(id)) {
+    for (const auto& start : batch.starts) {
+        auto* job = this->find_job(start.task.job);
+        if (auto* task = job == nullptr ? nullptr : job->find_task(start.task)) {
             task->reserved_worker.clear(); // the append replaces the reservation
         }
     }
@@ -338,14 +338,15 @@
 void scheduler::impl::run_effects(commit_batch& batch, boot_time now) {
     // One commit is in flight at a time, so the latest one is recorded now.
     this->commits_recorded = this->commits_begun;
-    for (const auto& [worker_id, task] : batch.starts) {
-        const auto worker = this->workers.find(worker_id);
+    for (const auto& start : batch.starts) {
+        const auto worker = this->workers.find(start.worker);
         if (worker == this->workers.end()) {
             continue; // the worker was lost meanwhile; its tasks were requeued
         }
-        const auto placed = worker->second.tasks.find(task);
-        if (placed != worker->second.tasks.end() && placed->second.stage == start_stage::recording) {
-            this->send_start_order(worker->second, task, placed->second, now);
+        const auto placed = worker->second.tasks.find(start.task);
+        if (placed != worker->second.tasks.end() && placed->second.stage == start_stage::recording &&
+            placed->second.run == start.run) {
+            this->send_start_order(worker->second, start.task, placed->second, now);
         }
     }
     for (const auto& [worker_id, number] : batch.ends) {
--- a/src/scheduler/scheduler_reservations.cpp
+++ b/src/scheduler/scheduler_reservations.cpp
@@ -15,16 +15,16 @@
 }
 
 void scheduler::impl::withdraw_unrecorded_starts() {
-    for (const auto& [worker_id, id] : this->next_batch.starts) {
-        const auto worker = this->workers.find(worker_id);
-        auto* job = this->find_job(id.job);
-        auto* task = job == nullptr ? nullptr : job->find_task(id);
+    for (const auto& start : this->next_batch.starts) {
+        const auto worker = this->workers.find(start.worker);
+        auto* job = this->find_job(start.task.job);
+        auto* task = job == nullptr ? nullptr : job->find_task(start.task);
         if (worker == this->workers.end() || task == nullptr || task->phase != run_phase::placed ||
-            task->worker != worker_id) {
+            task->worker != start.worker || task->run != start.run) {
             continue;
         }
-        this->remove_placement(worker->second, id, job->spec.account);
-        job->set_phase(id, *task, run_phase::waiting);
+        this->remove_placement(worker->second, start.task, job->spec.account);
+        job->set_phase(start.task, *task, run_phase::waiting);
         task->worker.clear();
         --task->run; // no record and no order has this number
     }
--- a/tests/scheduler_answers_test.cpp
+++ b/tests/scheduler_answers_test.cpp
@@ -307,3 +307,26 @@
     site.run(milliseconds(100));
     BOOST_TEST(site.holds["w-1"].back().order.acknowledged_end == 0);
 }
+
+// Guards against a start that the log does not hold: the record of an earlier run of the task on the same
+// worker was taken for that of the new run.
+BOOST_AUTO_TEST_CASE(record_of_an_earlier_run_starts_no_later_one) {
+    manual_site site;
+    site.add_worker("w-1");
+    site.confirm("w-1");
+    site.log_answers = false;
+    site.submit(long_running_step(1));
+    site.run(milliseconds(30)); // the append that records the first run is not answered yet
+    const auto hold = site.holds["w-1"].back();
+    site.schedule.on_hold_report(hold.worker, hold.order, {.outcome = order_outcome::other_worker}, site.now);
+    site.add_worker("w-1");
+    site.confirm("w-1");
+    BOOST_REQUIRE(site.commits.size() == 1);
+    site.answer_appends();
+    site.run(milliseconds(40));
+    BOOST_TEST(site.starts.empty());
+    site.answer_appends(); // records the second run
+    site.run(milliseconds(40));
+    BOOST_REQUIRE(site.starts.size() == 1);
+    BOOST_TEST(site.starts.front().order.run == 2);
+}
