A worker that refuses the fence of a confirmed term gets a higher one

Cause: the answer 'fenced' was only repeated; nothing ended that state within a term. Change: if the log has confirmed the term after the refused hold was sent, no successor exists, and the fence is raised until the worker accepts it. Evidence: worker_with_a_higher_fence_of_this_term_takes_tasks_again failed before (the fence stayed, no start) and passes; scheduler_test and scheduler_waiting_test pass.

--- a/src/scheduler/scheduler_workers.cpp
+++ b/src/scheduler/scheduler_workers.cpp
@@ -468,6 +468,9 @@
         if (order.fence == state.fence_of(worker)) {
             write_log(severity::warning, "worker_fenced", {{"worker", target.id}, {"fence", order.fence}});
             worker.confirmed = false;
+            if (state.term_confirmed > worker.hold_sent) {
+                state.raise_fence(worker, now); // no successor has begun, so the higher fence is of this term
+            }
             worker.next_hold = now + state.timings.hold_retry;
         } else {
             worker.next_hold = now;
--- a/tests/scheduler_answers_test.cpp
+++ b/tests/scheduler_answers_test.cpp
@@ -330,3 +330,28 @@
     BOOST_REQUIRE(site.starts.size() == 1);
     BOOST_TEST(site.starts.front().order.run == 2);
 }
+
+// Guards against a worker that refuses every order for the rest of a term because it has seen a higher fence
+// of the same term, for whatever reason: no successor can exist while answers of the log confirm the term.
+BOOST_AUTO_TEST_CASE(worker_with_a_higher_fence_of_this_term_takes_tasks_again) {
+    manual_site site;
+    site.add_worker("w-1");
+    site.run(milliseconds(20));
+    const auto seen = site.holds["w-1"].back().order.fence + 3;
+    std::size_t answered = 0;
+    for (int round = 0; round < 400; ++round) {
+        site.run(milliseconds(10));
+        const auto& holds = site.holds["w-1"];
+        if (holds.size() > answered) {
+            const auto& hold = holds.back();
+            answered = holds.size();
+            auto report = manual_site::report_of({}, 1);
+            report.outcome = hold.order.fence < seen ? order_outcome::fenced : order_outcome::done;
+            site.schedule.on_hold_report(hold.worker, hold.order, report, site.now);
+        }
+    }
+    BOOST_TEST(site.holds["w-1"].back().order.fence == seen);
+    site.submit(long_running_step(1));
+    site.run(milliseconds(100));
+    BOOST_TEST(site.starts.size() == 1);
+}
