--- a/src/scheduler/scheduler_impl.hpp
+++ b/src/scheduler/scheduler_impl.hpp
@@ -137,10 +137,11 @@
     boot_time lease_bound{};           ///< every lease granted to the worker has expired by then
     std::int32_t unanswered_holds = 0; ///< consecutive holds without an answer
     boot_time unanswered_since{};
-    std::int32_t recent_failures = 0; ///< failed runs since the last one that succeeded
-    boot_time avoid_until{};          ///< its standing is bad until then
-    std::int32_t refused_starts = 0;  ///< since the last start that it accepted
-    boot_time refused_until{};        ///< no new tasks until then
+    std::optional<boot_time> fenced_since; ///< when it first refused the current fence
+    std::int32_t recent_failures = 0;      ///< failed runs since the last one that succeeded
+    boot_time avoid_until{};               ///< its standing is bad until then
+    std::int32_t refused_starts = 0;       ///< since the last start that it accepted
+    boot_time refused_until{};             ///< no new tasks until then
     std::map<task_id, placement> tasks;
     resources used; ///< sum of the needs of `tasks`
     std::int32_t latency_sensitive_tasks = 0;
--- a/src/scheduler/scheduler_workers.cpp
+++ b/src/scheduler/scheduler_workers.cpp
@@ -459,6 +459,7 @@
             state.restart_worker(worker, entry, now);
             return;
         }
+        worker.fenced_since.reset();
         state.accept_report(worker, order, report, now);
         return;
     case order_outcome::other_worker:
@@ -468,9 +469,11 @@
         if (order.fence == state.fence_of(worker)) {
             write_log(severity::warning, "worker_fenced", {{"worker", target.id}, {"fence", order.fence}});
             worker.confirmed = false;
-            if (state.term_confirmed > worker.hold_sent) {
+            if (worker.fenced_since && state.term_confirmed > *worker.fenced_since) {
                 state.raise_fence(worker, now); // no successor has begun, so the higher fence is of this term
+                worker.fenced_since.reset();
             }
+            worker.fenced_since = worker.fenced_since.value_or(now);
             worker.next_hold = now + state.timings.hold_retry;
         } else {
             worker.next_hold = now;
