The state of a job stays until the drop of its record is stored

Callers could see: a job that has ended runs again from its start, minutes later, at a takeover. Class of fault: an effect assumed without its answer. Change: the driver reports the result of the drop; a refused or unanswered drop is repeated, and progress and state are dropped only after it. Found by reading.

--- a/src/scheduler/scheduler.cpp
+++ b/src/scheduler/scheduler.cpp
@@ -22,6 +22,7 @@
         next->waves[number].started_at = wave.started_at;
     }
     next->stopping = this->self->stopping;
+    next->drop_sequence = this->self->drop_sequence;
     next->term = term;
     next->term_begin = now;
     next->term_confirmed = now;
--- a/src/scheduler/scheduler.hpp
+++ b/src/scheduler/scheduler.hpp
@@ -29,8 +29,9 @@
     std::vector<keyed_record> records;
 };
 
-/// Drops records from a partition of the jobs topic. The driver reports no result.
+/// Drops records from a partition of the jobs topic; the driver reports the result with `on_records_dropped`.
 struct drop_job_records {
+    std::int64_t sequence = 0; ///< the same for all partitions of one cleanup
     std::int32_t partition = 0;
     std::vector<keyed_record> records;
 };
@@ -192,6 +193,9 @@
     void on_committed(std::int64_t sequence, boot_time now);
     void on_published(std::int64_t sequence, boot_time now);
 
+    /// @param done whether the log has stored the drop; repeated later if not
+    void on_records_dropped(std::int64_t sequence, bool done);
+
     /// @param completed value in the report
     /// @param done whether the report was appended
     void on_reported(std::int64_t wave, bool completed, bool done);
--- a/src/scheduler/scheduler_impl.hpp
+++ b/src/scheduler/scheduler_impl.hpp
@@ -259,8 +259,13 @@
     void append_next_part();
     /// Appends the pending job states to the states topic.
     void publish(boot_time now);
-    /// Drops the records of final jobs, and their states after `site_limits::final_state_retention`.
+    /// Drops the records of final jobs, and their states after `site_limits::final_state_retention`. A state
+    /// is kept while the job's record may remain: without it a successor would run the job again.
     void drop_finished(boot_time now);
+    /// Orders the drops of the next job records.
+    void drop_job_records_of_finished();
+    /// Ends the cleanup in flight. Its progress records are dropped if the job records are.
+    void end_cleanup();
     /// Sends the start orders of the batch, releases its ends for acknowledgement and its job states for
     /// publication.
     void run_effects(commit_batch& batch, boot_time now);
@@ -498,6 +503,14 @@
     std::deque<finished_job> finished;
     boot_time last_cleanup{};
     std::size_t finished_dropped = 0; ///< leading items of `finished` whose job records are dropped
+    /// A cleanup whose drops are not all answered yet.
+    struct pending_cleanup {
+        std::size_t end = 0; ///< leading items of `finished` whose job records are dropped if it succeeds
+        std::int32_t unanswered = 0;
+        bool failed = false;
+    };
+    std::optional<pending_cleanup> cleanup_in_flight;
+    std::int64_t drop_sequence = 0; ///< of the latest cleanup; goes on in the next term
 
     std::map<task_id, boot_time> waiting_since; ///< long-running tasks that wait in a released step
     std::int64_t overdue_tasks = 0;             ///< as of the latest report
--- a/src/scheduler/scheduler_jobs.cpp
+++ b/src/scheduler/scheduler_jobs.cpp
@@ -370,18 +370,11 @@
     this->add_action(*this->publish_in_flight);
 }
 
-void scheduler::impl::drop_finished(boot_time now) {
-    const bool busy = this->publish_in_flight || !this->states_to_publish.empty() || this->batch_in_flight ||
-                      !this->next_batch.states.empty();
-    if (busy || now < this->last_cleanup + this->timings.state_cleanup_interval) {
-        return;
-    }
-    this->last_cleanup = now;
+void scheduler::impl::drop_job_records_of_finished() {
     std::map<std::int32_t, std::vector<keyed_record>> by_partition;
-    std::size_t count = 0;
-    for (; this->finished_dropped < this->finished.size() && count < cleanup_batch;
-         ++this->finished_dropped) {
-        const auto& job = this->finished[this->finished_dropped];
+    const auto end = std::min(this->finished.size(), this->finished_dropped + cleanup_batch);
+    for (auto index = this->finished_dropped; index < end; ++index) {
+        const auto& job = this->finished[index];
         if (job.records_dropped) {
             continue;
         }
@@ -390,12 +383,51 @@
         if (job.cancelled) {
             by_partition[job.partition].push_back({.key = job.id + std::string(cancel_suffix)});
         }
-        this->next_batch.records.push_back({.key = job.id});
-        ++count;
     }
+    ++this->drop_sequence;
+    this->cleanup_in_flight =
+        pending_cleanup{.end = end, .unanswered = static_cast<std::int32_t>(by_partition.size())};
     for (auto& [partition, records] : by_partition) {
-        this->add_action(drop_job_records{.partition = partition, .records = std::move(records)});
+        this->add_action(drop_job_records{
+            .sequence = this->drop_sequence, .partition = partition, .records = std::move(records)});
+    }
+    if (by_partition.empty()) {
+        this->end_cleanup();
+    }
+}
+
+void scheduler::impl::end_cleanup() {
+    const auto ended = *std::exchange(this->cleanup_in_flight, std::nullopt);
+    if (ended.failed) {
+        return;
+    }
+    for (; this->finished_dropped < ended.end; ++this->finished_dropped) {
+        const auto& job = this->finished[this->finished_dropped];
+        if (!job.records_dropped) {
+            this->next_batch.records.push_back({.key = job.id});
+        }
+    }
+}
+
+void scheduler::on_records_dropped(std::int64_t sequence, bool done) {
+    auto& state = *this->self;
+    if (!state.cleanup_in_flight || sequence != state.drop_sequence) {
+        return;
+    }
+    auto& cleanup = *state.cleanup_in_flight;
+    cleanup.failed = cleanup.failed || !done;
+    if (--cleanup.unanswered == 0) {
+        state.end_cleanup();
+    }
+}
+
+void scheduler::impl::drop_finished(boot_time now) {
+    const bool busy = this->publish_in_flight || !this->states_to_publish.empty() || this->batch_in_flight ||
+                      !this->next_batch.states.empty() || this->cleanup_in_flight;
+    if (busy || now < this->last_cleanup + this->timings.state_cleanup_interval) {
+        return;
     }
+    this->last_cleanup = now;
     while (this->finished_dropped > 0 &&
            now > this->finished.front().finished + this->options.limits.final_state_retention) {
         this->states_to_publish.push_back({.key = this->finished.front().id});
@@ -403,6 +435,7 @@
         this->finished.pop_front();
         --this->finished_dropped;
     }
+    this->drop_job_records_of_finished();
 }
 
 } // namespace hornbeamrail
--- a/src/site/site_node_scheduler.hpp
+++ b/src/site/site_node_scheduler.hpp
@@ -179,11 +179,13 @@
     } else if (auto* drop = std::get_if<drop_job_records>(&action)) {
         append_call call{
             .topic = log_topic::jobs, .partition = drop->partition, .records = std::move(drop->records)};
-        out.push_back([self, call = std::move(call)] {
-            self->port.append(call, [](const append_answer& answer) {
-                if (answer.outcome != append_outcome::appended) {
+        out.push_back([self, call = std::move(call), sequence = drop->sequence] {
+            self->port.append(call, [self, sequence](const append_answer& answer) {
+                const bool done = answer.outcome == append_outcome::appended;
+                if (!done) {
                     write_log(severity::info, "job_records_kept", {{"reason", answer.reason}});
                 }
+                self->with_lock([&](boot_time) { self->schedule.on_records_dropped(sequence, done); });
             });
         });
     } else if (auto* report = std::get_if<write_report>(&action)) {
--- a/tests/scheduler_site.hpp
+++ b/tests/scheduler_site.hpp
@@ -420,6 +420,7 @@
                 this->early_drops += is_job && !(state && is_final(*state)) ? 1 : 0;
             }
             this->log.append({.topic = log_topic::jobs, .records = drop->records});
+            this->schedule->on_records_dropped(drop->sequence, true);
         } else if (auto* start = std::get_if<send_start>(&action)) {
             ++this->starts;
             this->tickets[start->worker.id] = start->order.ticket;
