A refused order to a VM lets waiting tasks start at once

Cause: the VM was no longer reserved and nothing triggered the search for workers; the search every 200 ms ends that wait, but later. Change: the answer triggers it.

--- a/src/scheduler/scheduler_vms.cpp
+++ b/src/scheduler/scheduler_vms.cpp
@@ -228,6 +228,7 @@
 void scheduler::on_vm_order(const vm_order& order, vm_order_outcome outcome, boot_time now) {
     auto& state = *this->self;
     state.vm_orders.erase(order.vm);
+    state.dispatch_due = true; // the VM may take tasks again
     const auto wave = state.waves.find(order.wave);
     if (!order.pool.empty() && outcome != vm_order_outcome::done && outcome != vm_order_outcome::unknown) {
         state.vm_moves.erase(order.vm);
