Advice is requested for workers that the earlier answers do not cover

Callers could see: a task waits until a ticket expires although workers have room. Cause: advice was requested only when none was valid, so workers that joined or became able later were never asked about. A gang whose start was refused did not look again by itself. Change: each ticket has its own expiry; a step that finds no worker asks about workers that no answer covers; a gang's retry triggers the search.

--- a/src/scheduler/scheduler_advice.cpp
+++ b/src/scheduler/scheduler_advice.cpp
@@ -20,29 +20,42 @@
 
 } // namespace
 
-const step_advice* scheduler::impl::get_advice(const task_id& step,
+const step_advice& scheduler::impl::get_advice(const task_id& step,
                                                const std::vector<worker_control*>& candidates,
                                                boot_time now) {
     auto& entry = this->advice[step_of(step)];
-    const bool valid = now + this->timings.ticket_expiry_margin < entry.valid_until;
-    const bool may_request = !entry.in_flight && now >= entry.requested + this->timings.advice_retry &&
-                             this->advice_in_flight < max_calls_in_flight;
-    if (!valid && may_request) {
-        advice_call call{.step = step_of(step)};
-        for (const auto* worker : candidates) {
-            if (call.workers.size() < max_workers_per_call && !entry.refused.contains(worker->entry.id)) {
-                call.workers.push_back(worker->entry.id);
-            }
-        }
-        if (!call.workers.empty()) {
-            entry.in_flight = true;
-            entry.requested = now;
-            ++this->advice_in_flight;
-            this->add_action(request_advice{.call = std::move(call)});
+    std::erase_if(entry.tickets, [&](const auto& item) {
+        return now + this->timings.ticket_expiry_margin >= item.second.valid_until;
+    });
+    if (entry.tickets.empty()) {
+        this->request_more_advice(step, candidates, now);
+        this->dispatch_due = true;
+    }
+    return entry;
+}
+
+void scheduler::impl::request_more_advice(const task_id& step, const std::vector<worker_control*>& candidates,
+                                          boot_time now) {
+    auto& entry = this->advice[step_of(step)];
+    if (entry.in_flight || now < entry.requested + this->timings.advice_retry ||
+        this->advice_in_flight >= max_calls_in_flight) {
+        return;
+    }
+    advice_call call{.step = step_of(step)};
+    for (const auto* worker : candidates) {
+        const auto& id = worker->entry.id;
+        if (call.workers.size() < max_workers_per_call && !entry.refused.contains(id) &&
+            !entry.tickets.contains(id)) {
+            call.workers.push_back(id);
         }
     }
-    this->dispatch_due = this->dispatch_due || !valid;
-    return valid ? &entry : nullptr;
+    if (call.workers.empty()) {
+        return;
+    }
+    entry.in_flight = true;
+    entry.requested = now;
+    ++this->advice_in_flight;
+    this->add_action(request_advice{.call = std::move(call)});
 }
 
 void scheduler::impl::drop_advice(const std::string& job) {
@@ -71,13 +84,12 @@
     if (queue == nullptr || !queue->advice) {
         return;
     }
-    entry.tickets.clear();
     entry.refused.insert(call.workers.begin(), call.workers.end());
     for (const auto& issued : answer.tickets) {
-        entry.tickets[issued.worker] = issued.ticket;
+        entry.tickets[issued.worker] = {.ticket = issued.ticket,
+                                        .valid_until = now + queue->advice->ticket_lifetime};
         entry.refused.erase(issued.worker);
     }
-    entry.valid_until = now + queue->advice->ticket_lifetime;
     state.dispatch_due = true;
 }
 
--- a/src/scheduler/scheduler_dispatch.cpp
+++ b/src/scheduler/scheduler_dispatch.cpp
@@ -263,22 +263,28 @@
     auto& [views, controls] = candidates;
     apply_step_rules(candidates, step, step_id);
     const auto* queue = this->find_queue(job.spec.queue);
-    if (queue != nullptr && queue->advice) {
-        const auto* granted_advice = this->get_advice(step_id, controls, now);
+    const bool needs_advice = queue != nullptr && queue->advice;
+    if (needs_advice) {
+        const auto& granted_advice = this->get_advice(step_id, controls, now);
         for (auto& view : views) {
-            view.allowed = view.allowed && granted_advice != nullptr &&
-                           granted_advice->tickets.contains(std::string(view.id));
+            view.allowed = view.allowed && granted_advice.tickets.contains(std::string(view.id));
         }
     }
+    const bool log_late = this->log_is_late(now);
+    bool placed_all = false;
     if (step.gang) {
-        return !this->log_is_late(now) && this->place_gang(job, occurrence, number, views, controls, now);
+        placed_all = !log_late && this->place_gang(job, occurrence, number, views, controls, now);
+    } else {
+        auto request = make_request(step);
+        if (step.rack_sensitive) {
+            request.preferred_rack = choose_rack(views, request.need, step.count);
+        }
+        placed_all = this->place_tasks(job, occurrence, number, request, views, controls, now);
     }
-    auto request = make_request(step);
-    if (step.rack_sensitive) {
-        request.preferred_rack = choose_rack(views, request.need, step.count);
+    if (!placed_all && needs_advice) {
+        this->request_more_advice(step_id, controls, now);
     }
-    const bool placed_all = this->place_tasks(job, occurrence, number, request, views, controls, now);
-    if (!this->log_is_late(now)) {
+    if (!log_late && !step.gang) {
         this->reserve_later_steps(job, occurrence, number);
     }
     return placed_all;
@@ -349,8 +355,12 @@
     auto& tasks = occurrence.steps[static_cast<std::size_t>(number)].tasks;
     std::int64_t run = 0;
     for (const auto& task : tasks) {
-        if (task.phase != run_phase::waiting || now < task.retry_at) {
-            return false; // an earlier run still has members, or a retry is not due
+        if (task.phase != run_phase::waiting) {
+            return false; // an earlier run still has members
+        }
+        if (now < task.retry_at) {
+            this->dispatch_due = true;
+            return false;
         }
         run = std::max(run, task.run);
     }
@@ -408,7 +418,7 @@
     step_id.index = 0;
     if (const auto found = this->advice.find(step_id); found != this->advice.end()) {
         const auto ticket = found->second.tickets.find(worker.entry.id);
-        placed.ticket = ticket == found->second.tickets.end() ? std::string() : ticket->second;
+        placed.ticket = ticket == found->second.tickets.end() ? std::string() : ticket->second.ticket;
     }
     this->next_batch.starts.push_back({.worker = worker.entry.id, .task = id, .run = run});
 }
--- a/src/scheduler/scheduler_impl.hpp
+++ b/src/scheduler/scheduler_impl.hpp
@@ -187,11 +187,16 @@
     std::deque<std::pair<boot_time, std::int32_t>> needs; ///< VMs needed at each plan within `need_window`
 };
 
+/// Permission to start tasks of one step on one worker.
+struct issued_ticket {
+    std::string ticket;
+    boot_time valid_until{};
+};
+
 /// Placement advice for one step: the workers that may run it, with their tickets.
 struct step_advice {
-    std::map<std::string, std::string> tickets; ///< by worker
-    boot_time requested{};                      ///< when the latest request was sent
-    boot_time valid_until{};
+    std::map<std::string, issued_ticket> tickets; ///< by worker
+    boot_time requested{};                        ///< when the latest request was sent
     bool in_flight = false;
     /// Workers without a ticket in an answer. Later requests do not name them, because the answer for them
     /// does not change.
@@ -395,10 +400,12 @@
     void log_overdue_task(const overdue_task& overdue, std::size_t total, boot_time now);
 
     // scheduler_advice.cpp: queues that need placement advice
-    /// Requests new advice for the step if there is no valid one.
-    /// @return the valid advice, or null
-    const step_advice* get_advice(const task_id& step, const std::vector<worker_control*>& workers,
+    /// Drops the tickets that have expired, and requests advice if none is left.
+    const step_advice& get_advice(const task_id& step, const std::vector<worker_control*>& workers,
                                   boot_time now);
+    /// Requests advice about the workers that the latest answers do not cover, unless it was requested a
+    /// moment ago or too many requests are in flight.
+    void request_more_advice(const task_id& step, const std::vector<worker_control*>& workers, boot_time now);
     void drop_advice(const std::string& job);
 
     // scheduler_moves.cpp: moves of VMs between pools
--- a/src/scheduler/scheduler_orders.cpp
+++ b/src/scheduler/scheduler_orders.cpp
@@ -95,7 +95,6 @@
         step_id.index = 0;
         if (const auto given = state.advice.find(step_id); given != state.advice.end()) {
             // Kept, because it counts a call that may be in flight.
-            given->second.valid_until = {};
             given->second.tickets.clear();
             given->second.refused.clear();
         }
--- a/tests/scheduler_answers_test.cpp
+++ b/tests/scheduler_answers_test.cpp
@@ -391,3 +391,60 @@
     site.run(milliseconds(5000));
     BOOST_TEST(site.deleted_states == 1);
 }
+
+// Guards against a gang that is forgotten: its start was refused, its retry was not due yet when the
+// scheduler looked, and nothing else happened.
+BOOST_AUTO_TEST_CASE(gang_is_placed_again_after_a_refused_start) {
+    manual_site site;
+    site.add_worker("w-1");
+    site.confirm("w-1");
+    site.submit({.count = 2, .need = {.cpu_millicores = 2000, .memory_mb = 1000}, .gang = true});
+    site.run(milliseconds(100));
+    BOOST_REQUIRE(site.starts.size() == 2);
+    const auto refused = std::exchange(site.starts, {});
+    for (const auto& start : refused) {
+        site.answer(start, order_outcome::late);
+    }
+    site.run(milliseconds(1000));
+    BOOST_TEST(site.starts.size() == 2);
+}
+
+// Guards against a task that waits although the only VM with room was released: its maintenance was refused,
+// and the scheduler did not look again.
+BOOST_AUTO_TEST_CASE(refused_vm_order_lets_waiting_tasks_start) {
+    manual_site site;
+    site.add_worker("w-1");
+    site.confirm("w-1");
+    site.set_vms({vm_of("m-1", "w-1")}, site.now);
+    site.schedule.set_waves({{.number = 1, .vms = {"m-1"}, .duration = milliseconds(20000), .max_down = 1}});
+    site.run(milliseconds(100));
+    BOOST_REQUIRE(site.maintenance.size() == 1);
+    site.submit(long_running_step(1));
+    site.run(milliseconds(100));
+    BOOST_REQUIRE(site.starts.empty());
+    site.schedule.on_vm_order(site.maintenance.front().order, vm_order_outcome::wrong_wave, site.now);
+    site.run(milliseconds(1000));
+    BOOST_TEST(site.starts.size() == 1);
+}
+
+// Guards against a task that waits until a ticket expires: the advice was given when other workers took
+// tasks, and those that take tasks now were never asked about.
+BOOST_AUTO_TEST_CASE(advice_is_requested_for_workers_that_came_later) {
+    manual_site site;
+    site.add_worker("w-1");
+    site.confirm("w-1");
+    site.submit(long_running_step(2), "advised");
+    site.run(milliseconds(100));
+    BOOST_REQUIRE(site.advice.size() == 1);
+    site.answer(site.advice.front());
+    site.run(milliseconds(100));
+    BOOST_REQUIRE(site.starts.size() == 1);
+    site.answer(site.starts.front(), order_outcome::done);
+    site.add_worker("w-2");
+    site.run(milliseconds(20));
+    site.answer_hold("w-2");
+    site.run(milliseconds(20));
+    site.answer_hold("w-2");
+    site.run(milliseconds(3000));
+    BOOST_TEST(site.advice.size() == 2);
+}
