VMs without a usable worker do not count for their pool

Callers could see: tasks wait in a pool while VMs stand in the spare pool. Cause: a VM that is up counted for its pool even if its worker did not answer, was not listed any more or refused the fence, so the pool looked sufficient. Change: after 3 s without a usable worker a VM that is up no longer counts. Evidence: vms_without_a_usable_worker_do_not_count_for_their_pool failed before (0 tasks at work, expected 1) and passes; scheduler_test, scheduler_outage_test and scheduler_answers_test pass.

--- a/src/scheduler/scheduler_impl.hpp
+++ b/src/scheduler/scheduler_impl.hpp
@@ -65,6 +65,8 @@
     std::chrono::milliseconds move_warmup{3000};
     /// Pools release VMs after this time even if no job has arrived.
     std::chrono::milliseconds longest_warmup{60000};
+    /// A VM that is up counts for its pool for this time without a worker that can be used.
+    std::chrono::milliseconds unserved_after{3000};
     std::chrono::milliseconds move_lead_time{2200}; ///< from the order of a move to the first task on the VM
     /// A long-running task that has waited for a worker for this time is reported.
     std::chrono::milliseconds overdue_after{2000};
@@ -418,6 +420,9 @@
     void plan_moves(boot_time now);
     [[nodiscard]] std::map<std::string, pool_load> compute_pool_loads(boot_time now);
     void update_need(pool_need& entry, const pool_load& load, boot_time now);
+    /// @return whether the VM is up and its worker has received no tasks for `unserved_after`, because it is
+    /// not listed, does not answer or refuses the fence
+    bool is_unserved(const vm_entry& vm, boot_time now);
     [[nodiscard]] pool_need compute_need(const worker_pool_config& pool, const pool_load& load,
                                          std::vector<movable_vm>& movable, boot_time now);
 
@@ -529,8 +534,9 @@
     std::map<std::string, vm_entry> vms; ///< latest list, by id
     std::map<std::string, std::string> vm_of_worker;
     bool vm_list_in_flight = false;
-    boot_time vm_list_requested{}; ///< when the latest read was sent
-    boot_time vm_list_as_of{};     ///< when the read that returned the latest list was sent
+    boot_time vm_list_requested{};                   ///< when the latest read was sent
+    boot_time vm_list_as_of{};                       ///< when the read that returned the latest list was sent
+    std::map<std::string, boot_time> unserved_since; ///< VMs that are up without a usable worker
     std::map<std::int64_t, wave_progress> waves;
     std::map<std::string, boot_time> vm_orders;                        ///< VMs with an order in flight
     std::map<std::string, std::pair<std::string, boot_time>> vm_moves; ///< target pool and time of the order
--- a/src/scheduler/scheduler_moves.cpp
+++ b/src/scheduler/scheduler_moves.cpp
@@ -121,6 +121,20 @@
         })->second;
 }
 
+bool scheduler::impl::is_unserved(const vm_entry& vm, boot_time now) {
+    const auto worker = this->workers.find(vm.worker);
+    const auto block =
+        worker == this->workers.end() ? worker_block::not_listed : this->find_block(worker->second, now);
+    const bool has_usable_worker = block != worker_block::not_listed && block != worker_block::unresponsive &&
+                                   block != worker_block::unconfirmed;
+    if (vm.condition != vm_condition::up || has_usable_worker) {
+        this->unserved_since.erase(vm.id);
+        return false;
+    }
+    const auto since = this->unserved_since.emplace(vm.id, now).first->second;
+    return now > since + this->timings.unserved_after;
+}
+
 pool_need scheduler::impl::compute_need(const worker_pool_config& pool, const pool_load& load,
                                         std::vector<movable_vm>& movable, boot_time now) {
     pool_need entry{.pool = pool.name, .spare = pool.spare};
@@ -137,7 +151,8 @@
         const bool has_worker = worker != this->workers.end();
         const bool usable = !this->zones_out.contains(vm.zone) && vm.condition != vm_condition::down &&
                             vm.condition != vm_condition::maintenance &&
-                            !(has_worker && worker->second.entry.draining) && !this->is_next_in_wave(name);
+                            !(has_worker && worker->second.entry.draining) && !this->is_next_in_wave(name) &&
+                            (pool.spare || !this->is_unserved(vm, now));
         entry.vms += usable ? 1 : 0;
         const bool idle = pool.spare || (has_worker && worker->second.tasks.empty() &&
                                          worker->second.confirmed && !worker->second.is_unresponsive());
--- a/src/scheduler/scheduler_workers.cpp
+++ b/src/scheduler/scheduler_workers.cpp
@@ -507,6 +507,7 @@
             state.vm_of_worker[vm.worker] = vm.id;
         }
     }
+    std::erase_if(state.unserved_since, [&](const auto& item) { return !state.vms.contains(item.first); });
     state.declare_replaced_workers_lost(before, now);
 }
 
--- a/tests/scheduler_waiting_test.cpp
+++ b/tests/scheduler_waiting_test.cpp
@@ -208,3 +208,19 @@
     BOOST_TEST(site.running_tasks(id) == 1);
     BOOST_TEST(site.site.history().size() == 1);
 }
+
+// Guards against a pool that gets no VMs while its own run nothing: VMs whose workers do not answer, or are
+// not listed any more, counted for it.
+BOOST_AUTO_TEST_CASE(vms_without_a_usable_worker_do_not_count_for_their_pool) {
+    scheduler_site site(13);
+    site.add_vms(2);
+    site.add_vms(3, "spare");
+    site.take_over();
+    site.run(milliseconds(100));
+    site.cut_workers = {"w-1"};
+    site.lapsed_entries = {"w-2"};
+    site.run(milliseconds(6000));
+    const auto id = site.submit(long_running_job(1, 1));
+    site.run(restart_limit);
+    BOOST_TEST(site.running_tasks(id) == 1);
+}
