A wave and waiting long-running tasks no longer wait for each other

Cause: VMs that are next in a wave take no tasks. They stay next while their long-running tasks may not end, and these may not end before the missing tasks run, whose only room may be on these VMs. Class of fault: two waits for each other.

--- a/src/fakes/fake_site.cpp
+++ b/src/fakes/fake_site.cpp
@@ -160,6 +160,14 @@
     }
 }
 
+void fake_site::fail_task(const task_id& task, boot_time now) {
+    for (auto& [id, worker] : this->instances) {
+        if (worker.tasks.contains(task)) {
+            this->finish(worker, task, task_end::failed, now);
+        }
+    }
+}
+
 order_answer fake_site::start(const worker_target& target, const start_order& order, resources need,
                               boot_time now) {
     this->advance(now);
--- a/src/fakes/fake_site.hpp
+++ b/src/fakes/fake_site.hpp
@@ -88,6 +88,9 @@
     /// Ends the running tasks of a job as failed.
     void fail_tasks(const std::string& job, boot_time now);
 
+    /// Ends the runs of a task as failed.
+    void fail_task(const task_id& task, boot_time now);
+
     order_answer start(const worker_target& worker, const start_order& order, resources need, boot_time now);
     order_answer stop(const worker_target& worker, const stop_order& order, boot_time now);
     hold_report hold(const worker_target& worker, const hold_order& order, boot_time now);
--- a/src/policy/worker_choice.cpp
+++ b/src/policy/worker_choice.cpp
@@ -29,7 +29,7 @@
     constexpr std::int64_t long_running_bonus_if_spread = 5000;
     constexpr std::int64_t long_running_bonus = 1000;
     std::int64_t value = -free_cpu_permille(worker);
-    value -= worker.standing == worker_standing::good ? 0 : standing_cost;
+    value -= static_cast<std::int64_t>(worker.standing) * standing_cost;
     value += request.spread && worker.long_running_tasks > 0 ? long_running_bonus_if_spread : 0;
     value += !request.spread && worker.long_running_tasks > 0 ? long_running_bonus : 0;
     if (!request.data_rack.empty() && worker.rack == request.data_rack) {
@@ -65,7 +65,8 @@
 
 bool can_run(const worker_view& worker, const placement_request& request) {
     const bool under_limit = request.max_per_worker <= 0 || worker.same_step_tasks < request.max_per_worker;
-    const bool has_standing = request.may_fail || worker.standing != worker_standing::avoided;
+    const bool has_standing = (request.may_fail || worker.standing != worker_standing::avoided) &&
+                              (request.overdue || worker.standing != worker_standing::leaving);
     return worker.allowed && has_standing && under_limit && worker.id != request.avoided_worker &&
            fits(request.need, worker.available);
 }
--- a/src/policy/worker_choice.hpp
+++ b/src/policy/worker_choice.hpp
@@ -11,11 +11,12 @@
 
 namespace hornbeamrail {
 
-/// How far recent failures speak against a worker, in ascending order.
+/// What speaks against a worker, in ascending order.
 enum class worker_standing : std::uint8_t {
     good,
     doubtful, ///< chosen only if no good worker can run the task
     avoided,  ///< like `doubtful`, and only for tasks that may fail any number of times
+    leaving,  ///< its VM is next in maintenance: only for tasks that have waited too long
 };
 
 /// State of a worker on which `choose_worker` bases its decision. The strings are not owned.
@@ -41,6 +42,7 @@
     bool best_effort = false;
     bool latency_sensitive = false;
     bool may_fail = false;           ///< failed runs have no limit
+    bool overdue = false;            ///< it has waited too long
     bool spread = false;             ///< distribute the step over as many workers as possible
     std::string_view preferred_rack; ///< rack chosen for a rack-sensitive step; empty: no preference
 };
--- a/src/scheduler/scheduler_dispatch.cpp
+++ b/src/scheduler/scheduler_dispatch.cpp
@@ -103,12 +103,17 @@
     if (this->zones_out.contains(worker.entry.zone)) {
         return worker_block::zone_out;
     }
-    if (this->is_reserved(worker.entry.id)) {
-        return worker_block::vm_reserved;
+    const auto vm = this->vm_of_worker.find(worker.entry.id);
+    const bool has_vm = vm != this->vm_of_worker.end();
+    if (has_vm && this->has_pending_vm_order(vm->second)) {
+        return worker_block::vm_ordered;
     }
     if (now < worker.refused_until) {
         return worker_block::refusing;
     }
+    if (has_vm && this->is_next_in_wave(vm->second)) {
+        return worker_block::leaving;
+    }
     return now < worker.avoid_until ? worker_block::avoided : worker_block::none;
 }
 
@@ -118,7 +123,7 @@
     for (auto& [id, worker] : this->workers) {
         const auto block =
             worker.entry.pool == pool ? this->find_block(worker, now) : worker_block::not_listed;
-        if (block != worker_block::none && block != worker_block::avoided) {
+        if (block != worker_block::none && block != worker_block::avoided && block != worker_block::leaving) {
             continue;
         }
         if (block == worker_block::avoided) {
@@ -126,13 +131,15 @@
         }
         auto available = worker.entry.capacity;
         available -= worker.used;
-        found.views.push_back({.id = id,
-                               .rack = worker.entry.rack(),
-                               .available = available,
-                               .capacity = worker.entry.capacity,
-                               .latency_sensitive_tasks = worker.latency_sensitive_tasks,
-                               .best_effort_tasks = worker.best_effort_tasks,
-                               .long_running_tasks = worker.long_running_tasks});
+        found.views.push_back(
+            {.id = id,
+             .rack = worker.entry.rack(),
+             .available = available,
+             .capacity = worker.entry.capacity,
+             .latency_sensitive_tasks = worker.latency_sensitive_tasks,
+             .best_effort_tasks = worker.best_effort_tasks,
+             .long_running_tasks = worker.long_running_tasks,
+             .standing = block == worker_block::leaving ? worker_standing::leaving : worker_standing::good});
         found.controls.push_back(&worker);
     }
     set_standings(found.views, std::move(failing));
@@ -306,6 +313,11 @@
         if (!this->is_within_upper_limit(job.spec.account, step.need)) {
             return false;
         }
+        const task_id id{.job = job.spec.id,
+                         .occurrence = occurrence.number,
+                         .step = number,
+                         .index = static_cast<std::int32_t>(index)};
+        request.overdue = step.long_running && this->is_overdue(id, now);
         const auto choice = log_late ? this->find_reserved_worker(task, views, request)
                                      : this->find_worker(task, views, request, now);
         const bool others_may_fit = log_late || !task.worker.empty(); // they may have failed elsewhere
@@ -316,10 +328,6 @@
         if (!choice) {
             return false;
         }
-        const task_id id{.job = job.spec.id,
-                         .occurrence = occurrence.number,
-                         .step = number,
-                         .index = static_cast<std::int32_t>(index)};
         auto& view = views[*choice];
         view.available -= request.need;
         ++view.same_step_tasks;
--- a/src/scheduler/scheduler_impl.hpp
+++ b/src/scheduler/scheduler_impl.hpp
@@ -112,12 +112,13 @@
     unresponsive, ///< the latest hold was not answered
     unconfirmed,  ///< it has not answered a hold with the current fence
     draining,
-    zone_out,    ///< its availability zone is out of service
-    vm_reserved, ///< its VM has a pending order or is next in a wave
-    refusing,    ///< it refused a start a moment ago
-    avoided,     ///< tasks failed there repeatedly; used only if no other worker can run a task
+    zone_out,   ///< its availability zone is out of service
+    vm_ordered, ///< its VM has a pending order
+    refusing,   ///< it refused a start a moment ago
+    leaving,    ///< its VM is next in a wave; used only for long-running tasks that are overdue
+    avoided,    ///< tasks failed there repeatedly; used only if no other worker can run a task
 };
-inline constexpr std::size_t worker_block_count = 9;
+inline constexpr std::size_t worker_block_count = 10;
 
 /// @return the name of the enumerator
 std::string_view to_string(worker_block block) noexcept;
@@ -396,6 +397,8 @@
     // scheduler_waiting.cpp: long-running tasks that wait for a worker
     /// Logs the long-running tasks that have waited too long, with what keeps the workers from running them.
     void report_overdue_tasks(boot_time now);
+    /// @return whether the task is a long-running one that has waited for `overdue_after`
+    [[nodiscard]] bool is_overdue(const task_id& task, boot_time now) const;
     /// Updates `waiting_since` and returns the tasks that are overdue, the longest wait first.
     std::vector<overdue_task> find_overdue_tasks(boot_time now);
     /// Writes one log line about an overdue task.
@@ -447,8 +450,6 @@
     /// Stops one long-running task on a worker that is to be maintained if the worker runs more tasks of its
     /// step than may be unavailable at once. The task restarts on another worker.
     void spread_tasks_of(worker_control& worker, boot_time now);
-    /// @return whether the worker's VM has a pending order or is next in a wave
-    [[nodiscard]] bool is_reserved(const std::string& worker) const;
     /// @return whether the VM gets no new tasks because its maintenance is next
     [[nodiscard]] bool is_next_in_wave(const std::string& vm) const;
     /// @return whether an order to the VM is in flight, or its move or maintenance has not ended
--- a/src/scheduler/scheduler_vms.cpp
+++ b/src/scheduler/scheduler_vms.cpp
@@ -24,14 +24,6 @@
     return this->stopping ? boot_time{} : this->lease_renewed + this->timings.vm_order_window;
 }
 
-bool scheduler::impl::is_reserved(const std::string& worker) const {
-    const auto vm = this->vm_of_worker.find(worker);
-    if (vm == this->vm_of_worker.end()) {
-        return false;
-    }
-    return this->has_pending_vm_order(vm->second) || this->is_next_in_wave(vm->second);
-}
-
 bool scheduler::impl::is_next_in_wave(const std::string& vm) const {
     return std::any_of(this->waves.begin(), this->waves.end(),
                        [&vm](const auto& item) { return item.second.draining.contains(vm); });
--- a/src/scheduler/scheduler_waiting.cpp
+++ b/src/scheduler/scheduler_waiting.cpp
@@ -34,8 +34,10 @@
         return "draining";
     case worker_block::zone_out:
         return "zone_out";
-    case worker_block::vm_reserved:
-        return "vm_reserved";
+    case worker_block::vm_ordered:
+        return "vm_ordered";
+    case worker_block::leaving:
+        return "leaving";
     case worker_block::refusing:
         return "refusing";
     case worker_block::avoided:
@@ -44,6 +46,11 @@
     return "avoided";
 }
 
+bool scheduler::impl::is_overdue(const task_id& task, boot_time now) const {
+    const auto found = this->waiting_since.find(task);
+    return found != this->waiting_since.end() && now >= found->second + this->timings.overdue_after;
+}
+
 std::vector<overdue_task> scheduler::impl::find_overdue_tasks(boot_time now) {
     std::map<task_id, boot_time> still_waiting;
     std::vector<overdue_task> overdue;
@@ -99,6 +106,7 @@
     apply_step_rules(candidates, step, overdue.id);
     const auto* task = this->find_job(overdue.id.job)->find_task(overdue.id);
     auto request = make_request(step);
+    request.overdue = true;
     std::int64_t not_allowed = 0;
     std::int64_t without_room = 0;
     std::int64_t able = 0;
--- a/tests/scheduler_waiting_test.cpp
+++ b/tests/scheduler_waiting_test.cpp
@@ -224,3 +224,43 @@
     site.run(restart_limit);
     BOOST_TEST(site.running_tasks(id) == 1);
 }
+
+// Guards against a wave and tasks that wait for each other: the VMs with room are next in the wave and take
+// no tasks, and their tasks may not end before the missing ones run.
+BOOST_AUTO_TEST_CASE(wave_and_waiting_tasks_do_not_block_each_other) {
+    scheduler_site site(14);
+    site.add_vms(2);
+    site.take_over();
+    const auto first = site.submit(long_running_job(2, 1));
+    const auto second = site.submit(long_running_job(2, 1));
+    site.run(milliseconds(3000));
+    BOOST_REQUIRE(site.ready_tasks(first) == 2);
+    BOOST_REQUIRE(site.ready_tasks(second) == 2);
+    site.request_wave(wave_over_pool(2, milliseconds(60000), 2));
+    // On different VMs, so that each VM runs a task that may not end now.
+    const auto worker_of = [&site](const std::string& job, std::int32_t index) {
+        for (const auto& run : site.site.history()) {
+            if (run.task.job == job && run.task.index == index) {
+                return run.worker;
+            }
+        }
+        return std::string();
+    };
+    const std::int32_t other = worker_of(first, 0) == worker_of(second, 0) ? 1 : 0;
+    site.site.fail_task({.job = first, .occurrence = 0, .step = 0, .index = 0}, site.now);
+    site.site.fail_task({.job = second, .occurrence = 0, .step = 0, .index = other}, site.now);
+    std::int64_t most_of_first = 0;
+    std::int64_t most_of_second = 0;
+    for (milliseconds waited{0}; waited < restart_limit; waited += milliseconds(20)) {
+        site.run(milliseconds(20));
+        most_of_first = std::max(most_of_first, site.running_tasks(first));
+        most_of_second = std::max(most_of_second, site.running_tasks(second));
+    }
+    BOOST_TEST(most_of_first == 2);
+    BOOST_TEST(most_of_second == 2);
+    site.run(milliseconds(54000));
+    BOOST_REQUIRE(!site.reports.empty());
+    BOOST_TEST(site.reports.back().second); // the wave has completed in time
+    BOOST_TEST(site.running_tasks(first) == 2);
+    BOOST_TEST(site.running_tasks(second) == 2);
+}
