A new scheduler opens every unfinished occurrence of a timed job

Cause: the progress record has a row for each task that was started. Occurrences are opened in order, but a late one ranks behind one that can still meet its objective, so a later occurrence may have started tasks while an earlier one has none. A new scheduler then opened the later one alone and counted on from the number of open ones: the earlier one was never opened, and the job waited for it for ever. The state belonged to the job and was kept with the rows of its tasks. Change: reading a record opens all unfinished occurrences up to the one of the row, within the limit of open occurrences; a row beyond it is malformed. Evidence: progress_keeps_an_occurrence_without_started_tasks failed before (one occurrence read instead of three), and so did the two new rows of malformed_progress_is_rejected; both pass (job_state_test).

--- a/src/state/job_progress.cpp
+++ b/src/state/job_progress.cpp
@@ -145,6 +145,16 @@
                                                       {"tasks", std::move(tasks)}});
 }
 
+void job_progress::open_recorded_occurrences(std::int32_t number) {
+    const auto end =
+        std::min<std::int64_t>(this->spec.occurrence_count(), std::int64_t{this->finished_occurrences} +
+                                                                  std::int64_t{this->max_open_occurrences()});
+    // Those before it are open too, but have no row while none of their tasks was started.
+    for (auto next = std::max(this->finished_occurrences, 0); next <= number && number < end; ++next) {
+        this->occurrence(next);
+    }
+}
+
 result<void> job_progress::decode(std::string_view text) {
     boost::system::error_code failure;
     const auto document = boost::json::parse(text, failure);
@@ -177,7 +187,7 @@
         };
         const task_id id{
             .job = this->spec.id, .occurrence = number_at(0), .step = number_at(1), .index = number_at(2)};
-        this->occurrence(id.occurrence);
+        this->open_recorded_occurrences(id.occurrence);
         auto* task = this->find_task(id);
         if (task == nullptr || number_at(3) < 0 || number_at(3) > static_cast<int>(run_phase::done)) {
             return malformed_record("the progress record contains a task that the job does not have");
--- a/src/state/job_progress.hpp
+++ b/src/state/job_progress.hpp
@@ -108,6 +108,10 @@
     std::int32_t partition = 0; ///< partition of the jobs topic that holds the job's record
     std::deque<occurrence_progress> occurrences;
     std::int32_t finished_occurrences = 0; ///< occurrences below this number are done and no longer kept
+
+private:
+    /// Opens the unfinished occurrences up to @p number, in order, if that many may be open at once.
+    void open_recorded_occurrences(std::int32_t number);
 };
 
 } // namespace hornbeamrail
--- a/tests/job_state_test.cpp
+++ b/tests/job_state_test.cpp
@@ -125,11 +125,43 @@
     BOOST_TEST(read.active_tasks() == 1);
 }
 
+// Guards against an occurrence that never runs: a later one was started before it, and the record of the job,
+// which holds only tasks that were started, did not name it. A new scheduler opened those that follow.
+BOOST_AUTO_TEST_CASE(progress_keeps_an_occurrence_without_started_tasks) {
+    auto spec = sample_job();
+    spec.occurrences = 5;
+    job_progress job(spec);
+    job.finished_occurrences = 1;
+    for (const std::int32_t number : {1, 2, 3}) {
+        job.occurrence(number);
+    }
+    const task_id started{.job = spec.id, .occurrence = 3};
+    auto* task = job.find_task(started);
+    task->run = 1;
+    task->worker = "w-1";
+    job.set_phase(started, *task, run_phase::running);
+    job_progress read(spec);
+    error failure;
+    BOOST_REQUIRE(value_or_error(
+        [&]() -> result<bool> {
+            BOOST_LEAF_CHECK(read.decode(job.encode()));
+            return true;
+        },
+        failure));
+    std::vector<std::int32_t> numbers;
+    for (const auto& occurrence : read.occurrences) {
+        numbers.push_back(occurrence.number);
+    }
+    BOOST_TEST(numbers == (std::vector<std::int32_t>{1, 2, 3}), boost::test_tools::per_element());
+}
+
 BOOST_AUTO_TEST_CASE(malformed_progress_is_rejected) {
-    for (const auto* text : {"", "[]", "{}", R"({"state":"odd","tasks":[]})",
-                             R"({"state":"running","tasks":[[0,7,0,1,1,0,"w",""]]})",
-                             R"({"state":"running","tasks":[[0,0,0,9,1,0,"w",""]]})",
-                             R"({"state":"running","tasks":[[0,0]]})"}) {
+    for (const auto* text :
+         {"", "[]", "{}", R"({"state":"odd","tasks":[]})",
+          R"({"state":"running","tasks":[[0,7,0,1,1,0,"w",""]]})",
+          R"({"state":"running","tasks":[[0,0,0,9,1,0,"w",""]]})", R"({"state":"running","tasks":[[0,0]]})",
+          R"({"state":"running","tasks":[[1,0,0,1,1,0,"w",""]]})",
+          R"({"state":"running","tasks":[[-1,0,0,1,1,0,"w",""]]})"}) {
         job_progress job(sample_job());
         BOOST_TEST(fails([&]() -> result<bool> {
             BOOST_LEAF_CHECK(job.decode(text));
