A task appends the record it waits for again while it has no outcome

Callers could see: a task that never runs, or runs and never ends, and a team that loses the units of such tasks until the node is replaced. Cause: after its lease on a worker, and at its end, a task waits for the outcome of a record. The driver drops records while the queue to the log is full (a long outage of the log), and the queue gives a record up whose outcome the fold no longer remembers. Nothing else ended the wait; the comment in the driver relied on leases, but none of the two steps looks at the lease. Change: the record is kept with the task and appended again every 2 s under the same change id until its outcome is in the fold. The queue knows the id while it holds the record, and the fold applies it once. Evidence: task_whose_placement_record_was_dropped_runs (phase queued, 0 starts, 1 unit in use) and task_whose_end_record_was_dropped_ends (phase placed, 1 unit in use) failed before and pass (task_manager_test).

--- a/src/node/node_runtime.cpp
+++ b/src/node/node_runtime.cpp
@@ -510,7 +510,7 @@
 
 void node_runtime::carry_out(const append_task_record& action) {
     this->with_core([&](node_core& target, boot_time now) {
-        // A full queue drops the record; the task manager then sees no outcome and its leases expire.
+        // A full queue drops the record; the task manager then sees no outcome and appends it again.
         target.submit_change(now, action.change_id, action.body);
     });
 }
--- a/src/node/task_manager.cpp
+++ b/src/node/task_manager.cpp
@@ -276,14 +276,13 @@
             return;
         }
         task.current_step = step::recording;
-        task.change_id = random_uuid();
-        this->pending_actions.emplace_back(
-            append_task_record{.change_id = task.change_id,
-                               .body = task_state_record{.task_id = std::string(task_id),
-                                                         .fencing_token = task.fencing_token,
-                                                         .phase = task_phase::placed,
-                                                         .vm = task.vm,
-                                                         .detail = {}}});
+        task.record = {.change_id = random_uuid(),
+                       .body = task_state_record{.task_id = std::string(task_id),
+                                                 .fencing_token = task.fencing_token,
+                                                 .phase = task_phase::placed,
+                                                 .vm = task.vm,
+                                                 .detail = {}}};
+        task.record_due = {};
         return;
     }
     if (task.current_step == step::adopting) {
@@ -405,14 +404,21 @@
 void task_manager::record_phase(const std::string& id, active_task& task, task_phase phase,
                                 std::string detail) {
     task.current_step = step::ending;
-    task.change_id = random_uuid();
-    this->pending_actions.emplace_back(
-        append_task_record{.change_id = task.change_id,
-                           .body = task_state_record{.task_id = id,
-                                                     .fencing_token = task.fencing_token,
-                                                     .phase = phase,
-                                                     .vm = {},
-                                                     .detail = std::move(detail)}});
+    task.record = {.change_id = random_uuid(),
+                   .body = task_state_record{.task_id = id,
+                                             .fencing_token = task.fencing_token,
+                                             .phase = phase,
+                                             .vm = {},
+                                             .detail = std::move(detail)}};
+    task.record_due = {};
+}
+
+void task_manager::append_due_record(boot_time now, active_task& active,
+                                     std::vector<task_action>& actions) const {
+    if (now >= active.record_due) {
+        active.record_due = now + this->options.record_retry;
+        actions.emplace_back(active.record);
+    }
 }
 
 void task_manager::handle_lost_task(const task_info& task, active_task& active, std::string detail) {
@@ -484,7 +490,8 @@
 
 void task_manager::start_recorded(boot_time now, const fleet_state& state, const task_info& task,
                                   active_task& active, std::vector<task_action>& actions) {
-    if (!state.outcome_of(active.change_id)) {
+    if (!state.outcome_of(active.record.change_id)) {
+        this->append_due_record(now, active, actions);
         return;
     }
     if (task.phase != task_phase::placed) {
@@ -520,7 +527,10 @@
         return;
     case step::ending:
         // A task that ended is no longer owned; one that was queued again is placed again.
-        active.is_done = state.outcome_of(active.change_id).has_value();
+        active.is_done = state.outcome_of(active.record.change_id).has_value();
+        if (!active.is_done) {
+            this->append_due_record(now, active, actions);
+        }
         return;
     case step::recording:
         this->start_recorded(now, state, *task, active, actions);
--- a/src/node/task_manager.hpp
+++ b/src/node/task_manager.hpp
@@ -78,6 +78,7 @@
     std::chrono::milliseconds lease_ttl{10000};
     std::chrono::milliseconds renew_interval{2000};
     std::chrono::milliseconds retry_interval{500};
+    std::chrono::milliseconds record_retry{2000}; ///< until a record without an outcome is appended again
     std::chrono::milliseconds usage_interval{1000};
     std::chrono::seconds report_lag{10}; ///< maximum age of a usage report
     /// How long a worker gets no task after `failures_to_quarantine` consecutive failures.
@@ -187,7 +188,8 @@
         boot_time lease_end{};       ///< conservative bound by this node's clock
         boot_time next_call{};       ///< when to send the next call to the worker
         boot_time report_deadline{}; ///< when to stop waiting for a usage report
-        std::string change_id;       ///< of the record that waits for the fold
+        append_task_record record;   ///< the record that waits for the fold
+        boot_time record_due{};      ///< when to append it again
         bool start_sent = false;
         bool adopted = false; ///< placed by an earlier owner, which may have started it
         /// Its VM is drained and a checkpoint was requested. Without a checkpoint an idempotent task is
@@ -217,6 +219,9 @@
     void advance_lease(boot_time now, const fleet_state& state, const task_info& task, active_task& active,
                        std::vector<task_action>& actions);
     void record_phase(const std::string& id, active_task& active, task_phase phase, std::string detail);
+    /// Appends the record that the task waits for, and again while it has no outcome: the driver drops
+    /// records while its queue is full. A repeat has the same change id and no second effect.
+    void append_due_record(boot_time now, active_task& active, std::vector<task_action>& actions) const;
     /// Waits for a usage report that has the outcome of the task.
     void begin_resolving(boot_time now, active_task& active);
     void apply_report(boot_time now, const task_info& task, active_task& active, const task_report& report);
--- a/tests/task_manager_test.cpp
+++ b/tests/task_manager_test.cpp
@@ -180,7 +180,7 @@
     boot_time now{1h};
     boot_time last_start{};
     std::map<std::string, int> starts;
-    bool log_is_up = true;
+    bool log_is_up = true; ///< false: records are dropped, as by a full queue
     bool answers_lost = false;
 };
 
@@ -229,6 +229,32 @@
     BOOST_TEST(this->starts["one"] == 0);
 }
 
+// Guards against a task that never runs and units that are never freed: the record of the placement was
+// dropped, because the queue of records was full, and nothing else ended the wait for it.
+BOOST_AUTO_TEST_CASE(task_whose_placement_record_was_dropped_runs) {
+    this->manager->submit(this->now, spec("one"));
+    this->run(100ms);
+    this->log_is_up = false;
+    this->run(15s);
+    this->log_is_up = true;
+    this->run(40s);
+    BOOST_TEST((this->phase("one") == task_phase::finished));
+    BOOST_TEST(this->starts["one"] == 1);
+    BOOST_TEST(this->account.used == 0);
+}
+
+// The same for the record of the end of a task.
+BOOST_AUTO_TEST_CASE(task_whose_end_record_was_dropped_ends) {
+    this->manager->submit(this->now, spec("one"));
+    this->run(5s);
+    this->log_is_up = false;
+    this->run(25s);
+    this->log_is_up = true;
+    this->run(10s);
+    BOOST_TEST((this->phase("one") == task_phase::finished));
+    BOOST_TEST(this->account.used == 0);
+}
+
 // Guards against a start in a zone that was taken out while the placement was recorded.
 BOOST_AUTO_TEST_CASE(zone_out_between_placement_and_start) {
     this->manager->submit(this->now, spec("one"));
