A task is cancelled by one change, repeated until it has an outcome

Callers could see: a cancellation that was answered 202 and has no effect, and tasks that wait for records which were dropped. Cause: the queued tasks of a revoked key were cancelled again in every cycle of 50 ms until the fold showed it, each time as another change. While the log is away these fill the queue of records (3,584 places for changes; ten tasks take 18 s), and the records of other tasks are dropped, cancellations of callers among them, which nothing repeated. Change: the task manager keeps the cancellation of each task until it has an outcome and appends it again every 2 s under the same change id. Evidence: queued_task_of_a_revoked_key_is_cancelled_by_one_change failed before (101 changes in 10 s, expected 1) and passes (task_manager_test).

--- a/src/node/task_manager.cpp
+++ b/src/node/task_manager.cpp
@@ -87,8 +87,26 @@
 }
 
 void task_manager::cancel(std::string_view task_id) {
-    this->pending_actions.emplace_back(append_task_record{
-        .change_id = random_uuid(), .body = task_cancel_record{.task_id = std::string(task_id)}});
+    if (this->cancels.contains(task_id)) {
+        return; // a second change would have no other effect
+    }
+    this->cancels.emplace(
+        std::string(task_id),
+        pending_cancel{.record = {.change_id = random_uuid(),
+                                  .body = task_cancel_record{.task_id = std::string(task_id)}}});
+}
+
+void task_manager::append_due_cancels(boot_time now, const fleet_state& state,
+                                      std::vector<task_action>& actions) {
+    std::erase_if(this->cancels, [&state](const auto& entry) {
+        return state.outcome_of(entry.second.record.change_id).has_value();
+    });
+    for (auto& [id, pending] : this->cancels) {
+        if (now >= pending.due) {
+            pending.due = now + this->options.record_retry;
+            actions.emplace_back(pending.record);
+        }
+    }
 }
 
 const task_info* task_manager::owned_task(const fleet_state& state, std::string_view id) const {
@@ -597,6 +615,7 @@
             }
         }
     }
+    this->append_due_cancels(now, *state, actions);
     std::move(this->pending_actions.begin(), this->pending_actions.end(), std::back_inserter(actions));
     this->pending_actions.clear();
     return actions;
--- a/src/node/task_manager.hpp
+++ b/src/node/task_manager.hpp
@@ -137,7 +137,7 @@
     /// once it appears in the fold
     std::optional<refusal> submit(boot_time now, const task_spec& spec);
 
-    /// Queues a `task_cancel` record. Any node may do this.
+    /// Appends a `task_cancel` record, and again until it has an outcome. Any node may do this.
     void cancel(std::string_view task_id);
 
     /// Applies the platform's VM list. VMs that are leaving get no new tasks.
@@ -198,6 +198,12 @@
         bool is_done = false; ///< the current `tick` releases the task
     };
 
+    /// A cancellation without an outcome.
+    struct pending_cancel {
+        append_task_record record;
+        boot_time due{}; ///< when to append it again
+    };
+
     /// Recent failures of one worker, for the quarantine.
     struct worker_health {
         int failures = 0; ///< consecutive failures
@@ -208,6 +214,7 @@
     /// @return whether the VM is in service, not leaving, and its zone is not out
     [[nodiscard]] bool accepts_starts(const fleet_state& state, std::string_view vm) const;
     [[nodiscard]] std::set<std::string_view> revoked_keys(const fleet_state& state) const;
+    void append_due_cancels(boot_time now, const fleet_state& state, std::vector<task_action>& actions);
     void place_queued(boot_time now, const fleet_state& state, std::vector<task_action>& actions);
     void advance_task(boot_time now, const fleet_state& state, const std::string& id, active_task& active,
                       std::vector<task_action>& actions);
@@ -240,7 +247,8 @@
     std::mt19937_64 random;
     task_placement placement;
     std::map<std::string, active_task, std::less<>> active_tasks;
-    std::map<std::string, int, std::less<>> attempts; ///< failed attempts by task
+    std::map<std::string, pending_cancel, std::less<>> cancels; ///< by task
+    std::map<std::string, int, std::less<>> attempts;           ///< failed attempts by task
     std::map<std::string, worker_health, std::less<>> workers;
     std::set<std::string, std::less<>> placement_workers; ///< VMs that `placement` knows
     std::set<std::string, std::less<>> leaving_vms;       ///< VMs that the platform removes
--- a/tests/task_manager_test.cpp
+++ b/tests/task_manager_test.cpp
@@ -112,6 +112,9 @@
     }
 
     void execute(const append_task_record& append) {
+        if (std::holds_alternative<task_cancel_record>(append.body)) {
+            this->cancel_changes.insert(append.change_id);
+        }
         if (this->log_is_up) {
             this->add_with_id(append.change_id, append.body);
         }
@@ -180,7 +183,8 @@
     boot_time now{1h};
     boot_time last_start{};
     std::map<std::string, int> starts;
-    bool log_is_up = true; ///< false: records are dropped, as by a full queue
+    std::set<std::string> cancel_changes; ///< change ids of the cancellations that were appended
+    bool log_is_up = true;                ///< false: records are dropped, as by a full queue
     bool answers_lost = false;
 };
 
@@ -255,6 +259,22 @@
     BOOST_TEST(this->account.used == 0);
 }
 
+// Guards against a queue of records that fills while the log is away: the queued tasks of a revoked key were
+// cancelled again in every cycle, each time as another change.
+BOOST_AUTO_TEST_CASE(queued_task_of_a_revoked_key_is_cancelled_by_one_change) {
+    this->account.limit = 0;
+    this->add(key_grant_record{.key_id = "key", .key_hash = std::string(64, 'a'), .team = "t"});
+    this->manager->submit(this->now, spec("one"));
+    this->run(1s);
+    this->add(key_revoke_record{.key_id = "key"});
+    this->log_is_up = false;
+    this->run(10s);
+    this->log_is_up = true;
+    this->run(5s);
+    BOOST_TEST((this->phase("one") == task_phase::cancelled));
+    BOOST_TEST(this->cancel_changes.size() == 1);
+}
+
 // Guards against a start in a zone that was taken out while the placement was recorded.
 BOOST_AUTO_TEST_CASE(zone_out_between_placement_and_start) {
     this->manager->submit(this->now, spec("one"));
