Answers of workers under an earlier fencing token of a task are ignored

Callers could see: a task that is given up while it runs. An idempotent task is started a second time beside the first run, until the lease of that one lapses; any other task ends as unknown. Cause: answers of workers were matched to the task by its id alone. When a task is handed over and comes back to the same process (its registration ended and it registered again) while a call is on its way, the answer to the earlier call was taken for that of the new owner: a refused renewal made the task wait for a report of its end that never comes. Change: the driver passes the fencing token of the call, and answers under another token than the task's are ignored. Evidence: answer_under_an_earlier_token_is_ignored failed with the two checks disabled (2 starts, expected 1) and passes (task_manager_test).

--- a/src/node/node_runtime.cpp
+++ b/src/node/node_runtime.cpp
@@ -516,23 +516,23 @@
 }
 
 void node_runtime::carry_out(const reserve_worker& action) {
-    this->task_workers.reserve(action,
-                               [self = this->shared_from_this(), id = action.task_id,
-                                sent_at = boot_clock::now()](worker_answer answer, const std::string& lease) {
-                                   self->with_tasks([&](task_manager& manager, boot_time now) {
-                                       manager.on_reserved(now, id, sent_at, answer, lease);
-                                   });
-                               });
+    this->task_workers.reserve(
+        action, [self = this->shared_from_this(), id = action.task_id, token = action.fencing_token,
+                 sent_at = boot_clock::now()](worker_answer answer, const std::string& lease) {
+            self->with_tasks([&](task_manager& manager, boot_time now) {
+                manager.on_reserved(now, id, token, sent_at, answer, lease);
+            });
+        });
 }
 
 void node_runtime::carry_out(const command_worker& action) {
-    this->task_workers.command(action,
-                               [self = this->shared_from_this(), id = action.task_id,
-                                command = action.command, sent_at = boot_clock::now()](worker_answer answer) {
-                                   self->with_tasks([&](task_manager& manager, boot_time now) {
-                                       manager.on_command_done(now, id, command, sent_at, answer);
-                                   });
-                               });
+    this->task_workers.command(action, [self = this->shared_from_this(), id = action.task_id,
+                                        token = action.fencing_token, command = action.command,
+                                        sent_at = boot_clock::now()](worker_answer answer) {
+        self->with_tasks([&](task_manager& manager, boot_time now) {
+            manager.on_command_done(now, id, token, command, sent_at, answer);
+        });
+    });
 }
 
 void node_runtime::carry_out(const read_usage& action) {
--- a/src/node/task_manager.cpp
+++ b/src/node/task_manager.cpp
@@ -272,10 +272,10 @@
     }
 }
 
-void task_manager::on_reserved(boot_time now, std::string_view task_id, boot_time sent_at,
-                               worker_answer answer, const std::string& lease_id) {
+void task_manager::on_reserved(boot_time now, std::string_view task_id, log_offset fencing_token,
+                               boot_time sent_at, worker_answer answer, const std::string& lease_id) {
     const auto found = this->active_tasks.find(task_id);
-    if (found == this->active_tasks.end()) {
+    if (found == this->active_tasks.end() || found->second.fencing_token != fencing_token) {
         return; // The lease expires on its own.
     }
     auto& task = found->second;
@@ -315,10 +315,11 @@
     this->release_task(now, std::string(task_id));
 }
 
-void task_manager::on_command_done(boot_time now, std::string_view task_id, task_command command,
-                                   boot_time sent_at, worker_answer answer) {
+void task_manager::on_command_done(boot_time now, std::string_view task_id, log_offset fencing_token,
+                                   task_command command, boot_time sent_at, worker_answer answer) {
     const auto found = this->active_tasks.find(task_id);
-    if (found == this->active_tasks.end()) {
+    const bool is_current = found != this->active_tasks.end() && found->second.fencing_token == fencing_token;
+    if (!is_current) {
         return;
     }
     auto& task = found->second;
--- a/src/node/task_manager.hpp
+++ b/src/node/task_manager.hpp
@@ -150,12 +150,14 @@
     /// @return actions that the driver must carry out now
     std::vector<task_action> tick(boot_time now);
 
+    /// @param fencing_token of the request; an answer under an earlier token is ignored
     /// @param sent_at when the request was sent; the lease is counted from then
-    void on_reserved(boot_time now, std::string_view task_id, boot_time sent_at, worker_answer answer,
-                     const std::string& lease_id);
+    void on_reserved(boot_time now, std::string_view task_id, log_offset fencing_token, boot_time sent_at,
+                     worker_answer answer, const std::string& lease_id);
+    /// @param fencing_token of the command; an answer under an earlier token is ignored
     /// @param sent_at when the command was sent; a renewed lease is counted from then
-    void on_command_done(boot_time now, std::string_view task_id, task_command command, boot_time sent_at,
-                         worker_answer answer);
+    void on_command_done(boot_time now, std::string_view task_id, log_offset fencing_token,
+                         task_command command, boot_time sent_at, worker_answer answer);
     /// Applies the usage report of a worker.
     void on_usage(boot_time now, std::string_view vm, const std::vector<task_report>& reports);
 
--- a/tests/task_manager_test.cpp
+++ b/tests/task_manager_test.cpp
@@ -129,7 +129,7 @@
                                                                           .ttl = call.ttl,
                                                                           .adopt = call.adopt});
         const bool done = answer.verdict == worker_verdict::done;
-        this->manager->on_reserved(this->now, call.task_id, this->now,
+        this->manager->on_reserved(this->now, call.task_id, call.fencing_token, this->now,
                                    done ? worker_answer::done : worker_answer::refused, answer.lease_id);
     }
 
@@ -144,11 +144,11 @@
             verdict = worker.command(this->now, call.task_id, call.lease_id, call.command);
         }
         if (this->answers_lost) {
-            this->manager->on_command_done(this->now, call.task_id, call.command, this->now,
-                                           worker_answer::no_answer);
+            this->manager->on_command_done(this->now, call.task_id, call.fencing_token, call.command,
+                                           this->now, worker_answer::no_answer);
             return;
         }
-        this->manager->on_command_done(this->now, call.task_id, call.command, this->now,
+        this->manager->on_command_done(this->now, call.task_id, call.fencing_token, call.command, this->now,
                                        verdict == worker_verdict::done ? worker_answer::done
                                                                        : worker_answer::refused);
     }
@@ -418,6 +418,23 @@
     BOOST_TEST(this->starts["one"] == 1);
 }
 
+// Guards against a task that is given up while it runs: the answer to a call under an earlier fencing token,
+// before the task was handed over, was taken for that of its new owner.
+BOOST_AUTO_TEST_CASE(answer_under_an_earlier_token_is_ignored) {
+    this->manager->submit(this->now, spec("one"));
+    this->run(3s);
+    const auto earlier_token = this->fold.tasks().at("one").fencing_token;
+    this->add(node_leave_record{.incarnation = this->core.own_incarnation});
+    this->core.own_incarnation = this->other_incarnation; // the same process, registered again
+    this->manager->sync(this->now);
+    this->manager->on_command_done(this->now, "one", earlier_token, task_command::renew, this->now,
+                                   worker_answer::refused);
+    this->manager->on_reserved(this->now, "one", earlier_token, this->now, worker_answer::refused, {});
+    this->run(40s);
+    BOOST_TEST((this->phase("one") == task_phase::finished));
+    BOOST_TEST(this->starts["one"] == 1);
+}
+
 // Guards against losing work on a VM under maintenance: the task is checkpointed and resumes on another
 // worker.
 BOOST_AUTO_TEST_CASE(drained_vm_checkpoints_its_tasks) {
