Any key may end a page of newest records

Callers could see: no task starts after a scheduler has changed, for as long as a certain key stands in the log. Cause: the key of the last record of a page names the next page in the target of the request, and was not encoded. The topic of the workers may hold entries of other writers. With a space or a control character in the key the request is not sent at all; with & or % it names another key. The load of the tail repeats the same request for ever, and the term never ends loading. Only logs of more than 500 keys have a second page.

--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -240,3 +240,13 @@
     BOOST_TEST(call.path == "/a/5c0e7a21d94b36f8");
     BOOST_TEST(call.caller_timeout->count() == 3000);
 }
+
+// Guards against a load of the log that never ends: a page ended with a key that another program wrote, and
+// the request for the next page was not valid or named another key.
+BOOST_AUTO_TEST_CASE(any_key_may_end_a_page_of_newest_records) {
+    const auto target_after = [](const std::string& key) {
+        return platform::encode_newest({.topic = log_topic::workers, .after_key = key}).target;
+    };
+    BOOST_TEST(target_after("9f3c-1.x/y").ends_with("&After=9f3c-1.x/y"));
+    BOOST_TEST(target_after("a b&c\n%\xff").ends_with("&After=a%20b%26c%0A%25%FF"));
+}
