A node that cannot load its term passes the scheduler's lease on

Callers could see: no task starts on the whole site, and long-running tasks whose leases lapse are not restarted, although the other nodes reach the log. Cause: the lease is renewed by small appends. A node whose larger reads or whose fences do not succeed (a squeezed link, a part of the log that turns it away) stays in the load of its term without a limit in time and keeps the lease. Change: a node that has loaded nothing of its term for 5 s, while it reaches the leader topic, steps down and does not claim for 4 s; the others claim 1.2 to 2 s after its last renewal. An outage of the log starts the 5 s again, so it changes no scheduler. Evidence (site_node_test): node_that_cannot_load_the_term_passes_the_lease_on failed before (the job is not completed within 20 s) and passes. outage_while_the_term_is_loaded_changes_no_scheduler failed without the two resets for the outage (scheduler n0, expected n1) and passes. Not covered: a scheduler in its running phase that cannot read jobs; passing on would let leases of running tasks lapse if no other node reads either.

--- a/src/site/site_node.hpp
+++ b/src/site/site_node.hpp
@@ -80,6 +80,8 @@
     enum class term_phase { inactive, fencing, loading, loading_states, running };
     void begin_term(boot_time now);
     void end_term();
+    /// @return whether the term is being loaded and nothing has been loaded for too long
+    [[nodiscard]] bool is_load_stalled(boot_time now) const;
     void append_fence(log_topic topic, outbox& out);
     void append_as_scheduler(append_call call, std::int64_t sequence, outbox& out);
     void send_append(append_call call, std::int64_t sequence);
@@ -139,6 +141,9 @@
     std::vector<log_tail*> job_tails;
     term_phase phase = term_phase::inactive;
     std::int32_t pending_fences = 0; ///< fence appends of this term that are not confirmed
+    /// When a part of the term was loaded last, the term began, or the leader topic was out of reach.
+    boot_time load_progress_at{};
+    boot_time lease_paused_until{}; ///< this node neither claims nor renews the scheduler lease before
     std::vector<keyed_record> loaded_progress;
     std::set<std::string> listed_workers; ///< workers in the topic since its latest reload
     bool appending = false;
--- a/src/site/site_node_log.hpp
+++ b/src/site/site_node_log.hpp
@@ -86,8 +86,12 @@
             }
         } else if (!succeeded) {
             this->lease.on_read_failed(now);
+            this->load_progress_at = now;
         }
     }
+    if (succeeded && !was_loaded) {
+        this->load_progress_at = now;
+    }
     if (!was_loaded && tail.is_loaded()) {
         this->on_tail_loaded(tail, now);
     }
--- a/src/site/site_node_options.hpp
+++ b/src/site/site_node_options.hpp
@@ -31,6 +31,11 @@
     std::chrono::milliseconds stop_timeout{900};
     std::chrono::milliseconds vm_timeout{1500};
     std::chrono::milliseconds newest_timeout{2000};
+    /// A node that holds the scheduler lease and has loaded nothing of its term for this time passes the
+    /// lease on. Longer than two reads of newest records without an answer.
+    std::chrono::milliseconds load_stall_limit{5000};
+    /// Time for which a node that passed the lease on does not claim it. Longer than the others wait.
+    std::chrono::milliseconds lease_pause{4000};
     /// Delay before the scheduler retries an append.
     std::chrono::milliseconds append_retry{60};
     /// Timeout of callers that send none.
--- a/src/site/site_node_scheduler.hpp
+++ b/src/site/site_node_scheduler.hpp
@@ -11,14 +11,24 @@
     if (this->stopping && may_release) {
         this->lease.begin_stop();
     }
-    auto append = this->lease.tick(now);
+    if (this->is_load_stalled(now)) {
+        write_log(severity::warning, "term_not_loaded", {{"term", this->lease.term()}});
+        this->lease.step_down(now);
+        this->lease_paused_until = now + this->options.timings.lease_pause;
+    }
+    auto append = now < this->lease_paused_until ? std::nullopt : this->lease.tick(now);
     if (!append) {
         return;
     }
     const auto self = this->shared_from_this();
     out.push_back([self, call = std::move(*append)] {
         self->port.append(call, [self](append_answer answer) {
-            self->with_lock([&](boot_time at) { self->lease.on_append(answer, at); });
+            self->with_lock([&](boot_time at) {
+                self->lease.on_append(answer, at);
+                if (answer.outcome != append_outcome::appended) {
+                    self->load_progress_at = at; // the log is out of reach for more than the load
+                }
+            });
         });
     });
 }
@@ -31,6 +41,7 @@
     this->schedule.set_zones_out(this->operators.zones_out());
     this->schedule.set_waves(this->operators.waves());
     this->phase = term_phase::fencing;
+    this->load_progress_at = now;
     this->pending_fences = 2;
     this->append_fence(log_topic::progress, this->replies);
     this->append_fence(log_topic::states, this->replies);
@@ -47,6 +58,15 @@
     }
 }
 
+template <class Port, class Codec>
+bool site_node<Port, Codec>::is_load_stalled(boot_time now) const {
+    // Renewals are small and may succeed while nothing else does. Until the term is loaded, no node
+    // schedules.
+    return this->lease.is_held() && this->phase != term_phase::inactive &&
+           this->phase != term_phase::running &&
+           now > this->load_progress_at + this->options.timings.load_stall_limit;
+}
+
 template <class Port, class Codec>
 void site_node<Port, Codec>::append_fence(log_topic topic, outbox& out) {
     append_call call{.topic = topic};
@@ -137,6 +157,7 @@
         this->term_confirmed = std::max(this->term_confirmed, sent_at);
         if (call.records.empty()) {
             --this->pending_fences;
+            this->load_progress_at = now;
         } else if (call.topic == log_topic::progress) {
             this->schedule.on_committed(sequence, now);
         } else {
--- a/tests/site_node_test.cpp
+++ b/tests/site_node_test.cpp
@@ -21,6 +21,8 @@
     fake_keyed_log log;
     fake_site site{{}};
     bool log_is_down = false;
+    bool first_scheduler_cannot_load = false;             ///< its reads of the newest progress fail
+    std::string first_scheduler;                          ///< id of the node that began the first term
     milliseconds shortest_job_wait = milliseconds::max(); ///< shortest wait of a read of the jobs topic
 };
 
@@ -29,7 +31,8 @@
 /// Port to `current_site`. Answers arrive on the threads of the node.
 class standin_port {
 public:
-    standin_port(io_threads& workers, const site_node_settings&) : threads(workers) {}
+    standin_port(io_threads& workers, const site_node_settings& settings)
+        : threads(workers), node(settings.node_id) {}
 
     template <class Answer, class Query>
     void answer(std::function<void(Answer)> done, milliseconds delay, Query query) {
@@ -58,8 +61,14 @@
         });
     }
     void newest(const newest_call& call, milliseconds, std::function<void(newest_answer)> done) {
-        this->answer<newest_answer>(std::move(done), milliseconds(2), [call] {
-            return current_site->log_is_down ? newest_answer{} : current_site->log.newest(call);
+        this->answer<newest_answer>(std::move(done), milliseconds(2), [call, id = this->node] {
+            const bool loads_term = call.topic == log_topic::progress;
+            if (loads_term && current_site->first_scheduler.empty()) {
+                current_site->first_scheduler = id;
+            }
+            const bool fails = loads_term && current_site->first_scheduler_cannot_load &&
+                               current_site->first_scheduler == id;
+            return current_site->log_is_down || fails ? newest_answer{} : current_site->log.newest(call);
         });
     }
     void start(const worker_target& worker, const start_order& order, milliseconds,
@@ -102,6 +111,7 @@
 
 private:
     io_threads& threads;
+    std::string node;
 };
 
 using test_node = site_node<standin_port, platform::codec>;
@@ -113,8 +123,9 @@
     R"({"Spec":"text","Steps":[{"Count":3,"Cpu":1000,"MemMb":100,"EstimateMs":200}]})";
 
 struct fixture {
-    fixture() {
+    explicit fixture(bool first_scheduler_cannot_load = false) {
         current_site = &this->shared;
+        this->shared.first_scheduler_cannot_load = first_scheduler_cannot_load;
         this->shared.site.set_duration(milliseconds(200));
         for (int vm = 0; vm < 2; ++vm) {
             this->shared.site.add_vm(fmt::format("m{}", vm), "pool", "z", "r1",
@@ -200,6 +211,11 @@
     std::string key = "key";
 };
 
+/// The node that holds the scheduler's lease first renews it but cannot load the term.
+struct stuck_scheduler_fixture : fixture {
+    stuck_scheduler_fixture() : fixture(true) {}
+};
+
 const std::string job_path = "/q/00000000000000aa";
 
 } // namespace
@@ -306,3 +322,41 @@
         BOOST_TEST(holders.size() == 1, key);
     }
 }
+
+// Guards against a site without a scheduler: a node that can write to the log but cannot load the term kept
+// the lease for ever, because its renewals succeeded.
+BOOST_FIXTURE_TEST_CASE(node_that_cannot_load_the_term_passes_the_lease_on, stuck_scheduler_fixture) {
+    BOOST_REQUIRE(this->becomes_ready(0));
+    BOOST_REQUIRE(this->call(this->addresses[0], "POST", job_path, std::string(job_body)).response.status ==
+                  200);
+    BOOST_TEST(this->eventually([&] {
+        return this->call(this->addresses[0], "GET", job_path).response.body.find("completed") !=
+               std::string::npos;
+    }));
+    BOOST_TEST(!this->shared.first_scheduler.empty());
+}
+
+// Guards against a change of schedulers after each outage of the log that begins while a term is loaded.
+BOOST_FIXTURE_TEST_CASE(outage_while_the_term_is_loaded_changes_no_scheduler, stuck_scheduler_fixture) {
+    const auto set_faults = [this](bool log_is_down, bool cannot_load) {
+        const std::lock_guard lock(this->shared.mutex);
+        this->shared.log_is_down = log_is_down;
+        this->shared.first_scheduler_cannot_load = cannot_load;
+        return this->shared.first_scheduler;
+    };
+    BOOST_REQUIRE(this->becomes_ready(0) && this->becomes_ready(1));
+    BOOST_REQUIRE(this->eventually([&] { return !set_faults(false, true).empty(); }));
+    const auto first = set_faults(true, true);
+    const auto limit = site_node_timings().load_stall_limit;
+    const auto ends_at = std::chrono::steady_clock::now() + limit + milliseconds(1500);
+    BOOST_REQUIRE(this->eventually([&] { return std::chrono::steady_clock::now() >= ends_at; }));
+    set_faults(false, false);
+    BOOST_REQUIRE(this->becomes_ready(0));
+    BOOST_REQUIRE(this->call(this->addresses[0], "POST", job_path, std::string(job_body)).response.status ==
+                  200);
+    BOOST_TEST(this->eventually([&] {
+        return this->call(this->addresses[0], "GET", job_path).response.body.find("completed") !=
+               std::string::npos;
+    }));
+    BOOST_TEST(this->nodes[0]->dump().at("scheduler").as_string() == first);
+}
