A call without an answer closes the connections that may be silent too

Callers could see: workers that count as unresponsive for seconds, and calls to the log that fail one after the other, after open connections fell silent while new ones work. Cause: a call that times out resets its own connection only. The others of the same endpoint, idle since before, are as silent, and a connection that is not reset looks usable: each of them costs the next call its timeout. With six idle connections six calls in a row failed. A worker that was given several tasks at once has as many idle connections for 20 s, and each of its holds that fails takes 0.5 s or more of leases that last 6 s at most. Change: when a call ends at its deadline, the idle connections of the endpoint that have answered nothing since it was sent are closed. Those that have are kept. Evidence (http_client_pool_test): silent_idle_connections_cost_one_call failed before (the second call ended unknown after 30 s, its timeout) and passes, three runs in a row; with calls of 100 ms repeated until one is answered, 6 failed before and 1 fails now. peer_transport_test, http_server_test and fault_proxy_test pass.

--- a/src/transport/call_pool.hpp
+++ b/src/transport/call_pool.hpp
@@ -15,6 +15,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <concepts>
@@ -95,6 +96,7 @@
             group = &this->groups[call->target];
             if (auto conn = this->take_idle(*group, stale)) {
                 conn->deadline = call->deadline;
+                conn->since = coarse_now();
                 conn->busy = true;
                 conn->next = std::exchange(call, nullptr); // null below if it was assigned to a connection
                 // `waiter` is empty while the coroutine still completes its last call; it then takes the next
@@ -158,6 +160,7 @@
         boost::beast::flat_buffer buffer;
         // Guarded by the pool's mutex:
         steady::time_point deadline; ///< of the call, or of the idle connection
+        steady::time_point since;    ///< when the call was assigned, or the connection became idle
         bool busy = true;
         bool removed = false;            ///< the pool assigns no further call to it
         bool connecting = true;          ///< shutdown() does not end a connection attempt; cancel() does
@@ -283,11 +286,13 @@
             group.waiting.pop_front();
             if (conn) {
                 conn->deadline = next->deadline;
+                conn->since = coarse_now();
             }
             return next;
         }
         if (conn) {
-            conn->deadline = coarse_now() + this->options.idle_timeout;
+            conn->since = coarse_now();
+            conn->deadline = conn->since + this->options.idle_timeout;
             conn->busy = false;
             group.idle.push_back(conn);
         } else {
@@ -314,6 +319,7 @@
             std::move(socket), this->options.tls ? this->options.tls->context() : nullptr,
             this->options.buffer_bytes);
         new_connection->deadline = call.deadline;
+        new_connection->since = coarse_now();
         {
             const std::lock_guard lock(this->mutex);
             group.all.insert(new_connection.get());
@@ -356,7 +362,28 @@
         }
     }
 
-    /// Ends calls and idle connections that are past their deadline.
+    /// Ends the calls of a group that are past their deadline; the pool's mutex must be held.
+    /// @return when the latest call among them was sent that has no response. Connections that have been idle
+    /// since before may have fallen silent like that of the call, and would cost one call each.
+    static std::optional<steady::time_point> end_overdue_calls(endpoint_group& group,
+                                                               steady::time_point now) {
+        std::optional<steady::time_point> silent_since;
+        for (auto* conn : group.all) {
+            if (!conn->busy || conn->deadline > now) {
+                continue;
+            }
+            if (conn->connecting) {
+                boost::system::error_code ignored;
+                conn->stream.socket.cancel(ignored);
+            } else {
+                conn->stream.abort(); // its coroutine reads the end of the stream
+                silent_since = std::max(silent_since.value_or(conn->since), conn->since);
+            }
+        }
+        return silent_since;
+    }
+
+    /// Ends calls and idle connections that are past their deadline, and idle connections that may be silent.
     void sweep() {
         std::vector<std::shared_ptr<Call>> expired;
         std::vector<std::shared_ptr<connection>> removed;
@@ -364,18 +391,11 @@
             const std::lock_guard lock(this->mutex);
             const auto now = coarse_now();
             for (auto& [target, group] : this->groups) {
-                for (auto* conn : group.all) {
-                    if (!conn->busy || conn->deadline > now) {
-                        continue;
-                    }
-                    if (conn->connecting) {
-                        boost::system::error_code ignored;
-                        conn->stream.socket.cancel(ignored);
-                    } else {
-                        conn->stream.abort(); // its coroutine reads the end of the stream
-                    }
-                }
-                while (!group.idle.empty() && group.idle.front()->deadline <= now) {
+                const auto silent_since = end_overdue_calls(group, now);
+                const auto is_stale = [&](const connection& idle) {
+                    return idle.deadline <= now || (silent_since && idle.since <= *silent_since);
+                };
+                while (!group.idle.empty() && is_stale(*group.idle.front())) {
                     remove_idle(group, std::move(group.idle.front()), removed);
                     group.idle.erase(group.idle.begin());
                 }
--- a/tests/fault_proxy.hpp
+++ b/tests/fault_proxy.hpp
@@ -54,6 +54,16 @@
         }
     }
 
+    /// Makes the open connections lose all data from now on; new connections work.
+    void silence_open_connections() {
+        const std::lock_guard lock(this->mutex);
+        for (const auto& weak : this->sessions) {
+            if (const auto open = weak.lock()) {
+                boost::asio::post(open->source.get_executor(), [open] { open->lost_data = true; });
+            }
+        }
+    }
+
 private:
     // Both directions of a connection run on one strand, because either may close both sockets.
     using session_executor = boost::asio::strand<io_executor>;
--- a/tests/http_client_pool_test.cpp
+++ b/tests/http_client_pool_test.cpp
@@ -1,5 +1,6 @@
 #include "transport/http_client_pool.hpp"
 
+#include "fault_proxy.hpp"
 #include "raw_socket.hpp"
 #include "transport/http_server.hpp"
 
@@ -204,6 +205,56 @@
     done.set(true);
 }
 
+// Open connections may fall silent while new ones work. Guards against a server that counts as unresponsive
+// for as many timeouts as there are idle connections to it.
+BOOST_AUTO_TEST_CASE(silent_idle_connections_cost_one_call) {
+    constexpr std::size_t connections = 6;
+    std::mutex mutex;
+    std::vector<http_reply> held;
+    bool answers_at_once = false;
+    const auto server = require_value([&] {
+        return http_server::make(this->threads, {.address = {"127.0.0.1", 0}},
+                                 [&](const http_request&, const http_reply& reply) {
+                                     const std::lock_guard lock(mutex);
+                                     if (answers_at_once) {
+                                         reply.send({});
+                                     } else {
+                                         held.push_back(reply);
+                                     }
+                                 });
+    });
+    const auto proxy = test::fault_proxy::make(this->threads, server->address());
+    http_client_pool wide_pool(this->threads, {.max_connections = connections});
+    std::atomic<std::size_t> answered{0};
+    const auto call = [&](std::chrono::milliseconds timeout) {
+        const auto result = std::make_shared<async_result<http_call_result>>();
+        wide_pool.call({.target = proxy->address(), .request = {}, .timeout = timeout, .correlation_id = {}},
+                       [&answered, result](http_call_result outcome) {
+                           answered += outcome.status == call_status::answered ? 1 : 0;
+                           result->set(std::move(outcome));
+                       });
+        return result;
+    };
+    for (std::size_t count = 0; count < connections; ++count) {
+        call(test_timeout);
+    }
+    BOOST_REQUIRE(eventually([&] {
+        const std::lock_guard lock(mutex);
+        return held.size() == connections;
+    }));
+    {
+        const std::lock_guard lock(mutex);
+        answers_at_once = true;
+        for (const auto& reply : held) {
+            reply.send({});
+        }
+    }
+    BOOST_REQUIRE(eventually([&] { return answered == connections; }));
+    proxy->silence_open_connections();
+    BOOST_TEST((call(100ms)->get().status == call_status::unknown));
+    BOOST_TEST((call(test_timeout)->get().status == call_status::answered));
+}
+
 // Guards against more connections to a server than configured, and against queued calls that ignore their
 // deadline.
 BOOST_AUTO_TEST_CASE(connections_are_limited_and_waiting_calls_expire_unsent) {
