--- a/src/node/task_manager.hpp
+++ b/src/node/task_manager.hpp
@@ -78,6 +78,7 @@
     std::chrono::milliseconds lease_ttl{10000};
     std::chrono::milliseconds renew_interval{2000};
     std::chrono::milliseconds retry_interval{500};
+    std::chrono::milliseconds record_retry{2000}; ///< until a record without an outcome is appended again
     std::chrono::milliseconds usage_interval{1000};
     std::chrono::seconds report_lag{10}; ///< maximum age of a usage report
     /// How long a worker gets no task after `failures_to_quarantine` consecutive failures.
@@ -136,7 +137,7 @@
     /// once it appears in the fold
     std::optional<refusal> submit(boot_time now, const task_spec& spec);
 
-    /// Queues a `task_cancel` record. Any node may do this.
+    /// Appends a `task_cancel` record, and again until it has an outcome. Any node may do this.
     void cancel(std::string_view task_id);
 
     /// Applies the platform's VM list. VMs that are leaving get no new tasks.
@@ -149,12 +150,14 @@
     /// @return actions that the driver must carry out now
     std::vector<task_action> tick(boot_time now);
 
+    /// @param fencing_token of the request; an answer under an earlier token is ignored
     /// @param sent_at when the request was sent; the lease is counted from then
-    void on_reserved(boot_time now, std::string_view task_id, boot_time sent_at, worker_answer answer,
-                     const std::string& lease_id);
+    void on_reserved(boot_time now, std::string_view task_id, log_offset fencing_token, boot_time sent_at,
+                     worker_answer answer, const std::string& lease_id);
+    /// @param fencing_token of the command; an answer under an earlier token is ignored
     /// @param sent_at when the command was sent; a renewed lease is counted from then
-    void on_command_done(boot_time now, std::string_view task_id, task_command command, boot_time sent_at,
-                         worker_answer answer);
+    void on_command_done(boot_time now, std::string_view task_id, log_offset fencing_token,
+                         task_command command, boot_time sent_at, worker_answer answer);
     /// Applies the usage report of a worker.
     void on_usage(boot_time now, std::string_view vm, const std::vector<task_report>& reports);
 
@@ -187,7 +190,8 @@
         boot_time lease_end{};       ///< conservative bound by this node's clock
         boot_time next_call{};       ///< when to send the next call to the worker
         boot_time report_deadline{}; ///< when to stop waiting for a usage report
-        std::string change_id;       ///< of the record that waits for the fold
+        append_task_record record;   ///< the record that waits for the fold
+        boot_time record_due{};      ///< when to append it again
         bool start_sent = false;
         bool adopted = false; ///< placed by an earlier owner, which may have started it
         /// Its VM is drained and a checkpoint was requested. Without a checkpoint an idempotent task is
@@ -196,6 +200,12 @@
         bool is_done = false; ///< the current `tick` releases the task
     };
 
+    /// A cancellation without an outcome.
+    struct pending_cancel {
+        append_task_record record;
+        boot_time due{}; ///< when to append it again
+    };
+
     /// Recent failures of one worker, for the quarantine.
     struct worker_health {
         int failures = 0; ///< consecutive failures
@@ -206,6 +216,7 @@
     /// @return whether the VM is in service, not leaving, and its zone is not out
     [[nodiscard]] bool accepts_starts(const fleet_state& state, std::string_view vm) const;
     [[nodiscard]] std::set<std::string_view> revoked_keys(const fleet_state& state) const;
+    void append_due_cancels(boot_time now, const fleet_state& state, std::vector<task_action>& actions);
     void place_queued(boot_time now, const fleet_state& state, std::vector<task_action>& actions);
     void advance_task(boot_time now, const fleet_state& state, const std::string& id, active_task& active,
                       std::vector<task_action>& actions);
@@ -217,6 +228,9 @@
     void advance_lease(boot_time now, const fleet_state& state, const task_info& task, active_task& active,
                        std::vector<task_action>& actions);
     void record_phase(const std::string& id, active_task& active, task_phase phase, std::string detail);
+    /// Appends the record that the task waits for, and again while it has no outcome: the driver drops
+    /// records while its queue is full. A repeat has the same change id and no second effect.
+    void append_due_record(boot_time now, active_task& active, std::vector<task_action>& actions) const;
     /// Waits for a usage report that has the outcome of the task.
     void begin_resolving(boot_time now, active_task& active);
     void apply_report(boot_time now, const task_info& task, active_task& active, const task_report& report);
@@ -235,7 +249,8 @@
     std::mt19937_64 random;
     task_placement placement;
     std::map<std::string, active_task, std::less<>> active_tasks;
-    std::map<std::string, int, std::less<>> attempts; ///< failed attempts by task
+    std::map<std::string, pending_cancel, std::less<>> cancels; ///< by task
+    std::map<std::string, int, std::less<>> attempts;           ///< failed attempts by task
     std::map<std::string, worker_health, std::less<>> workers;
     std::set<std::string, std::less<>> placement_workers; ///< VMs that `placement` knows
     std::set<std::string, std::less<>> leaving_vms;       ///< VMs that the platform removes
--- a/tests/task_manager_test.cpp
+++ b/tests/task_manager_test.cpp
@@ -112,6 +112,9 @@
     }
 
     void execute(const append_task_record& append) {
+        if (std::holds_alternative<task_cancel_record>(append.body)) {
+            this->cancel_changes.insert(append.change_id);
+        }
         if (this->log_is_up) {
             this->add_with_id(append.change_id, append.body);
         }
@@ -126,7 +129,7 @@
                                                                           .ttl = call.ttl,
                                                                           .adopt = call.adopt});
         const bool done = answer.verdict == worker_verdict::done;
-        this->manager->on_reserved(this->now, call.task_id, this->now,
+        this->manager->on_reserved(this->now, call.task_id, call.fencing_token, this->now,
                                    done ? worker_answer::done : worker_answer::refused, answer.lease_id);
     }
 
@@ -141,11 +144,11 @@
             verdict = worker.command(this->now, call.task_id, call.lease_id, call.command);
         }
         if (this->answers_lost) {
-            this->manager->on_command_done(this->now, call.task_id, call.command, this->now,
-                                           worker_answer::no_answer);
+            this->manager->on_command_done(this->now, call.task_id, call.fencing_token, call.command,
+                                           this->now, worker_answer::no_answer);
             return;
         }
-        this->manager->on_command_done(this->now, call.task_id, call.command, this->now,
+        this->manager->on_command_done(this->now, call.task_id, call.fencing_token, call.command, this->now,
                                        verdict == worker_verdict::done ? worker_answer::done
                                                                        : worker_answer::refused);
     }
@@ -180,7 +183,8 @@
     boot_time now{1h};
     boot_time last_start{};
     std::map<std::string, int> starts;
-    bool log_is_up = true;
+    std::set<std::string> cancel_changes; ///< change ids of the cancellations that were appended
+    bool log_is_up = true;                ///< false: records are dropped, as by a full queue
     bool answers_lost = false;
 };
 
@@ -229,6 +233,48 @@
     BOOST_TEST(this->starts["one"] == 0);
 }
 
+// Guards against a task that never runs and units that are never freed: the record of the placement was
+// dropped, because the queue of records was full, and nothing else ended the wait for it.
+BOOST_AUTO_TEST_CASE(task_whose_placement_record_was_dropped_runs) {
+    this->manager->submit(this->now, spec("one"));
+    this->run(100ms);
+    this->log_is_up = false;
+    this->run(15s);
+    this->log_is_up = true;
+    this->run(40s);
+    BOOST_TEST((this->phase("one") == task_phase::finished));
+    BOOST_TEST(this->starts["one"] == 1);
+    BOOST_TEST(this->account.used == 0);
+}
+
+// The same for the record of the end of a task.
+BOOST_AUTO_TEST_CASE(task_whose_end_record_was_dropped_ends) {
+    this->manager->submit(this->now, spec("one"));
+    this->run(5s);
+    this->log_is_up = false;
+    this->run(25s);
+    this->log_is_up = true;
+    this->run(10s);
+    BOOST_TEST((this->phase("one") == task_phase::finished));
+    BOOST_TEST(this->account.used == 0);
+}
+
+// Guards against a queue of records that fills while the log is away: the queued tasks of a revoked key were
+// cancelled again in every cycle, each time as another change.
+BOOST_AUTO_TEST_CASE(queued_task_of_a_revoked_key_is_cancelled_by_one_change) {
+    this->account.limit = 0;
+    this->add(key_grant_record{.key_id = "key", .key_hash = std::string(64, 'a'), .team = "t"});
+    this->manager->submit(this->now, spec("one"));
+    this->run(1s);
+    this->add(key_revoke_record{.key_id = "key"});
+    this->log_is_up = false;
+    this->run(10s);
+    this->log_is_up = true;
+    this->run(5s);
+    BOOST_TEST((this->phase("one") == task_phase::cancelled));
+    BOOST_TEST(this->cancel_changes.size() == 1);
+}
+
 // Guards against a start in a zone that was taken out while the placement was recorded.
 BOOST_AUTO_TEST_CASE(zone_out_between_placement_and_start) {
     this->manager->submit(this->now, spec("one"));
@@ -372,6 +418,23 @@
     BOOST_TEST(this->starts["one"] == 1);
 }
 
+// Guards against a task that is given up while it runs: the answer to a call under an earlier fencing token,
+// before the task was handed over, was taken for that of its new owner.
+BOOST_AUTO_TEST_CASE(answer_under_an_earlier_token_is_ignored) {
+    this->manager->submit(this->now, spec("one"));
+    this->run(3s);
+    const auto earlier_token = this->fold.tasks().at("one").fencing_token;
+    this->add(node_leave_record{.incarnation = this->core.own_incarnation});
+    this->core.own_incarnation = this->other_incarnation; // the same process, registered again
+    this->manager->sync(this->now);
+    this->manager->on_command_done(this->now, "one", earlier_token, task_command::renew, this->now,
+                                   worker_answer::refused);
+    this->manager->on_reserved(this->now, "one", earlier_token, this->now, worker_answer::refused, {});
+    this->run(40s);
+    BOOST_TEST((this->phase("one") == task_phase::finished));
+    BOOST_TEST(this->starts["one"] == 1);
+}
+
 // Guards against losing work on a VM under maintenance: the task is checkpointed and resumes on another
 // worker.
 BOOST_AUTO_TEST_CASE(drained_vm_checkpoints_its_tasks) {
