A stop that had no effect is decided anew

Cause: the stop of a long-running task on a VM that is to be maintained was sent once. If it was refused or lost, the task counted as about to end for the rest of its run, so no VM with a task of that step could be maintained. Change: a run that its worker lists after the stop should have taken effect counts as running again, and the next plan decides under the limits of that moment. Evidence: refused_stop_of_a_task_on_a_draining_vm_is_repeated failed before (1 stop, expected more) and passes.

--- a/src/scheduler/scheduler_workers.cpp
+++ b/src/scheduler/scheduler_workers.cpp
@@ -235,6 +235,8 @@
         if (is_final(job->state) && now >= task->stop_sent + this->timings.stop_retry) {
             task->stop_sent = now;
             this->send_stop_order(worker, running.task, running.run);
+        } else if (worker.hold_sent >= task->stop_sent + this->timings.stop_retry) {
+            task->stop_sent = {}; // it had no effect, so the run goes on until another stop is decided
         }
     }
     // A run that is neither listed as running nor as ended does not exist: the fence of this hold rejects
--- a/tests/scheduler_answers_test.cpp
+++ b/tests/scheduler_answers_test.cpp
@@ -7,6 +7,7 @@
 #include <fmt/format.h>
 
 #include <map>
+#include <set>
 #include <vector>
 
 // Answers that come late, out of order or not at all, and decisions that wait for them.
@@ -90,6 +91,12 @@
             this->schedule.on_reported(report->wave, report->completed, true);
         } else if (auto* start = std::get_if<send_start>(&action)) {
             this->starts.push_back(std::move(*start));
+        } else if (auto* stop = std::get_if<send_stop>(&action)) {
+            this->stops.push_back(std::move(*stop));
+        } else if (auto* pace = std::get_if<send_pace>(&action)) {
+            this->schedule.on_pace_answer(pace->worker, pace->order, {.outcome = order_outcome::done},
+                                          this->now);
+            this->paces.push_back(std::move(*pace));
         } else if (auto* hold = std::get_if<send_hold>(&action)) {
             this->holds[hold->worker.id].push_back(std::move(*hold));
         } else if (auto* request = std::get_if<request_advice>(&action)) {
@@ -162,6 +169,8 @@
     std::int64_t term = 0;
     std::uint64_t jobs = 0;
     std::vector<send_start> starts;
+    std::vector<send_stop> stops;
+    std::vector<send_pace> paces; ///< answered at once
     std::map<std::string, std::vector<send_hold>> holds;
     std::vector<request_advice> advice;
     std::vector<order_maintenance> maintenance;
@@ -448,3 +457,89 @@
     site.run(milliseconds(3000));
     BOOST_TEST(site.advice.size() == 2);
 }
+
+// Guards against a VM that drains for ever and a wave that never ends: the order that moves a long-running
+// task away from it was refused, and was not repeated.
+BOOST_AUTO_TEST_CASE(refused_stop_of_a_task_on_a_draining_vm_is_repeated) {
+    manual_site site;
+    site.add_worker("w-1");
+    site.confirm("w-1");
+    site.submit({.count = 2,
+                 .need = {.cpu_millicores = 2000, .memory_mb = 1000},
+                 .long_running = true,
+                 .max_unavailable = 1});
+    site.run(milliseconds(100));
+    BOOST_REQUIRE(site.starts.size() == 2);
+    std::vector<running_task> runs;
+    for (const auto& start : site.starts) {
+        site.answer(start, order_outcome::done);
+        runs.push_back({.task = start.order.task, .run = start.order.run});
+    }
+    site.answer_hold("w-1", runs);
+    site.set_vms({vm_of("m-1", "w-1")}, site.now);
+    site.schedule.set_waves({{.number = 1, .vms = {"m-1"}, .duration = milliseconds(60000), .max_down = 1}});
+    site.run(milliseconds(200));
+    BOOST_REQUIRE(site.stops.size() == 1);
+    const auto refused = site.stops.front();
+    site.schedule.on_stop_answer(refused.worker, refused.order, {.outcome = order_outcome::unhealthy},
+                                 site.now);
+    for (int round = 0; round < 4; ++round) {
+        site.answer_hold("w-1", runs);
+        site.run(milliseconds(500));
+    }
+    BOOST_TEST(site.stops.size() > 1);
+}
+
+// Guards against a best-effort task that stands still for ever: it was slowed down for a task with a latency
+// target, and that task left the worker.
+BOOST_AUTO_TEST_CASE(best_effort_task_gets_its_speed_back_when_it_is_alone) {
+    manual_site site;
+    site.add_worker("w-1");
+    site.confirm("w-1");
+    const auto serving = site.submit({.count = 1,
+                                      .need = {.cpu_millicores = 2000, .memory_mb = 1000},
+                                      .long_running = true,
+                                      .latency_target = milliseconds(100)});
+    site.submit({.count = 1, .need = {.cpu_millicores = 2000, .memory_mb = 1000}, .best_effort = true});
+    site.run(milliseconds(100));
+    BOOST_REQUIRE(site.starts.size() == 2);
+    std::vector<running_task> runs;
+    for (const auto& start : site.starts) {
+        site.answer(start, order_outcome::done);
+        runs.push_back({.task = start.order.task, .run = start.order.run, .latest_load = 500});
+    }
+    site.answer_hold("w-1", runs);
+    site.run(milliseconds(3000));
+    BOOST_REQUIRE(!site.paces.empty());
+    BOOST_REQUIRE(site.paces.back().order.percent < 50);
+    site.schedule.on_job_record(0, {.key = serving + std::string(cancel_suffix), .value = "1"}, site.now);
+    std::erase_if(runs, [&serving](const auto& run) { return run.task.job == serving; });
+    site.answer_hold("w-1", runs); // the cancelled run is gone
+    site.run(milliseconds(20000));
+    BOOST_TEST(site.paces.back().order.percent == 100);
+}
+
+// Guards against a task that is offered to one worker for ever, although another has room: the worker answers
+// holds and leaves starts unanswered.
+BOOST_AUTO_TEST_CASE(task_whose_start_was_not_answered_goes_to_another_worker) {
+    manual_site site;
+    for (const auto* worker : {"w-1", "w-2"}) {
+        site.add_worker(worker);
+        site.confirm(worker);
+    }
+    site.submit(long_running_step(1));
+    std::set<std::string> tried;
+    for (int attempt = 0; attempt < 4; ++attempt) {
+        site.run(milliseconds(300));
+        if (site.starts.empty()) {
+            continue;
+        }
+        const auto start = std::exchange(site.starts, {}).front();
+        tried.insert(start.worker.id);
+        site.run(milliseconds(600));
+        site.answer(start, order_outcome::unknown);
+        site.run(milliseconds(20));
+        site.answer_hold(start.worker.id); // with the raised fence: the run does not exist
+    }
+    BOOST_TEST(tried.size() == 2);
+}
