A task whose start was not answered goes to another worker first

Callers could see: a task is sent to the same worker for ever while others have room; that worker answers holds but no starts. Cause: the next hold shows that the run does not exist, the task waits again at once, and the same inputs choose the same worker. Change: the next placement prefers another worker, and the worker pauses as after a refusal. Evidence: task_whose_start_was_not_answered_goes_to_another_worker failed before (4 attempts at 1 worker) and passes; scheduler_test, scheduler_outage_test and scheduler_waiting_test pass.

--- a/src/scheduler/scheduler_dispatch.cpp
+++ b/src/scheduler/scheduler_dispatch.cpp
@@ -346,7 +346,7 @@
 std::optional<std::size_t> scheduler::impl::find_worker(const task_progress& task,
                                                         const std::vector<worker_view>& views,
                                                         placement_request request, boot_time now) const {
-    request.avoided_worker = task.worker; // where its last run failed, else empty
+    request.avoided_worker = task.worker; // where its last run failed or was not answered, else empty
     auto choice = choose_worker(views, request);
     const bool may_return = request.may_fail || now >= task.retry_at + this->timings.return_after_failure;
     if (!choice && !task.worker.empty() && may_return) {
--- a/src/scheduler/scheduler_orders.cpp
+++ b/src/scheduler/scheduler_orders.cpp
@@ -82,6 +82,7 @@
                {"outcome", to_string(answer.outcome)},
                {"reason", answer.reason}});
     if (answer.outcome == order_outcome::unknown) {
+        state.count_refusal(worker, now);
         placed->second.stage = start_stage::unacknowledged;
         state.raise_fence(worker, now);
         return;
--- a/src/scheduler/scheduler_workers.cpp
+++ b/src/scheduler/scheduler_workers.cpp
@@ -254,6 +254,7 @@
     for (const auto& id : missing) {
         auto* job = this->find_job(id.job);
         auto* task = job == nullptr ? nullptr : job->find_task(id);
+        const bool never_answered = worker.tasks.at(id).stage == start_stage::unacknowledged;
         this->remove_placement(worker, id, job == nullptr ? "" : job->spec.account);
         if (task != nullptr) {
             write_log(severity::info, "run_missing",
@@ -263,6 +264,9 @@
                        {"run", task->run},
                        {"worker", worker.entry.id}});
             this->requeue(*job, id, *task, now);
+            if (never_answered) {
+                task->worker = worker.entry.id; // the next placement prefers another worker
+            }
             this->advance_job(*job, now);
         }
     }
--- a/src/state/job_progress.hpp
+++ b/src/state/job_progress.hpp
@@ -24,11 +24,12 @@
     run_phase phase = run_phase::waiting;
     std::int64_t run = 0;      ///< number of the latest run; 0: never started
     std::int32_t failures = 0; ///< runs that ended as failed
-    std::string worker;        ///< worker on which the task is placed or running
-    std::string checkpoint;    ///< checkpoint to resume from
-    boot_time placed_at{};     ///< local time of the latest placement; not recorded
-    boot_time retry_at{};      ///< earliest time of the next start; not recorded
-    boot_time stop_sent{};     ///< latest order to stop the run; not recorded
+    /// Worker on which the task is placed or running; while it waits, the one that its next run avoids.
+    std::string worker;
+    std::string checkpoint; ///< checkpoint to resume from
+    boot_time placed_at{};  ///< local time of the latest placement; not recorded
+    boot_time retry_at{};   ///< earliest time of the next start; not recorded
+    boot_time stop_sent{};  ///< latest order to stop the run; not recorded
     /// Worker on which the next run is reserved; empty if none. It is recorded as a placement there, so that
     /// this run may start without another record. Void once a record places the task elsewhere.
     std::string reserved_worker;
