A best-effort task gets its speed back when it is alone on its worker

Callers could see: a best-effort task stands still for ever and its job never ends. Cause: the pace was planned only on workers that also run latency-sensitive tasks, so a task slowed down to 0 % stayed there after these had left. Change: it is planned wherever a best-effort task runs. Evidence: best_effort_task_gets_its_speed_back_when_it_is_alone failed before (last pace 0, expected 100) and passes.

--- a/src/scheduler/scheduler_orders.cpp
+++ b/src/scheduler/scheduler_orders.cpp
@@ -132,7 +132,8 @@
 void scheduler::impl::pace_best_effort_tasks(boot_time now) {
     constexpr milliseconds pace_settle_time{600}; // between two changes of the pace of one task
     for (auto& [id, worker] : this->workers) {
-        if (worker.best_effort_tasks == 0 || worker.latency_sensitive_tasks == 0 || !worker.confirmed) {
+        // Without latency-sensitive tasks, those that were slowed down get their speed back.
+        if (worker.best_effort_tasks == 0 || !worker.confirmed) {
             continue;
         }
         bool target_at_risk = false;
