--- a/src/protocol/node_settings.cpp
+++ b/src/protocol/node_settings.cpp
@@ -16,6 +16,9 @@
 namespace {
 
 bool is_ip_address(const std::string& text) {
+    if (text.find('\0') != std::string::npos) {
+        return false; // inet_pton reads up to the zero byte
+    }
     in6_addr storage{};
     return inet_pton(AF_INET, text.c_str(), &storage) == 1 ||
            inet_pton(AF_INET6, text.c_str(), &storage) == 1;
--- a/tests/wire_standin.hpp
+++ b/tests/wire_standin.hpp
@@ -69,6 +69,26 @@
             {.topic = log_topic::operators, .records = {{.key = "config", .value = std::move(text)}}});
     }
 
+    /// Limits the pages of newest records.
+    void set_page_size(std::size_t records) {
+        const std::lock_guard lock(this->mutex);
+        this->page_size = records;
+    }
+
+    /// @return the record with which a worker at @p address registers itself
+    static keyed_record registration_of(const worker_entry& worker, const endpoint& address) {
+        return {
+            .key = worker.id,
+            .value = boost::json::serialize(boost::json::object{
+                {"Service", worker.pool},
+                {"Address", to_string(address)},
+                {"Zone", worker.zone},
+                {"State", "ready"},
+                {"Capacity", {{"Cpu", worker.capacity.cpu_millicores}, {"MemMb", worker.capacity.memory_mb}}},
+                {"Labels", boost::json::array(worker.labels.begin(), worker.labels.end())},
+                {"born", worker.instance_started_ms}})};
+    }
+
     /// Starts publishing the list of workers, all at @p worker_address, every 50 ms.
     void publish_workers(endpoint worker_address) {
         constexpr std::chrono::milliseconds interval{50};
@@ -99,7 +119,20 @@
             return {};
         }
         rest = rest.substr(found + name.size() + 2);
-        return rest.substr(0, rest.find('&'));
+        return decode_percent(rest.substr(0, rest.find_first_of("&#")));
+    }
+
+    static std::string decode_percent(std::string_view text) {
+        std::string decoded;
+        while (!text.empty()) {
+            unsigned value = 0;
+            const bool is_encoded =
+                text.front() == '%' && text.size() >= 3 &&
+                std::from_chars(text.data() + 1, text.data() + 3, value, 16).ptr == text.data() + 3;
+            decoded.push_back(is_encoded ? static_cast<char>(value) : text.front());
+            text.remove_prefix(is_encoded ? 3 : 1);
+        }
+        return decoded;
     }
 
     static std::int64_t query_number(const std::string& target, const std::string& name) {
@@ -251,6 +284,9 @@
                               .after_key = query_value(target, "After")});
         boost::json::array items;
         for (const auto& record : found.records) {
+            if (items.size() == this->page_size) {
+                break;
+            }
             std::string value((record.value.size() + 2) / 3 * 4 + 1, '\0');
             const int length = EVP_EncodeBlock(reinterpret_cast<unsigned char*>(value.data()),
                                                reinterpret_cast<const unsigned char*>(record.value.data()),
@@ -259,7 +295,8 @@
             items.push_back(
                 boost::json::object{{"Key", record.key}, {"Value", value}, {"Offset", record.offset}});
         }
-        return answer(200, {{"items", std::move(items)}, {"HasMore", false}, {"End", found.end}});
+        const bool has_more = items.size() < found.records.size();
+        return answer(200, {{"items", std::move(items)}, {"HasMore", has_more}, {"End", found.end}});
     }
 
     http_response order_worker(const std::string& path, const http_request& request) {
@@ -390,17 +427,7 @@
         for (const auto& worker : this->site.workers()) {
             now_listed.insert(worker.id);
             if (!this->listed.contains(worker.id)) {
-                changes.push_back(
-                    {.key = worker.id,
-                     .value = boost::json::serialize(boost::json::object{
-                         {"Service", worker.pool},
-                         {"Address", to_string(worker_address)},
-                         {"Zone", worker.zone},
-                         {"State", "ready"},
-                         {"Capacity",
-                          {{"Cpu", worker.capacity.cpu_millicores}, {"MemMb", worker.capacity.memory_mb}}},
-                         {"Labels", boost::json::array(worker.labels.begin(), worker.labels.end())},
-                         {"born", worker.instance_started_ms}})});
+                changes.push_back(registration_of(worker, worker_address));
             }
         }
         for (const auto& id : this->listed) {
@@ -419,6 +446,7 @@
     fake_keyed_log log;
     fake_site site{{}};
     std::set<std::string> listed;
+    std::size_t page_size = 500; ///< of newest records
     std::unique_ptr<http_server> server;
 };
 
