A key of another writer does not keep a node from loading the list of workers

Seen: with a key at the end of a page of newest records that has a space, CR, LF or NUL, the request for the next page was never sent; with "&" or "#" the same page came again and again; with a key that is not UTF-8 the whole page was unreadable. The scheduler had no workers and jobs waited for ever. A page without a readable record ended the load early.

Cause: the key went into the query as it was, one text that is not Unicode failed the page, and the tail took the key of the last readable record.

--- a/src/protocol/platform_port.hpp
+++ b/src/protocol/platform_port.hpp
@@ -115,7 +115,8 @@
     bool done = false;
     std::vector<keyed_record> records;
     bool more = false;
-    std::int64_t end = 0; ///< next offset of the partition at the time of the page
+    std::string continue_after; ///< with `more`: `newest_call::after_key` of the next page
+    std::int64_t end = 0;       ///< next offset of the partition at the time of the page
     std::string reason;
 };
 
--- a/src/site/log_tail.hpp
+++ b/src/site/log_tail.hpp
@@ -115,8 +115,11 @@
             // Reads continue from here. Later pages may already contain some of these records.
             this->next_offset = answer.end;
         }
-        if (answer.more && !answer.records.empty()) {
-            this->after_key = answer.records.back().key;
+        // A page that would be repeated for ever ends the load: keys that others write can be unusable for
+        // the request of the next page.
+        const bool advances = answer.continue_after != this->after_key || !is_read_only(this->options.topic);
+        if (answer.more && !answer.continue_after.empty() && advances) {
+            this->after_key = answer.continue_after;
             return tail_outcome::advanced; // keys beyond this page are not known yet
         }
         this->loaded = true;
--- a/src/site/site_node_log.hpp
+++ b/src/site/site_node_log.hpp
@@ -58,6 +58,10 @@
     tail_outcome outcome = tail_outcome::ignored;
     if constexpr (std::is_same_v<Answer, newest_answer>) {
         outcome = tail.on_newest(ticket, answer, deliver_record, now);
+        if (!was_loaded && tail.is_loaded() && answer.more) {
+            write_log(severity::warning, "log_load_incomplete",
+                      {{"topic", static_cast<int>(tail.settings().topic)}});
+        }
     } else {
         outcome = tail.on_read(ticket, answer, deliver_record, now);
     }
--- a/tests/worker_entries_test.cpp
+++ b/tests/worker_entries_test.cpp
@@ -456,6 +456,91 @@
     BOOST_TEST(reader.workers["m5"].draining);
 }
 
+// Guards against a key that cannot be sent as the start of the next page: the tail would repeat its request
+// for ever.
+BOOST_DATA_TEST_CASE(workers_are_loaded_beside_odd_keys,
+                     boost::unit_test::data::make({std::size_t{1}, std::size_t{2}, std::size_t{3}}),
+                     page_size) {
+    for (const auto& key : odd_keys()) {
+        if (key.empty() && page_size == 1) {
+            continue; // no key follows that a request could name; a page of the platform holds several
+                      // records
+        }
+        odd_topic topic;
+        topic.page_size = page_size;
+        topic.put(key, "odd");
+        for (const auto& id : good_ids) {
+            topic.put(id, std::string(good_entry));
+        }
+        follower reader(topic);
+        check_good_workers(reader, topic, base64_encode(key));
+    }
+}
+
+// Guards against the choice of a log how it writes such a key into JSON, and whether it decodes queries.
+BOOST_DATA_TEST_CASE(workers_are_loaded_however_odd_keys_are_written,
+                     boost::unit_test::data::make({key_style::raw, key_style::replaced,
+                                                   key_style::surrogates}) *
+                         boost::unit_test::data::make({false, true}),
+                     style, decodes_queries) {
+    for (const std::size_t page_size : {2U, 3U, 5U}) {
+        for (const auto& key : odd_keys()) {
+            odd_topic topic;
+            topic.page_size = page_size;
+            topic.style = style;
+            topic.decodes_queries = decodes_queries;
+            topic.put(key, "odd");
+            for (const auto& id : good_ids) {
+                topic.put(id, std::string(good_entry));
+            }
+            follower reader(topic);
+            check_good_workers(reader, topic, fmt::format("{} by {}", base64_encode(key), page_size));
+        }
+    }
+}
+
+// Guards against a page without a readable record that ends the load before the last page.
+BOOST_AUTO_TEST_CASE(page_of_unreadable_records_does_not_end_the_load) {
+    const auto answered = [](std::string body) {
+        return http_call_result{.status = call_status::answered,
+                                .response = {.status = 200, .body = std::move(body)}};
+    };
+    log_tail tail({.topic = log_topic::workers});
+    const auto ignore = [](const keyed_record&) {
+    };
+    BOOST_REQUIRE(tail.tick(boot_time(std::chrono::seconds(1))).has_value());
+    tail.on_newest(tail.latest_ticket(),
+                   platform::decode_newest(
+                       answered(R"({"items":[{"Key":"a","Value":7},{"Key":"b"}],"HasMore":true,"End":9})")),
+                   ignore, boot_time(std::chrono::seconds(1)));
+    BOOST_TEST(!tail.is_loaded());
+    const auto next = tail.tick(boot_time(std::chrono::seconds(2)));
+    BOOST_REQUIRE(next.has_value());
+    BOOST_TEST(std::get<newest_call>(*next).after_key == "b");
+}
+
+// Guards against a log that answers every request for a page with the same page.
+BOOST_AUTO_TEST_CASE(repeated_page_ends_the_load) {
+    log_tail tail({.topic = log_topic::workers});
+    const auto page = platform::decode_newest(
+        {.status = call_status::answered,
+         .response = {.status = 200,
+                      .body =
+                          R"({"items":[{"Key":"a","Value":"dg==","Offset":1}],"HasMore":true,"End":3})"}});
+    int pages = 0;
+    for (int second = 1; second < 100 && !tail.is_loaded(); ++second) {
+        const boot_time now{std::chrono::seconds(second)};
+        if (tail.tick(now)) {
+            ++pages;
+            tail.on_newest(
+                tail.latest_ticket(), page, [](const keyed_record&) {}, now);
+        }
+    }
+    BOOST_TEST(tail.is_loaded());
+    BOOST_TEST(pages <= 3);
+    BOOST_TEST(tail.position() == 3);
+}
+
 // Guards the read of the log against records that are shorter than their key.
 BOOST_AUTO_TEST_CASE(reads_pass_over_records_without_a_key) {
     const auto framed = [](const std::string& content) {
@@ -653,3 +738,34 @@
 
 } // namespace
 
+// Guards against a scheduler that loses the workers when it loads a list with odd entries.
+BOOST_FIXTURE_TEST_CASE(node_uses_the_workers_of_a_list_with_odd_entries, node_fixture) {
+    this->put_odd_entries();
+    this->start_node();
+    BOOST_TEST(this->completes(this->submit_gang(4)));
+    this->replace_worker("m1");
+    BOOST_TEST(this->completes(this->submit_gang(4)));
+    this->check_no_task_ran_twice();
+}
+
+// Guards against a scheduler that stops following the list when odd entries arrive.
+BOOST_FIXTURE_TEST_CASE(node_follows_the_workers_after_odd_entries, node_fixture) {
+    this->start_node();
+    BOOST_TEST(this->completes(this->submit_gang(4)));
+    this->put_odd_entries();
+    BOOST_TEST(this->completes(this->submit_gang(4)));
+    this->replace_worker("m1");
+    BOOST_TEST(this->completes(this->submit_gang(4)));
+    this->check_no_task_ran_twice();
+}
+
+// Guards against a decoder that throws in the middle of a page: the records behind it were never read.
+BOOST_FIXTURE_TEST_CASE(node_follows_the_workers_behind_a_record_that_throws, node_fixture) {
+    this->put({{.key = "a", .value = "throw"}, {.key = "zz", .value = "throw"}});
+    this->start_node();
+    BOOST_TEST(this->completes(this->submit_gang(4)));
+    this->put({{.key = "b", .value = "throw"}});
+    this->replace_worker("m1");
+    BOOST_TEST(this->completes(this->submit_gang(4)));
+}
+
