An unreadable entry under the id of a worker counts as its removal

Seen: after a read of such an entry the worker went on to get tasks; a node that loaded the same list did not know the worker.

Cause: a record that could not be decoded changed nothing when it was read, but was missing from the list when loaded.

Change: such an entry is handled like a removed one: no new task, and what runs there is held on.

--- a/src/site/site_node_log.hpp
+++ b/src/site/site_node_log.hpp
@@ -139,8 +139,8 @@
     const auto handled = value_or_error(
         [&]() -> result<bool> {
             if (topic == log_topic::workers) {
+                this->listed_workers.erase(record.key);
                 if (record.value.empty()) {
-                    this->listed_workers.erase(record.key);
                     this->schedule.on_worker_removed(record.key, now);
                     return true;
                 }
@@ -177,6 +177,9 @@
         },
         problem);
     if (!handled) {
+        if (topic == log_topic::workers) { // the entry names no worker, as if it had been removed
+            this->schedule.on_worker_removed(record.key, now);
+        }
         write_log(severity::warning, "record_unreadable", {{"key", record.key}, {"reason", problem.message}});
     }
 }
--- a/tests/worker_entries_test.cpp
+++ b/tests/worker_entries_test.cpp
@@ -769,3 +769,32 @@
     BOOST_TEST(this->completes(this->submit_gang(4)));
 }
 
+// Guards against a worker that is still used although its entry names none any more, and against one that is
+// not used again when its entry is back.
+BOOST_DATA_TEST_CASE_F(node_fixture, entry_of_a_worker_is_odd_for_a_while,
+                       boost::unit_test::data::make(std::vector<odd_text>{
+                           {"no JSON", "odd"},
+                           {"nested", nested_array(100000, true)},
+                           {"born too large", entry_with(R"("born":7)", R"("born":9223372036854775807)")},
+                           {"capacity too large", entry_with("32000", "9223372036854775807")},
+                           {"port too large", entry_with(":8", ":65536")}}),
+                       odd) {
+    const auto good = this->registration_of_first();
+    this->put({{.key = good.key, .value = odd.value}, good});
+    this->start_node();
+    BOOST_TEST(this->completes(this->submit_gang(4)));
+    this->put({{.key = good.key, .value = odd.value}});
+    const auto blocked = [this] {
+        const auto text = boost::json::serialize(this->node->dump());
+        return text.find("\"w-1\"") == std::string::npos;
+    };
+    BOOST_TEST(this->within(std::chrono::seconds(5), blocked));
+    const auto before = this->runs_on(good.key);
+    BOOST_TEST(this->completes(this->submit_gang(2)));
+    BOOST_TEST(this->runs_on(good.key) == before);
+    const auto waiting = this->submit_gang(4);
+    this->put({good});
+    BOOST_TEST(this->completes(waiting));
+    BOOST_TEST(this->runs_on(good.key) > before);
+    this->check_no_task_ran_twice();
+}
