A pool's need for VMs does not depend on entries of workers and stays in range

Seen: with an entry of capacity 10^9 at an address where nobody answers, a pool with a surge got no VM from the spare pool (2 workers used instead of 5 or more). A demand beyond 32 bits made a pool need - VMs.

Cause: the size of a pool's VMs was the largest of the VM list and of all entries, also of workers that never answered; the number of VMs was converted to 32 bits without a bound, then increased.

Change: the size comes from the VM list alone; the number is limited.

--- a/src/policy/pool_moves.cpp
+++ b/src/policy/pool_moves.cpp
@@ -25,6 +25,8 @@
 constexpr double max_rise_fraction = 0.6;
 /// Fraction of a VM that is planned to be used; the rest absorbs uneven task sizes.
 constexpr double planned_utilization = 0.9;
+/// More VMs than any site has. Also the limit of a demand that no site can serve.
+constexpr double max_needed_vms = 1e9;
 /// Fraction of the site's VMs that one plan may switch off.
 constexpr double release_fraction = 0.02;
 /// Fraction of the platform's order rate that moves may use; the rest is reserved for maintenance.
@@ -95,9 +97,11 @@
     }
     const double batch = std::max(load.arriving_millicores,
                                   load.running_millicores + backlog_fraction * load.waiting_millicores);
-    const auto by_millicores = static_cast<std::int32_t>(
-        std::ceil((load.long_running_millicores + batch) / (load.vm_millicores * planned_utilization)));
-    return std::max(by_millicores, load.long_running_vms) + 1;
+    const double by_millicores =
+        std::ceil((load.long_running_millicores + batch) / (load.vm_millicores * planned_utilization));
+    return static_cast<std::int32_t>(
+               std::clamp(by_millicores, static_cast<double>(load.long_running_vms), max_needed_vms)) +
+           1;
 }
 
 move_bounds bounds_of_plan(std::size_t vms, double orders_per_second, std::chrono::milliseconds interval) {
--- a/src/scheduler/scheduler_moves.cpp
+++ b/src/scheduler/scheduler_moves.cpp
@@ -86,8 +86,6 @@
     }
     for (const auto& [id, worker] : this->workers) {
         auto& load = loads[worker.entry.pool];
-        load.vm_millicores =
-            std::max(load.vm_millicores, static_cast<double>(worker.entry.capacity.cpu_millicores));
         for (const auto& [task, placed] : worker.tasks) {
             if (placed.beyond_share) {
                 continue; // uses free capacity and causes no move
--- a/tests/worker_entries_test.cpp
+++ b/tests/worker_entries_test.cpp
@@ -571,6 +571,47 @@
     }
 }
 
+// Guards against demand beyond the range of 32 bits, which made a pool need no VM.
+BOOST_AUTO_TEST_CASE(absurd_demand_needs_many_vms) {
+    const auto most = needed_vms({.waiting_millicores = 1e15, .vm_millicores = 1});
+    BOOST_TEST(most > 1000000);
+    BOOST_TEST(most < std::numeric_limits<std::int32_t>::max());
+    BOOST_TEST(needed_vms({.waiting_millicores = 1e300, .vm_millicores = 1}) == most);
+}
+
+// Guards against the capacity of an entry that nobody answers for: the pool seemed to need no further VM.
+BOOST_AUTO_TEST_CASE(absurd_capacity_keeps_no_vm_from_a_pool) {
+    test::scheduler_site site(9);
+    site.add_vms(2);
+    site.add_vms(4, "spare");
+    site.take_over();
+    site.run(milliseconds(4000));
+    site.unanswered_workers.insert("odd");
+    for (int job = 0; job < 30; ++job) {
+        auto spec = test::batch_job(6, 4000);
+        spec.account.clear();
+        site.submit(spec);
+    }
+    for (int part = 0; part < 40; ++part) {
+        site.schedule->on_worker(
+            {.id = "odd",
+             .instance_started_ms = 1,
+             .pool = "pool",
+             .address = {.address = "10.9.9.9", .port = 9},
+             .zone = "zone-a",
+             .capacity = {.cpu_millicores = job_limits::max_resource, .memory_mb = job_limits::max_resource},
+             .labels = {"a", "r1"}},
+            site.now);
+        site.run(milliseconds(100));
+    }
+    std::set<std::string> used;
+    for (const auto& run : site.site.history()) {
+        used.insert(run.worker);
+    }
+    BOOST_TEST(used.size() >= 5);
+    BOOST_TEST(!used.contains("odd"));
+}
+
 // Guards the choice of a worker against capacities whose product is beyond 64 bits.
 BOOST_AUTO_TEST_CASE(largest_capacities_are_compared_without_overflow) {
     const resources largest{.cpu_millicores = job_limits::max_resource,
