Numbers of operators' documents and rows of the VM list are limited where they are decoded

Seen: a wave with DurationS 1e308 was converted to an integer out of range, which differs by processor; routes with times near 2^63 ms overflow when added; a row of the VM list without a name became a VM that could be ordered to move; a page token was not encoded.

Change: durations are limited to job_limits::max_duration, the factor of an objective to 1000, capacities of VMs to job_limits::max_resource; rows without a name are left out; the token is percent-encoded.

--- a/tests/worker_entries_test.cpp
+++ b/tests/worker_entries_test.cpp
@@ -558,6 +558,58 @@
     BOOST_TEST(answer.records[1].key == "");
 }
 
+// Guards against operators' documents with numbers that no duration can hold.
+BOOST_AUTO_TEST_CASE(odd_numbers_of_operators_stay_in_range) {
+    error ignored;
+    for (const std::string number :
+         {"1e308", "1e999", "-1e308", "-1", "99999999999999999999", "\"7\"", "9223372036854775807"}) {
+        const auto wave = value_or_error(
+            [&] {
+                return platform::decode_wave(R"({"Wave":1,"Machines":["m"],"DurationS":)" + number + "}");
+            },
+            ignored);
+        BOOST_REQUIRE_MESSAGE(wave.has_value(), number);
+        BOOST_TEST(wave->duration.count() >= 0, number);
+        BOOST_TEST((wave->duration <= job_limits::max_duration), number);
+        const auto config = value_or_error(
+            [&] {
+                return platform::decode_config(
+                    R"({"Version":1,"Services":[],"Routes":[{"Name":"r","Stretch":)" + number +
+                    R"(,"TargetDurationMs":)" + number + R"(,"Advice":{"ValidMs":)" + number + "}}]}");
+            },
+            ignored);
+        BOOST_REQUIRE_MESSAGE(config.has_value(), number);
+        const auto& queue = config->queues.at(0);
+        BOOST_TEST(queue.objective_factor >= 0, number);
+        BOOST_TEST(queue.objective_factor <= 1000, number);
+        for (const auto duration : {queue.objective_slack, queue.advice->ticket_lifetime}) {
+            BOOST_TEST(duration.count() >= 0, number);
+            BOOST_TEST((duration <= job_limits::max_duration), number);
+        }
+    }
+    for (const auto& odd : odd_nesting()) {
+        BOOST_TEST(!value_or_error([&] { return platform::decode_config(odd.value); }, ignored), odd.name);
+        BOOST_TEST(!value_or_error([&] { return platform::decode_wave(odd.value); }, ignored), odd.name);
+    }
+}
+
+// Guards against an order for a VM without a name, and against a page token that cannot be sent.
+BOOST_AUTO_TEST_CASE(odd_rows_of_the_vm_list_are_left_out) {
+    const auto page = platform::decode_list_vms(
+        {.status = call_status::answered,
+         .response = {.status = 200, .body = R"({"Machines":[7,{},{"Machine":""},{"Machine":5},
+                          {"Machine":"m","State":7,"Capacity":{"Cpu":1e999,"MemMb":9223372036854775807}},
+                          {"Machine":"n","Capacity":{"Cpu":-5,"MemMb":100}}],"NextToken":"a b&c"})"}});
+    BOOST_REQUIRE(page.vms.size() == 2);
+    BOOST_TEST(page.vms[0].id == "m");
+    for (const auto& vm : page.vms) {
+        BOOST_TEST(vm.capacity.cpu_millicores == 0);
+        BOOST_TEST(vm.capacity.memory_mb >= 0);
+        BOOST_TEST(vm.capacity.memory_mb <= job_limits::max_resource);
+    }
+    BOOST_TEST(platform::encode_list_vms(page.next_page).target.ends_with("PageToken=a%20b%26c"));
+}
+
 // Guards against an answer of another server at a worker's address with times that no clock shows.
 BOOST_AUTO_TEST_CASE(odd_numbers_of_a_hold_report_are_left_out) {
     for (const std::string number : {"9223372036854775807", "1e999", "-1", "99999999999999999999"}) {
