--- a/src/site/site_node_log.hpp
+++ b/src/site/site_node_log.hpp
@@ -58,6 +58,10 @@
     tail_outcome outcome = tail_outcome::ignored;
     if constexpr (std::is_same_v<Answer, newest_answer>) {
         outcome = tail.on_newest(ticket, answer, deliver_record, now);
+        if (!was_loaded && tail.is_loaded() && answer.more) {
+            write_log(severity::warning, "log_load_incomplete",
+                      {{"topic", static_cast<int>(tail.settings().topic)}});
+        }
     } else {
         outcome = tail.on_read(ticket, answer, deliver_record, now);
     }
@@ -139,8 +143,8 @@
     const auto handled = value_or_error(
         [&]() -> result<bool> {
             if (topic == log_topic::workers) {
+                this->listed_workers.erase(record.key);
                 if (record.value.empty()) {
-                    this->listed_workers.erase(record.key);
                     this->schedule.on_worker_removed(record.key, now);
                     return true;
                 }
@@ -177,6 +181,9 @@
         },
         problem);
     if (!handled) {
+        if (topic == log_topic::workers) { // the entry names no worker, as if it had been removed
+            this->schedule.on_worker_removed(record.key, now);
+        }
         write_log(severity::warning, "record_unreadable", {{"key", record.key}, {"reason", problem.message}});
     }
 }
