The simulated site restarts workers under their ids and knows more troubles

What the tests could not show: workers that restart under the same id (also with an earlier clock, another address or less capacity), VMs that go down or are removed, workers that drain, that fail all or half of their runs or refuse starts, orders and holds that are carried out 2 to 12 s late, answers that overtake each other, slow appends, VM lists that fail or come late, entries that lapse while the log is away or are written again every 1.5 s, and a time without any node. `observe_workers` shows what runs by the workers' own account. An order reaches a worker only at its address. A best-effort task takes no CPU on the fake worker, as the scheduler counts it. While the log is away no entry of a worker is delivered.

--- a/src/fakes/fake_site.cpp
+++ b/src/fakes/fake_site.cpp
@@ -8,6 +8,17 @@
 
 using std::chrono::milliseconds;
 
+namespace {
+
+/// Run time of a run that fails.
+constexpr milliseconds time_to_failure{150};
+/// Span to which `set_long_running_failures` refers.
+constexpr milliseconds failure_span{2000};
+/// Units of `worker_entry::instance_started_ms` between two instances; a stepped clock stays between them.
+constexpr std::int64_t instance_spacing = 1000;
+
+} // namespace
+
 append_answer fake_keyed_log::append(const append_call& call) {
     auto& log = this->partitions[{call.topic, call.partition}];
     const auto end = log.first + static_cast<std::int64_t>(log.records.size());
@@ -104,7 +115,7 @@
     vm.entry.worker = id;
     vm.entry.condition = vm_condition::up;
     this->instances[id] = {.entry = {.id = id,
-                                     .instance_started_ms = this->next_instance,
+                                     .instance_started_ms = this->next_instance * instance_spacing,
                                      .pool = vm.entry.pool,
                                      .address = {.address = "127.0.0.1", .port = 1},
                                      .zone = vm.entry.zone,
@@ -128,7 +139,9 @@
 
 fake_site::instance* fake_site::find_instance(const worker_target& worker) {
     const auto found = this->instances.find(worker.id);
-    return found == this->instances.end() ? nullptr : &found->second;
+    const bool is_reached =
+        found != this->instances.end() && found->second.entry.address.port == worker.address.port;
+    return is_reached ? &found->second : nullptr;
 }
 
 milliseconds fake_site::instance_clock(const instance& worker, boot_time now) const {
@@ -146,6 +159,29 @@
     worker.tasks.erase(found);
 }
 
+void fake_site::plan_end(active_task& task, const instance& worker, const task_id& id, boot_time now) {
+    const bool fails = worker.behaviour == start_behaviour::fails_all ||
+                       (worker.behaviour == start_behaviour::fails_share && this->random() % 2 == 0);
+    if (fails) {
+        task.ends_at = now + time_to_failure;
+        task.end = task_end::failed;
+        return;
+    }
+    if (!this->long_running.contains(id.job)) {
+        task.ends_at = now + this->task_duration;
+        task.end = this->failing.contains(id.job) ? task_end::failed : task_end::done;
+        return;
+    }
+    task.ends_at = boot_time::max();
+    if (this->failure_share > 0) {
+        const auto spans = std::geometric_distribution<std::int64_t>(this->failure_share)(this->random);
+        const auto within = milliseconds(
+            static_cast<std::int64_t>(this->random() % static_cast<std::uint64_t>(failure_span.count())));
+        task.ends_at = now + this->limits.startup_time + spans * failure_span + within;
+        task.end = task_end::failed;
+    }
+}
+
 void fake_site::fail_tasks(const std::string& job, boot_time now) {
     for (auto& [id, worker] : this->instances) {
         std::vector<task_id> failed;
@@ -194,6 +230,12 @@
     if (order.lease_until <= clock) {
         return {.outcome = order_outcome::late, .worker_clock = clock};
     }
+    if (worker->behaviour == start_behaviour::unhealthy) {
+        return {.outcome = order_outcome::unhealthy, .worker_clock = clock};
+    }
+    if (worker->behaviour == start_behaviour::no_room) {
+        return {.outcome = order_outcome::no_room, .worker_clock = clock};
+    }
     auto available = worker->entry.capacity;
     available -= worker->used;
     if (!fits(need, available)) {
@@ -203,11 +245,9 @@
         std::max(worker->lease_end,
                  worker->instance_started + std::min(order.lease_until, clock + this->limits.longest_lease));
     worker->used += need;
-    const bool is_long_running = this->long_running.contains(order.task.job);
-    worker->tasks[order.task] = {.run = order.run,
-                                 .ends_at = is_long_running ? boot_time::max() : now + this->task_duration,
-                                 .need = need,
-                                 .run_index = this->runs.size()};
+    active_task started{.run = order.run, .need = need, .run_index = this->runs.size()};
+    this->plan_end(started, *worker, order.task, now);
+    worker->tasks[order.task] = started;
     this->runs.push_back({.worker = target.id, .task = order.task, .run = order.run, .started_at = now});
     return {.outcome = order_outcome::done, .worker_clock = clock};
 }
@@ -309,13 +349,65 @@
     }
 }
 
+std::optional<std::string> fake_site::restart(const std::string& vm, const worker_restart& changes,
+                                              boot_time now) {
+    const auto found = this->site_vms.find(vm);
+    if (found == this->site_vms.end() || found->second.entry.condition != vm_condition::up) {
+        return std::nullopt;
+    }
+    const auto id = found->second.entry.worker;
+    auto entry = this->instances.at(id).entry;
+    this->end_instance(id, now);
+    entry.instance_started_ms += changes.clock_stepped_back ? -1 : 1;
+    entry.address.port += changes.new_address ? 1 : 0;
+    entry.capacity = changes.capacity.value_or(entry.capacity);
+    entry.draining = false;
+    found->second.entry.capacity = entry.capacity;
+    this->instances[id] = {.entry = std::move(entry), .vm = vm, .instance_started = now, .lease_end = now};
+    return id;
+}
+
+void fake_site::take_down(const std::string& vm, boot_time returns_at, boot_time now) {
+    const auto found = this->site_vms.find(vm);
+    if (found == this->site_vms.end() || found->second.entry.condition != vm_condition::up) {
+        return;
+    }
+    this->end_instance(found->second.entry.worker, now);
+    found->second.entry.worker.clear();
+    found->second.entry.condition = vm_condition::down;
+    found->second.returns_at = returns_at;
+}
+
+void fake_site::remove_vm(const std::string& vm, boot_time now) {
+    const auto found = this->site_vms.find(vm);
+    if (found != this->site_vms.end()) {
+        this->end_instance(found->second.entry.worker, now);
+        this->site_vms.erase(found);
+    }
+}
+
+void fake_site::set_draining(const std::string& vm, bool draining) {
+    const auto found = this->site_vms.find(vm);
+    const auto worker = found == this->site_vms.end() ? this->instances.end()
+                                                      : this->instances.find(found->second.entry.worker);
+    if (worker != this->instances.end()) {
+        worker->second.entry.draining = draining;
+    }
+}
+
+void fake_site::set_behaviour(const std::string& worker, start_behaviour behaviour) {
+    const auto found = this->instances.find(worker);
+    if (found != this->instances.end()) {
+        found->second.behaviour = behaviour;
+    }
+}
+
 void fake_site::advance(boot_time now) {
     for (auto& [id, worker] : this->instances) {
         std::vector<std::pair<task_id, task_end>> finished;
         for (const auto& [task, active] : worker.tasks) {
             if (active.ends_at <= now) {
-                finished.emplace_back(task,
-                                      this->failing.contains(task.job) ? task_end::failed : task_end::done);
+                finished.emplace_back(task, active.end);
             } else if (worker.lease_end <= now) {
                 finished.emplace_back(task, task_end::lapsed);
             }
@@ -341,6 +433,21 @@
     return entries;
 }
 
+std::vector<observed_worker> fake_site::observe_workers() const {
+    std::vector<observed_worker> observed;
+    for (const auto& [id, worker] : this->instances) {
+        observed.push_back({.entry = worker.entry,
+                            .vm = worker.vm,
+                            .behaviour = worker.behaviour,
+                            .available = worker.entry.capacity});
+        observed.back().available -= worker.used;
+        for (const auto& [task, active] : worker.tasks) {
+            observed.back().tasks.push_back(task);
+        }
+    }
+    return observed;
+}
+
 std::vector<vm_entry> fake_site::vms() const {
     std::vector<vm_entry> entries;
     for (const auto& [id, vm] : this->site_vms) {
@@ -349,6 +456,11 @@
     return entries;
 }
 
+std::int64_t fake_site::instance_start_of(const std::string& worker) const {
+    const auto found = this->instances.find(worker);
+    return found == this->instances.end() ? 0 : found->second.entry.instance_started_ms;
+}
+
 bool fake_site::has_end(const std::string& worker) const {
     const auto found = this->instances.find(worker);
     return found != this->instances.end() && !found->second.ended.empty();
--- a/src/fakes/fake_site.hpp
+++ b/src/fakes/fake_site.hpp
@@ -6,6 +6,8 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <utility>
@@ -53,6 +55,31 @@
     bool acknowledged = false;             ///< a hold has acknowledged its end
 };
 
+/// How a worker treats the starts that it is ordered.
+enum class start_behaviour {
+    normal,
+    fails_all,   ///< every run fails soon after its start
+    fails_share, ///< half of the runs fail soon after their start
+    unhealthy,   ///< refuses every start as overloaded or failing
+    no_room,     ///< refuses every start for want of capacity
+};
+
+/// State of a worker process as it knows it itself.
+struct observed_worker {
+    worker_entry entry;
+    std::string vm;
+    start_behaviour behaviour = start_behaviour::normal;
+    resources available;        ///< capacity without the needs of what runs
+    std::vector<task_id> tasks; ///< what runs
+};
+
+/// What changes when a worker process restarts under its id.
+struct worker_restart {
+    bool clock_stepped_back = false; ///< the new instance reports an earlier start than the previous one
+    bool new_address = false;
+    std::optional<resources> capacity; ///< absent: unchanged
+};
+
 /// In-memory stand-in of the workers and VMs of a site. Orders follow the rules of guarded workers: fences,
 /// worker instances, leases, ascending run numbers, and ended tasks that are reported until they are
 /// acknowledged. Not thread-safe.
@@ -100,14 +127,40 @@
     /// Ends the worker of a VM and starts a new instance with a new id at once.
     void crash(const std::string& vm, boot_time now);
 
+    /// Ends the worker of a VM and starts a new instance with the same id at once.
+    /// @return id of the worker; nothing if the VM is not up
+    std::optional<std::string> restart(const std::string& vm, const worker_restart& changes, boot_time now);
+
+    /// Ends the worker of a VM. The VM comes back with a new worker at @p returns_at.
+    void take_down(const std::string& vm, boot_time returns_at, boot_time now);
+
+    /// Ends the worker of a VM and removes the VM for good.
+    void remove_vm(const std::string& vm, boot_time now);
+
+    /// Sets whether the worker of a VM announces that it drains.
+    void set_draining(const std::string& vm, bool draining);
+
+    void set_behaviour(const std::string& worker, start_behaviour behaviour);
+
+    /// Makes long-running tasks fail by themselves.
+    /// @param share fraction that fails in each span of 2 s
+    void set_long_running_failures(double share, std::uint64_t seed) {
+        this->failure_share = share;
+        this->random.seed(seed);
+    }
+
     /// Ends tasks that are complete or whose lease has lapsed, and restarts the workers of VMs whose move or
     /// maintenance is complete.
     void advance(boot_time now);
 
     [[nodiscard]] std::vector<worker_entry> workers() const;
+    [[nodiscard]] std::vector<observed_worker> observe_workers() const;
     [[nodiscard]] std::vector<vm_entry> vms() const;
     [[nodiscard]] const std::vector<observed_run>& history() const noexcept { return this->runs; }
 
+    /// @return `worker_entry::instance_started_ms` of the worker; 0 if it does not run
+    [[nodiscard]] std::int64_t instance_start_of(const std::string& worker) const;
+
     /// @return whether a hold of @p worker would report an ended task
     [[nodiscard]] bool has_end(const std::string& worker) const;
 
@@ -115,6 +168,7 @@
     struct active_task {
         std::int64_t run = 0;
         boot_time ends_at{};
+        task_end end = task_end::done; ///< how it ends by itself
         resources need;
         std::size_t run_index = 0; ///< index in `runs`
     };
@@ -129,6 +183,7 @@
         std::vector<ended_task> ended;
         std::int64_t next_end = 1;
         resources used;
+        start_behaviour behaviour = start_behaviour::normal;
     };
     struct site_vm {
         vm_entry entry;
@@ -139,6 +194,8 @@
     instance* find_instance(const worker_target& worker);
     void start_instance(site_vm& vm, boot_time now);
     void end_instance(const std::string& worker, boot_time now);
+    /// Sets when and how a task that starts now ends by itself.
+    void plan_end(active_task& task, const instance& worker, const task_id& id, boot_time now);
     void finish(instance& worker, const task_id& task, task_end outcome, boot_time now);
     /// @return the time since the start of the worker instance
     [[nodiscard]] std::chrono::milliseconds instance_clock(const instance& worker, boot_time now) const;
@@ -146,8 +203,10 @@
     options limits;
     std::chrono::milliseconds task_duration{1000};
     std::map<std::string, bool> long_running;
-    std::set<std::string> failing;             ///< jobs
-    std::set<std::string> refusing;            ///< workers
+    std::set<std::string> failing;  ///< jobs
+    std::set<std::string> refusing; ///< workers
+    double failure_share = 0;       ///< of long-running tasks in each span of 2 s
+    std::mt19937_64 random;
     std::map<std::string, instance> instances; ///< by worker id
     std::map<std::string, site_vm> site_vms;   ///< by VM id
     std::vector<observed_run> runs;
--- a/tests/scheduler_site.hpp
+++ b/tests/scheduler_site.hpp
@@ -38,6 +38,9 @@
 /// Time after which a call without an answer is reported as unanswered.
 inline constexpr milliseconds call_timeout{900};
 
+/// Time between two writes of the same entry by a worker.
+inline constexpr milliseconds entry_interval{1500};
+
 /// A simulated site with one scheduler.
 class scheduler_site {
 public:
@@ -92,12 +95,17 @@
         this->schedule->set_waves(this->waves);
         this->schedule->begin_term(this->term, this->now);
         this->schedule->set_waves(this->waves);
+        this->schedule->set_zones_out(this->zones_out);
         for (const auto topic : {log_topic::progress, log_topic::states}) {
             this->log.append({.topic = topic,
                               .producer = append_producer{.name = "s", .epoch = this->term, .sequence = 0}});
         }
+        this->listed.clear();
         for (const auto& entry : this->site.workers()) {
-            this->schedule->on_worker(entry, this->now);
+            if (!this->lapsed_entries.contains(entry.id)) {
+                this->schedule->on_worker(entry, this->now);
+                this->listed[entry.id] = {.entry = entry, .delivered = this->now};
+            }
         }
         for (const auto& record : this->log.newest({.topic = log_topic::jobs}).records) {
             this->schedule->load_job(0, record);
@@ -138,6 +146,22 @@
             {.topic = log_topic::jobs, .records = {{.key = id + std::string(cancel_suffix), .value = "1"}}});
     }
 
+    /// Publishes a configuration.
+    void publish_config(site_config changed) {
+        changed.version = this->config->version + 1;
+        this->config = std::make_shared<site_config>(std::move(changed));
+        this->schedule->set_config(this->config);
+    }
+
+    /// @return the configuration that was published last
+    [[nodiscard]] const site_config& current_config() const { return *this->config; }
+
+    /// Takes exactly these zones out of service.
+    void set_zones_out(std::set<std::string> zones) {
+        this->zones_out = std::move(zones);
+        this->schedule->set_zones_out(this->zones_out);
+    }
+
     /// Publishes a configuration without the queue.
     void remove_queue(const std::string& name) {
         auto changed = std::make_shared<site_config>(*this->config);
@@ -162,9 +186,12 @@
     void run(milliseconds span) {
         const auto until = this->now + span;
         while (this->now < until) {
-            this->now += milliseconds(2);
+            this->now += this->tick_span;
             this->inject_faults();
             this->deliver_due();
+            if (!this->is_powered) {
+                continue;
+            }
             this->refresh_workers();
             if (this->log_is_up) {
                 this->read_jobs();
@@ -181,6 +208,9 @@
         }
     }
 
+    /// @return the job as it was submitted
+    [[nodiscard]] const job_spec& job_of(const std::string& id) const { return this->submitted_jobs.at(id); }
+
     [[nodiscard]] std::string state_of(const std::string& id) {
         for (const auto& record : this->log.newest({.topic = log_topic::states}).records) {
             if (record.key == id) {
@@ -263,10 +293,36 @@
     std::set<std::string> cut_workers;        ///< workers that no order reaches
     std::set<std::string> unanswered_workers; ///< workers that execute orders and whose answers are lost
     bool reports_are_unreadable = false;      ///< reports of workers arrive without their rows
-    bool log_is_up = true;          ///< false: reads fail, and appends are repeated until it is true again
-    std::int64_t holds_sent = 0;    ///< holds that renewed a lease
-    std::size_t largest_append = 0; ///< bytes of the values in the largest append of progress
-    std::int64_t early_drops = 0;   ///< job records dropped before the final state was stored
+    std::set<std::string> late_workers; ///< workers that carry out orders seconds later, without an answer
+    bool entries_repeat = false;        ///< workers write their entries again every `entry_interval`
+    bool is_powered = true;             ///< false: no node runs the scheduler
+    milliseconds tick_span{2};
+    milliseconds append_delay{0};    ///< added to the answer of an append
+    milliseconds answer_jitter{0};   ///< upper limit of a random delay of the answers of workers
+    bool vm_list_is_down = false;    ///< reads of the VM list fail
+    milliseconds vm_list_delay{0};   ///< added to the answer of a read of the VM list
+    boot_time late_until{};          ///< the last order that is carried out late has been by then
+    std::set<std::string> zones_out; ///< out of service
+    bool log_is_up = true;           ///< false: reads fail, and appends are repeated until it is true again
+    std::int64_t holds_sent = 0;     ///< holds that renewed a lease
+    std::size_t largest_append = 0;  ///< bytes of the values in the largest append of progress
+    std::int64_t early_drops = 0;    ///< job records dropped before the final state was stored
+
+    /// Runs @p function after @p delay of simulated time.
+    void schedule_event(milliseconds delay, std::function<void()> function) {
+        this->events.emplace(this->now + delay, std::move(function));
+    }
+
+    /// Breaks the connection of the hold at the worker, as the end of its process does.
+    void break_hold(const std::string& worker) {
+        const auto found = this->holds.find(worker);
+        if (found == this->holds.end()) {
+            return;
+        }
+        const auto hold = found->second.action;
+        this->holds.erase(found);
+        this->reply([this, hold] { this->schedule->on_hold_report(hold.worker, hold.order, {}, this->now); });
+    }
 
     [[nodiscard]] unix_time clock() const {
         return unix_time(std::chrono::duration_cast<milliseconds>(this->now.time_since_epoch()));
@@ -277,10 +333,6 @@
         return probability > 0 && std::uniform_real_distribution<double>(0, 1)(this->random) < probability;
     }
 
-    void schedule_event(milliseconds delay, std::function<void()> function) {
-        this->events.emplace(this->now + delay, std::move(function));
-    }
-
     void deliver_due() {
         while (!this->events.empty() && this->events.begin()->first <= this->now) {
             auto function = std::move(this->events.begin()->second);
@@ -301,6 +353,14 @@
     }
 
     void answer_hold(const send_hold& hold) {
+        if (this->late_workers.contains(hold.worker.id)) {
+            this->carry_out_late(hold.worker.id, this->late_delay(),
+                                 [this, hold] { this->site.hold(hold.worker, hold.order, this->now); });
+            this->reply_after(call_timeout, [this, hold] {
+                this->schedule->on_hold_report(hold.worker, hold.order, {}, this->now);
+            });
+            return;
+        }
         const bool is_cut = this->cut_workers.contains(hold.worker.id);
         auto report = is_cut ? hold_report{} : this->site.hold(hold.worker, hold.order, this->now);
         if (is_cut || this->unanswered_workers.contains(hold.worker.id)) {
@@ -316,15 +376,39 @@
             report.ended.clear();
             report.complete = false;
         }
-        this->reply([hold, report, this] {
+        this->reply_after(answer_delay + this->jitter(), [hold, report, this] {
             this->schedule->on_hold_report(hold.worker, hold.order, report, this->now);
         });
     }
 
+    milliseconds jitter() {
+        const auto limit = static_cast<std::uint64_t>(this->answer_jitter.count());
+        return milliseconds(limit == 0 ? 0 : static_cast<std::int64_t>(this->random() % limit));
+    }
+
+    /// Runs @p order after @p delay, unless the worker process that has received it has ended by then.
+    void carry_out_late(const std::string& worker, milliseconds delay, std::function<void()> order) {
+        const auto received_by = this->site.instance_start_of(worker);
+        this->schedule_event(delay, [this, worker, received_by, order = std::move(order)] {
+            if (this->site.instance_start_of(worker) == received_by) {
+                order();
+            }
+        });
+    }
+
+    /// @return the time after which an order that arrives now is carried out
+    milliseconds late_delay() {
+        const auto delay = milliseconds(2000 + static_cast<std::int64_t>(this->random() % 10000));
+        this->late_until = std::max(this->late_until, this->now + delay);
+        return delay;
+    }
+
     /// Delivers an answer to the scheduler that sent the request, unless it was replaced meanwhile.
-    void reply(std::function<void()> function) {
-        this->schedule_event(answer_delay, [this, sending_term = this->term, function = std::move(function)] {
-            if (sending_term == this->term) {
+    void reply(std::function<void()> function) { this->reply_after(answer_delay, std::move(function)); }
+
+    void reply_after(milliseconds delay, std::function<void()> function) {
+        this->schedule_event(delay, [this, sending_term = this->term, function = std::move(function)] {
+            if (sending_term == this->term && this->is_powered) {
                 function();
             }
         });
@@ -361,27 +445,46 @@
     }
 
     void refresh_workers() {
+        if (!this->log_is_up) {
+            return;
+        }
         std::set<std::string> ids;
+        bool has_removal = false;
         for (const auto& entry : this->site.workers()) {
             if (this->lapsed_entries.contains(entry.id)) {
                 continue;
             }
             ids.insert(entry.id);
-            if (!this->listed.contains(entry.id)) {
+            const auto known = this->listed.find(entry.id);
+            const bool is_repeated = this->entries_repeat && known != this->listed.end() &&
+                                     this->now >= known->second.delivered + entry_interval;
+            if (known == this->listed.end() || is_repeated || !is_same_entry(known->second.entry, entry)) {
                 this->schedule->on_worker(entry, this->now);
+                this->listed[entry.id] = {.entry = entry, .delivered = this->now};
             }
         }
-        if (ids != this->listed) {
+        for (auto at = this->listed.begin(); at != this->listed.end();) {
+            const bool is_removed = !ids.contains(at->first);
+            has_removal = has_removal || is_removed;
+            at = is_removed ? this->listed.erase(at) : std::next(at);
+        }
+        if (has_removal) {
             this->schedule->retain_listed_workers(ids, this->now);
         }
-        this->listed = std::move(ids);
+    }
+
+    static bool is_same_entry(const worker_entry& first, const worker_entry& second) {
+        return first.instance_started_ms == second.instance_started_ms && first.draining == second.draining &&
+               first.address.port == second.address.port && first.capacity == second.capacity;
     }
 
     template <class Send, class Answer>
     void order(const std::string& worker, Send send, Answer answer, order_answer unknown_answer) {
-        if (this->occurs(this->faults.late_order)) {
-            const auto delay = milliseconds(2000 + static_cast<std::int64_t>(this->random() % 6000));
-            this->schedule_event(delay, [send] { send(); });
+        if (this->late_workers.contains(worker) || this->occurs(this->faults.late_order)) {
+            const auto delay = this->late_workers.contains(worker)
+                                   ? this->late_delay()
+                                   : milliseconds(2000 + static_cast<std::int64_t>(this->random() % 6000));
+            this->carry_out_late(worker, delay, [send] { send(); });
             this->schedule_event(call_timeout, [this, sending_term = this->term, answer, unknown_answer] {
                 if (sending_term == this->term) {
                     answer(unknown_answer);
@@ -395,7 +498,7 @@
                 const auto result = is_cut ? unknown_answer : send();
                 const bool lost = is_cut || this->occurs(this->faults.lost_answer) ||
                                   this->unanswered_workers.contains(worker);
-                this->schedule_event(lost ? call_timeout : answer_delay,
+                this->schedule_event(lost ? call_timeout : answer_delay + this->jitter(),
                                      [this, sending_term, answer, result, lost, unknown_answer] {
                                          if (sending_term == this->term) {
                                              answer(lost ? unknown_answer : result);
@@ -424,9 +527,10 @@
         } else if (auto* start = std::get_if<send_start>(&action)) {
             ++this->starts;
             this->tickets[start->worker.id] = start->order.ticket;
-            const auto need =
-                this->steps_of_job[start->order.task.job][static_cast<std::size_t>(start->order.task.step)]
-                    .need;
+            const auto& step =
+                this->steps_of_job[start->order.task.job][static_cast<std::size_t>(start->order.task.step)];
+            auto need = step.need;
+            need.cpu_millicores = step.best_effort ? 0 : need.cpu_millicores; // it uses what others leave
             this->order(
                 start->worker.id,
                 [this, sent = *start, need] {
@@ -453,9 +557,14 @@
             }
         } else if (std::holds_alternative<read_vm_list>(action)) {
             const auto requested_at = this->now;
-            this->reply([this, requested_at] {
-                this->schedule->on_vm_list(this->site.vms(), requested_at, this->now);
-            });
+            if (this->vm_list_is_down) {
+                this->reply_after(call_timeout, [this] { this->schedule->on_vm_list_failed(this->now); });
+                return;
+            }
+            this->reply_after(answer_delay + this->vm_list_delay,
+                              [this, requested_at, vms = this->site.vms()] {
+                                  this->schedule->on_vm_list(vms, requested_at, this->now);
+                              });
         } else if (auto* maintain = std::get_if<order_maintenance>(&action)) {
             ++this->maintenance_orders;
             this->vm_orders.emplace_back(this->now, maintain->order);
@@ -505,13 +614,17 @@
              .producer = append_producer{.name = "s", .epoch = this->term, .sequence = sequence}});
         if (answer.outcome == append_outcome::appended) {
             ++this->unconfirmed_appends;
-            this->reply([this, done, sequence] {
+            this->reply_after(answer_delay + this->append_delay, [this, done, sequence] {
                 --this->unconfirmed_appends;
                 done(sequence);
             });
         }
     }
 
+    struct listed_entry {
+        worker_entry entry;
+        boot_time delivered{};
+    };
     struct pending_hold {
         send_hold action;
         boot_time until{};
@@ -525,7 +638,7 @@
     std::int64_t unconfirmed_appends = 0;
     std::multimap<boot_time, std::function<void()>> events;
     std::map<std::string, pending_hold> holds;
-    std::set<std::string> listed;
+    std::map<std::string, listed_entry> listed; ///< delivered to the scheduler, by worker
     std::int64_t term = 0;
     std::int64_t jobs_read = 0;
     std::uint64_t next_job = 0;
