The promise on long-running tasks is checked in seeded histories of troubles

A history is data: VMs, jobs and events of 27 kinds. The check looks at what the workers run. It reports a task that is away from work for 6 s after its last run or its submission, with room twice over on a sound worker, in a site that has been calm for 7 s; planned work, poison and failures of the tasks themselves do not interrupt calm. The room must have existed for 500 ms, the time of a placement and its start. Runs at the same time or after an acknowledged end, the order of steps, tasks per worker and the limit of an account are checked as well.

--- /dev/null
+++ b/tests/promise_site.hpp
@@ -0,0 +1,674 @@
+#pragma once
+
+// Plays histories of troubles on a simulated site and checks the promise on long-running tasks by what the
+// workers run, not by what the scheduler believes.
+
+#include "scheduler_site.hpp"
+
+#include <boost/json/object.hpp>
+
+#include <algorithm>
+#include <array>
+#include <optional>
+
+namespace hornbeamrail::test {
+
+/// What happens at one time of a history.
+enum class trouble {
+    log_silent,        ///< the log is away for `duration`
+    entries_lapse,     ///< as `log_silent`; `count` entries of workers lapse, 0: all of them
+    log_slow,          ///< appends are answered late
+    takeover,          ///< by a node that only knows the log
+    power_loss,        ///< no node runs for `duration`, then one takes over
+    cut_answers,       ///< orders reach `count` workers, answers don't return
+    cut_both,          ///< nothing reaches `count` workers or returns from them
+    slow_answers,      ///< answers of workers arrive late and overtake each other
+    late_orders,       ///< `count` workers carry out orders 2 to 12 s later and answer none
+    crash,             ///< `count` workers end; new ones start on their VMs
+    restart,           ///< `count` workers restart under their ids
+    restart_earlier,   ///< the same, and their clocks step back
+    restart_elsewhere, ///< the same with another address and less capacity
+    vm_down,           ///< `count` VMs go down for `duration`; 0: for good
+    fails_all,         ///< `count` workers fail every run
+    fails_share,       ///< `count` workers fail half of the runs
+    unhealthy,         ///< `count` workers refuse every start
+    no_room,           ///< the same, for want of room
+    vm_list_down,      ///< reads of the VM list fail
+    vm_list_slow,      ///< reads of the VM list are answered seconds late
+    drain_and_leave,   ///< `count` workers drain and leave after `duration`; planned
+    wave,              ///< maintenance of `count` VMs within `duration`; planned
+    zone_out,          ///< one zone is out of service for `duration`; planned
+    limit_lowered,     ///< the limit of an account is a quarter for `duration`
+    config_change,     ///< a new version with nothing changed that matters
+    poison,            ///< `count` jobs that can never be done
+    burst,             ///< `count` jobs of many tasks
+};
+inline constexpr int trouble_count = 27;
+
+inline constexpr std::array<const char*, trouble_count> trouble_names{
+    "log_silent",        "entries_lapse", "log_slow",     "takeover",
+    "power_loss",        "cut_answers",   "cut_both",     "slow_answers",
+    "late_orders",       "crash",         "restart",      "restart_earlier",
+    "restart_elsewhere", "vm_down",       "fails_all",    "fails_share",
+    "unhealthy",         "no_room",       "vm_list_down", "vm_list_slow",
+    "drain_and_leave",   "wave",          "zone_out",     "limit_lowered",
+    "config_change",     "poison",        "burst"};
+
+struct site_event {
+    milliseconds at{};
+    trouble kind = trouble::crash;
+    milliseconds duration{};
+    int count = 1;
+    std::uint64_t choice = 0; ///< decides which workers or VMs
+};
+
+/// A job that is submitted in a history.
+struct submission {
+    milliseconds at{};
+    job_spec job;
+    milliseconds cancel_after{}; ///< 0: never
+};
+
+/// Everything that happens in one simulated run.
+struct promise_history {
+    std::uint64_t seed = 1;
+    int vms = 4;
+    int spare_vms = 0;
+    milliseconds length{20000};
+    double failure_share = 0;    ///< of long-running tasks that fail by themselves in 2 s
+    bool entries_repeat = false; ///< see `scheduler_site::entries_repeat`
+    std::vector<submission> jobs;
+    std::vector<site_event> events;
+};
+
+/// Something that must not happen.
+struct promise_violation {
+    std::string kind; ///< "waits", "duplicate", "early", "limit", "per_worker", "zone", "draining"
+    milliseconds at{};
+    milliseconds lasted{};
+    std::string text;
+};
+
+/// Limit from the end of a run, or the submission, until a long-running task runs again.
+inline constexpr milliseconds promised_restart{6000};
+/// The promise holds after this time without a fault.
+inline constexpr milliseconds promised_calm{7000};
+/// A placement and its start take time, so the room must have existed for this long.
+inline constexpr milliseconds reaction_time{500};
+inline constexpr milliseconds check_interval{100};
+/// Upper limit of the account "team", except while it is lowered.
+inline constexpr std::int64_t usual_limit_millicores = 60000;
+
+/// A simulated site that plays a history.
+class promise_site : public scheduler_site {
+public:
+    explicit promise_site(const promise_history& played)
+        : scheduler_site(played.seed), history(played), origin(this->now) {
+        this->site.set_long_running_failures(played.failure_share, played.seed);
+        this->entries_repeat = played.entries_repeat;
+        this->tick_span = milliseconds(4);
+    }
+
+    [[nodiscard]] std::vector<promise_violation> play() {
+        this->add_vms(this->history.vms);
+        this->add_vms(this->history.spare_vms, "spare");
+        this->take_over();
+        for (const auto& event : this->history.events) {
+            this->schedule_event(event.at, [this, event] { this->apply(event); });
+        }
+        for (const auto& item : this->history.jobs) {
+            this->schedule_event(item.at, [this, item] { this->submit_item(item); });
+        }
+        while (this->now < this->origin + this->history.length) {
+            this->run(check_interval);
+            this->check();
+        }
+        for (const auto& text : this->duplicate_runs()) {
+            this->violations.push_back({.kind = "duplicate", .text = text});
+        }
+        for (const auto& text : this->early_runs()) {
+            this->violations.push_back({.kind = "early", .text = text});
+        }
+        return this->violations;
+    }
+
+private:
+    /// What a long-running task has done so far.
+    struct task_truth {
+        bool runs = false;
+        boot_time idle_since{};
+    };
+    struct lasting_job {
+        job_spec spec;
+        boot_time submitted{};
+    };
+
+    [[nodiscard]] milliseconds elapsed() const {
+        return std::chrono::duration_cast<milliseconds>(this->now - this->origin);
+    }
+
+    void submit_item(const submission& item) {
+        if (!this->is_powered || !this->log_is_up) {
+            this->schedule_event(milliseconds(200), [this, item] { this->submit_item(item); });
+            return;
+        }
+        const auto id = this->submit(item.job);
+        if (item.job.steps.front().long_running) {
+            this->lasting[id] = {.spec = item.job, .submitted = this->now};
+        }
+        if (item.cancel_after.count() > 0) {
+            this->schedule_event(item.cancel_after, [this, id] {
+                this->lasting.erase(id);
+                this->cancel(id);
+            });
+        }
+    }
+
+    /// Marks the site as disturbed for @p duration from now.
+    void disturb(milliseconds duration) {
+        this->disturbed_until = std::max(this->disturbed_until, this->now + duration);
+    }
+
+    /// @return VMs that are up, in the order that @p choice decides, at most @p count of them
+    std::vector<vm_entry> pick_vms(int count, std::uint64_t choice) {
+        std::vector<vm_entry> up;
+        for (const auto& vm : this->site.vms()) {
+            if (vm.condition == vm_condition::up && vm.pool == "pool") {
+                up.push_back(vm);
+            }
+        }
+        std::mt19937_64 order(choice);
+        for (std::size_t left = up.size(); left > 1; --left) {
+            std::swap(up[left - 1], up[order() % left]);
+        }
+        up.resize(std::min(up.size(), static_cast<std::size_t>(std::max(0, count))));
+        return up;
+    }
+
+    void put_into(std::set<std::string>& workers, const site_event& event) {
+        for (const auto& vm : this->pick_vms(event.count, event.choice)) {
+            workers.insert(vm.worker);
+            this->schedule_event(event.duration, [&workers, id = vm.worker] { workers.erase(id); });
+        }
+    }
+
+    void set_behaviours(const site_event& event, start_behaviour behaviour) {
+        for (const auto& vm : this->pick_vms(event.count, event.choice)) {
+            this->site.set_behaviour(vm.worker, behaviour);
+            this->schedule_event(event.duration, [this, id = vm.worker] {
+                this->site.set_behaviour(id, start_behaviour::normal);
+            });
+        }
+    }
+
+    void silence_log(const site_event& event) {
+        if (event.kind == trouble::entries_lapse) {
+            const int count = event.count == 0 ? 1000 : event.count;
+            for (const auto& vm : this->pick_vms(count, event.choice)) {
+                this->lapsed_entries.insert(vm.worker);
+                const auto back = event.duration + milliseconds(this->random() % 2000);
+                this->schedule_event(back, [this, id = vm.worker] { this->lapsed_entries.erase(id); });
+            }
+            this->disturb(event.duration + milliseconds(2000));
+        }
+        ++this->log_outages;
+        this->log_is_up = false;
+        this->schedule_event(event.duration, [this] { this->log_is_up = --this->log_outages == 0; });
+    }
+
+    /// A successor needs the log.
+    void take_over_when_possible() {
+        if (!this->log_is_up) {
+            this->disturb(milliseconds(200));
+            this->schedule_event(milliseconds(100), [this] { this->take_over_when_possible(); });
+            return;
+        }
+        this->is_powered = true;
+        this->take_over();
+    }
+
+    void restart_workers(const site_event& event) {
+        for (const auto& vm : this->pick_vms(event.count, event.choice)) {
+            worker_restart changes{.clock_stepped_back =
+                                       event.kind == trouble::restart_earlier ||
+                                       (event.kind == trouble::restart_elsewhere && event.choice % 4 == 0),
+                                   .new_address = event.kind == trouble::restart_elsewhere};
+            if (event.kind == trouble::restart_elsewhere) {
+                changes.capacity = vm.capacity;
+                changes.capacity->cpu_millicores = changes.capacity->cpu_millicores * 3 / 4;
+            }
+            if (const auto worker = this->site.restart(vm.id, changes, this->now)) {
+                this->break_hold(*worker);
+            }
+        }
+    }
+
+    void drain_and_leave(const site_event& event) {
+        for (const auto& vm : this->pick_vms(event.count, event.choice)) {
+            this->site.set_draining(vm.id, true);
+            this->schedule_event(event.duration, [this, vm] {
+                this->site.remove_vm(vm.id, this->now);
+                this->break_hold(vm.worker);
+            });
+        }
+    }
+
+    void begin_wave(const site_event& event) {
+        wave_request wave{.number = ++this->waves_begun,
+                          .duration = event.duration,
+                          .max_down = std::max(1, event.count / 2)};
+        for (const auto& vm : this->pick_vms(event.count, event.choice)) {
+            wave.vms.push_back(vm.id);
+        }
+        this->request_wave(std::move(wave));
+    }
+
+    void lower_limit(const site_event& event) {
+        auto lowered = this->current_config();
+        lowered.accounts.front().upper_limit.cpu_millicores = usual_limit_millicores / 4;
+        this->publish_config(lowered);
+        this->schedule_event(event.duration, [this] {
+            auto raised = this->current_config();
+            raised.accounts.front().upper_limit.cpu_millicores = usual_limit_millicores;
+            this->publish_config(raised);
+        });
+    }
+
+    void submit_jobs(const site_event& event) {
+        for (int number = 0; number < event.count; ++number) {
+            auto job = batch_job(event.kind == trouble::poison ? 2 : 12, 3000);
+            job.account.clear();
+            const auto id = this->submit(job);
+            if (event.kind == trouble::poison) {
+                this->site.set_failing(id);
+            }
+        }
+    }
+
+    void apply(const site_event& event) {
+        constexpr milliseconds moment{0};
+        switch (event.kind) {
+        case trouble::log_silent:
+        case trouble::entries_lapse:
+            this->disturb(event.duration);
+            this->silence_log(event);
+            return;
+        case trouble::log_slow:
+            this->disturb(event.duration + milliseconds(1500));
+            this->append_delay = milliseconds(200 + event.choice % 1300);
+            this->schedule_event(event.duration, [this] { this->append_delay = milliseconds(0); });
+            return;
+        case trouble::takeover:
+            this->disturb(moment);
+            this->take_over_when_possible();
+            return;
+        case trouble::power_loss:
+            this->disturb(event.duration);
+            this->is_powered = false;
+            this->schedule_event(event.duration, [this] { this->take_over_when_possible(); });
+            return;
+        case trouble::cut_answers:
+            this->disturb(event.duration);
+            this->put_into(this->unanswered_workers, event);
+            return;
+        case trouble::cut_both:
+            this->disturb(event.duration);
+            this->put_into(this->cut_workers, event);
+            return;
+        case trouble::late_orders:
+            this->disturb(event.duration);
+            this->put_into(this->late_workers, event);
+            return;
+        case trouble::slow_answers:
+            this->disturb(event.duration + milliseconds(800));
+            this->answer_jitter = milliseconds(800);
+            this->schedule_event(event.duration, [this] { this->answer_jitter = milliseconds(0); });
+            return;
+        case trouble::crash:
+            this->disturb(moment);
+            for (const auto& vm : this->pick_vms(event.count, event.choice)) {
+                this->site.crash(vm.id, this->now);
+                this->break_hold(vm.worker);
+            }
+            return;
+        case trouble::restart:
+        case trouble::restart_earlier:
+        case trouble::restart_elsewhere:
+            this->disturb(moment);
+            this->restart_workers(event);
+            return;
+        case trouble::vm_down:
+            this->disturb(event.duration);
+            for (const auto& vm : this->pick_vms(event.count, event.choice)) {
+                const auto back = event.duration.count() == 0 ? boot_time::max() : this->now + event.duration;
+                this->site.take_down(vm.id, back, this->now);
+                this->break_hold(vm.worker);
+            }
+            return;
+        case trouble::fails_all:
+            this->disturb(event.duration);
+            this->set_behaviours(event, start_behaviour::fails_all);
+            return;
+        case trouble::fails_share:
+            this->disturb(event.duration);
+            this->set_behaviours(event, start_behaviour::fails_share);
+            return;
+        case trouble::unhealthy:
+            this->disturb(event.duration);
+            this->set_behaviours(event, start_behaviour::unhealthy);
+            return;
+        case trouble::no_room:
+            this->disturb(event.duration);
+            this->set_behaviours(event, start_behaviour::no_room);
+            return;
+        case trouble::vm_list_down:
+            this->disturb(event.duration);
+            this->vm_list_is_down = true;
+            this->schedule_event(event.duration, [this] { this->vm_list_is_down = false; });
+            return;
+        case trouble::vm_list_slow:
+            this->disturb(event.duration + milliseconds(3000));
+            this->vm_list_delay = milliseconds(500 + event.choice % 2500);
+            this->schedule_event(event.duration, [this] { this->vm_list_delay = milliseconds(0); });
+            return;
+        case trouble::drain_and_leave:
+            this->drain_and_leave(event);
+            return;
+        case trouble::wave:
+            this->begin_wave(event);
+            return;
+        case trouble::zone_out:
+            this->set_zones_out({event.choice % 2 == 0 ? "zone-a" : "zone-b"});
+            this->schedule_event(event.duration, [this] { this->set_zones_out({}); });
+            return;
+        case trouble::limit_lowered:
+            this->lower_limit(event);
+            return;
+        case trouble::config_change:
+            this->publish_config(this->current_config());
+            return;
+        case trouble::poison:
+        case trouble::burst:
+            this->submit_jobs(event);
+            return;
+        }
+    }
+
+    [[nodiscard]] bool is_calm() const {
+        const auto disturbed = std::max(this->disturbed_until, this->late_until);
+        return this->log_is_up && this->is_powered && this->now >= disturbed + promised_calm;
+    }
+
+    /// @return whether the worker has room for one more task of the step, twice over
+    [[nodiscard]] bool has_room(const observed_worker& worker, const std::string& job,
+                                const step_spec& step) const {
+        auto need = step.need;
+        need.cpu_millicores = step.best_effort ? 0 : need.cpu_millicores;
+        const resources twice{.cpu_millicores = need.cpu_millicores * 2,
+                              .memory_mb = need.memory_mb * 2,
+                              .accelerators = need.accelerators * 2};
+        const auto of_step = std::count_if(worker.tasks.begin(), worker.tasks.end(),
+                                           [&job](const auto& task) { return task.job == job; });
+        const auto& id = worker.entry.id;
+        return worker.entry.pool == "pool" && worker.behaviour == start_behaviour::normal &&
+               !worker.entry.draining && !this->lapsed_entries.contains(id) &&
+               !this->unanswered_workers.contains(id) && !this->cut_workers.contains(id) &&
+               !this->late_workers.contains(id) && !this->zones_out.contains(worker.entry.zone) &&
+               (step.required_label.empty() || worker.entry.has_label(step.required_label)) &&
+               (step.max_per_worker == 0 || of_step < step.max_per_worker) && fits(twice, worker.available);
+    }
+
+    /// @return millicores of what runs for the account
+    [[nodiscard]] std::int64_t use_of(const std::string& account,
+                                      const std::vector<observed_worker>& workers) const {
+        std::int64_t used = 0;
+        for (const auto& worker : workers) {
+            for (const auto& task : worker.tasks) {
+                const auto& job = this->job_of(task.job);
+                used += job.account == account
+                            ? job.steps[static_cast<std::size_t>(task.step)].need.cpu_millicores
+                            : 0;
+            }
+        }
+        return used;
+    }
+
+    [[nodiscard]] bool account_has_room(const std::string& account, const resources& need,
+                                        const std::vector<observed_worker>& workers) const {
+        const auto* limits = account.empty() ? nullptr : this->current_config().find_account(account);
+        if (limits == nullptr || limits->upper_limit.cpu_millicores == 0) {
+            return true;
+        }
+        const auto used = this->use_of(account, workers);
+        return used * 2 < limits->upper_limit.cpu_millicores &&
+               used + need.cpu_millicores <= limits->upper_limit.cpu_millicores;
+    }
+
+    void check() {
+        this->site.advance(this->now);
+        const auto workers = this->site.observe_workers();
+        std::map<task_id, task_truth> truth;
+        for (const auto& run : this->site.history()) {
+            auto& entry = truth[run.task];
+            const bool runs = run.ended_at == boot_time::max();
+            entry.runs = entry.runs || runs;
+            entry.idle_since = std::max(entry.idle_since, runs ? this->now : run.ended_at);
+        }
+        this->check_rules(workers);
+        for (const auto& [id, job] : this->lasting) {
+            const auto& step = job.spec.steps.front();
+            for (std::int32_t index = 0; index < step.count; ++index) {
+                const task_id task{.job = id, .index = index};
+                const auto found = truth.find(task);
+                const bool runs = found != truth.end() && found->second.runs;
+                const auto idle_since = found == truth.end() ? job.submitted : found->second.idle_since;
+                this->check_task(task, job, runs, idle_since, workers);
+            }
+        }
+    }
+
+    void check_task(const task_id& task, const lasting_job& job, bool runs, boot_time idle_since,
+                    const std::vector<observed_worker>& workers) {
+        const auto& step = job.spec.steps.front();
+        const bool is_late = !runs && this->now >= idle_since + promised_restart && this->is_calm() &&
+                             this->account_has_room(job.spec.account, step.need, workers);
+        std::string rooms;
+        for (const auto& worker : workers) {
+            if (is_late && this->has_room(worker, task.job, step)) {
+                rooms += this->describe(worker);
+            }
+        }
+        if (rooms.empty()) {
+            this->late_since.erase(task);
+            this->open_violations.erase(task);
+            return;
+        }
+        const auto since = this->late_since.emplace(task, this->now).first->second;
+        if (this->now < since + reaction_time) {
+            return;
+        }
+        const auto open = this->open_violations.find(task);
+        const auto lasted = std::chrono::duration_cast<milliseconds>(this->now - since);
+        if (open != this->open_violations.end()) {
+            this->violations[open->second].lasted = lasted;
+            return;
+        }
+        this->open_violations[task] = this->violations.size();
+        const auto idle = std::chrono::duration_cast<milliseconds>(this->now - idle_since);
+        this->violations.push_back(
+            {.kind = "waits",
+             .at = this->elapsed(),
+             .lasted = lasted,
+             .text = fmt::format("task {} of {} ({}) not at work for {} ms; room on{}", task.index, task.job,
+                                 job.spec.queue, idle.count(), rooms)});
+    }
+
+    std::string describe(const observed_worker& worker) {
+        std::string block = "not known";
+        const auto dumped = this->schedule->dump(this->now);
+        for (const auto& known : dumped.at("workers").as_array()) {
+            if (known.at("worker").as_string() == worker.entry.id) {
+                block =
+                    fmt::format("{}, {} tasks, {} unanswered", known.at("block").as_string().c_str(),
+                                known.at("tasks").to_number<int>(), known.at("unanswered").to_number<int>());
+            }
+        }
+        return fmt::format(" {}/{} (runs {}; scheduler: {})", worker.entry.id, worker.vm, worker.tasks.size(),
+                           block);
+    }
+
+    /// Checks what runs by the rules that hold unless orders are carried out late.
+    void check_rules(const std::vector<observed_worker>& workers) {
+        constexpr milliseconds rule_delay{1000};
+        if (this->now < this->late_until + rule_delay) {
+            return;
+        }
+        constexpr std::int64_t largest_excess = usual_limit_millicores / 10 + 8000; // and one task
+        const auto used = this->use_of("team", workers);
+        if (used > usual_limit_millicores + largest_excess) {
+            this->violations.push_back({.kind = "limit",
+                                        .at = this->elapsed(),
+                                        .text = fmt::format("an account uses {} millicores", used)});
+        }
+        for (const auto& worker : workers) {
+            std::map<std::string, std::int32_t> by_job;
+            for (const auto& task : worker.tasks) {
+                const auto limit =
+                    this->job_of(task.job).steps[static_cast<std::size_t>(task.step)].max_per_worker;
+                if (limit > 0 && ++by_job[task.job] == limit + 1) {
+                    this->violations.push_back(
+                        {.kind = "per_worker",
+                         .at = this->elapsed(),
+                         .text = fmt::format("{} tasks of {} on {}", limit + 1, task.job, worker.entry.id)});
+                }
+            }
+        }
+    }
+
+    promise_history history;
+    boot_time origin;
+    boot_time disturbed_until{};
+    int log_outages = 0;
+    std::int64_t waves_begun = 0;
+    std::map<std::string, lasting_job> lasting;
+    std::map<task_id, boot_time> late_since;
+    std::map<task_id, std::size_t> open_violations; ///< index in `violations`
+    std::vector<promise_violation> violations;
+};
+
+/// Draws histories.
+class history_generator {
+public:
+    explicit history_generator(std::uint64_t seed) : random(seed) {}
+
+    promise_history make() {
+        promise_history made{.seed = this->random(),
+                             .vms = this->between(2, 12),
+                             .spare_vms = this->chance(0.4) ? this->between(1, 5) : 0,
+                             .failure_share = this->chance(0.5) ? 0.03 : 0,
+                             .entries_repeat = this->chance(0.5)};
+        const bool memory_is_scarce = this->chance(0.4);
+        const int jobs = this->between(1, 4);
+        for (int number = 0; number < jobs; ++number) {
+            made.jobs.push_back(this->lasting_job(made.vms, memory_is_scarce));
+        }
+        milliseconds at{4000};
+        const int rounds = this->between(2, 4);
+        for (int round = 0; round < rounds; ++round) {
+            const int events = this->between(1, this->chance(0.3) ? 10 : 4);
+            const auto begin = made.events.size();
+            for (int number = 0; number < events; ++number) {
+                made.events.push_back(this->event(at, made.vms));
+            }
+            auto end = at;
+            for (auto item = begin; item < made.events.size(); ++item) {
+                end = std::max(end, made.events[item].at +
+                                        std::min(made.events[item].duration, milliseconds(15000)));
+            }
+            at = end + milliseconds(this->between(9000, 14000));
+        }
+        made.length = at + milliseconds(3000);
+        this->add_batch_jobs(made);
+        return made;
+    }
+
+private:
+    bool chance(double probability) {
+        return std::uniform_real_distribution<double>(0, 1)(this->random) < probability;
+    }
+    int between(int low, int high) {
+        return low + static_cast<int>(this->random() % static_cast<std::uint64_t>(high - low + 1));
+    }
+
+    submission lasting_job(int vms, bool memory_is_scarce) {
+        const int count = this->between(1, std::max(1, vms));
+        auto job = long_running_job(count, std::max(1, count * 15 / 100));
+        job.pool = "pool";
+        auto& step = job.steps.front();
+        step.max_per_worker = this->chance(0.6) ? 1 : this->between(0, 2);
+        step.need = {.cpu_millicores = 1000 * this->between(1, 8),
+                     .memory_mb = memory_is_scarce ? 1000 * this->between(5, 43) : 1000};
+        step.best_effort = this->chance(0.15);
+        step.required_label = this->chance(0.15) ? fmt::format("r{}", this->between(0, 2)) : "";
+        job.queue = this->chance(0.15) ? "advised" : "lasting";
+        job.account = this->chance(0.3) ? "team" : "";
+        return {.at = milliseconds(this->between(0, 8000)),
+                .job = std::move(job),
+                .cancel_after = milliseconds(this->chance(0.15) ? this->between(5000, 40000) : 0)};
+    }
+
+    site_event event(milliseconds at, int vms) {
+        const auto kind = static_cast<trouble>(this->between(0, trouble_count - 1));
+        site_event made{.at = at + milliseconds(this->between(0, 3000)),
+                        .kind = kind,
+                        .duration = milliseconds(this->between(200, 8000)),
+                        .count = this->between(1, vms),
+                        .choice = this->random()};
+        switch (kind) {
+        case trouble::entries_lapse:
+            made.count = this->chance(0.5) ? 0 : made.count;
+            break;
+        case trouble::vm_down:
+            made.duration = this->chance(0.3) ? milliseconds(0) : made.duration;
+            break;
+        case trouble::drain_and_leave:
+            made.duration = milliseconds(this->between(2000, 6000));
+            made.count = this->between(1, std::max(1, vms - 1));
+            break;
+        case trouble::wave:
+            made.duration = milliseconds(this->between(8000, 30000));
+            break;
+        case trouble::zone_out:
+        case trouble::limit_lowered:
+            made.duration = milliseconds(this->between(4000, 20000));
+            break;
+        case trouble::poison:
+            made.count = this->between(5, 60);
+            break;
+        case trouble::burst:
+            made.count = this->between(1, 10);
+            break;
+        default:
+            break;
+        }
+        return made;
+    }
+
+    void add_batch_jobs(promise_history& made) {
+        const int gap = this->between(300, 4000);
+        for (milliseconds at{1000}; at < made.length - milliseconds(4000); at += milliseconds(gap)) {
+            auto job = batch_job(this->between(1, 8), 1000 * this->between(1, 4));
+            job.queue = this->chance(0.1) ? "advised" : "batch";
+            job.account = this->chance(0.5) ? "team" : "";
+            if (this->chance(0.3)) {
+                job.steps.push_back(job.steps.front());
+                job.steps.back().after = {0};
+            }
+            made.jobs.push_back({.at = at + milliseconds(this->between(0, 200)), .job = std::move(job)});
+        }
+    }
+
+    std::mt19937_64 random;
+};
+
+} // namespace hornbeamrail::test
