--- a/src/fakes/fake_site.cpp
+++ b/src/fakes/fake_site.cpp
@@ -100,7 +100,11 @@
 }
 
 void fake_site::start_instance(site_vm& vm, boot_time now) {
-    const auto id = fmt::format("{}{}", this->limits.worker_prefix, this->next_instance++);
+    this->start_instance(vm, fmt::format("{}{}", this->limits.worker_prefix, this->next_instance), now);
+}
+
+void fake_site::start_instance(site_vm& vm, const std::string& id, boot_time now) {
+    ++this->next_instance;
     vm.entry.worker = id;
     vm.entry.condition = vm_condition::up;
     this->instances[id] = {.entry = {.id = id,
@@ -284,6 +288,42 @@
     }
 }
 
+void fake_site::restart(const std::string& vm, boot_time now) {
+    const auto found = this->site_vms.find(vm);
+    if (found != this->site_vms.end() && found->second.entry.condition == vm_condition::up) {
+        const auto id = found->second.entry.worker;
+        this->end_instance(id, now);
+        this->start_instance(found->second, id, now);
+    }
+}
+
+void fake_site::drain(const std::string& vm) {
+    const auto found = this->site_vms.find(vm);
+    if (found == this->site_vms.end()) {
+        return;
+    }
+    if (auto* worker = this->find_instance({.id = found->second.entry.worker})) {
+        worker->entry.draining = true;
+    }
+}
+
+void fake_site::fail_runs(const std::string& worker, const std::function<bool(const observed_run&)>& selects,
+                          boot_time now) {
+    auto* found = this->find_instance({.id = worker});
+    if (found == nullptr) {
+        return;
+    }
+    std::vector<task_id> failed;
+    for (const auto& [id, task] : found->tasks) {
+        if (selects(this->runs[task.run_index])) {
+            failed.push_back(id);
+        }
+    }
+    for (const auto& id : failed) {
+        this->finish(*found, id, task_end::failed, now);
+    }
+}
+
 void fake_site::advance(boot_time now) {
     for (auto& [id, worker] : this->instances) {
         std::vector<std::pair<task_id, task_end>> finished;
--- a/src/fakes/fake_site.hpp
+++ b/src/fakes/fake_site.hpp
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <string>
 #include <utility>
@@ -85,6 +86,18 @@
     /// Ends the worker of a VM and starts a new instance with a new id at once.
     void crash(const std::string& vm, boot_time now);
 
+    /// Ends the worker of a VM and starts a new instance under the same id at once. It knows nothing of
+    /// before.
+    void restart(const std::string& vm, boot_time now);
+
+    /// Makes the worker of a VM report that it drains. It goes on serving.
+    void drain(const std::string& vm);
+
+    /// Fails the tasks on a worker.
+    /// @param selects called with each run on the worker; true: its task fails
+    void fail_runs(const std::string& worker, const std::function<bool(const observed_run&)>& selects,
+                   boot_time now);
+
     /// Ends tasks that are complete or whose lease has lapsed, and restarts the workers of VMs whose move or
     /// maintenance is complete.
     void advance(boot_time now);
@@ -123,6 +136,7 @@
 
     instance* find_instance(const worker_target& worker);
     void start_instance(site_vm& vm, boot_time now);
+    void start_instance(site_vm& vm, const std::string& id, boot_time now);
     void end_instance(const std::string& worker, boot_time now);
     void finish(instance& worker, const task_id& task, task_end outcome, boot_time now);
     /// @return the time since the start of the worker instance
--- a/tests/wire_standin.hpp
+++ b/tests/wire_standin.hpp
@@ -18,13 +18,41 @@
 #include <array>
 #include <charconv>
 #include <functional>
+#include <iterator>
+#include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <stdexcept>
 
 namespace hornbeamrail::test {
 
+/// How the log answers.
+enum class log_condition {
+    up,
+    refusing, ///< answers 503; nothing is done
+    silent,   ///< does nothing and does not answer
+};
+
+/// Fault of the worker on a VM.
+enum class worker_fault {
+    none,
+    refuses_starts, ///< answers 503 to start orders
+    fails_runs,     ///< every task fails shortly after its start
+    loses_answers,  ///< carries out orders and holds and does not answer
+    late,           ///< carries them out seconds later and does not answer
+    down,           ///< its connections are closed
+};
+
+/// @return name of the fault in reports of a soak
+constexpr std::string_view to_string(worker_fault fault) noexcept {
+    constexpr std::array<std::string_view, 6> names{
+        "none",   "refuses starts", "fails all runs", "loses its answers", "carries out orders late",
+        "is down"};
+    return names[static_cast<std::size_t>(fault)];
+}
+
 /// Fake platform that answers over HTTP. Thread-safe.
 class wire_standin : public std::enable_shared_from_this<wire_standin> {
 public:
@@ -63,13 +91,41 @@
     }
 
     /// Appends the operators' configuration to the log.
-    void write_config(std::string text) {
+    void write_config(std::string text) { this->write(log_topic::operators, "config", std::move(text)); }
+
+    /// Appends a record of another writer to the log.
+    /// @param value empty: the key is deleted
+    void write(log_topic topic, std::string key, std::string value) {
+        const std::lock_guard lock(this->mutex);
+        this->log.append({.topic = topic, .records = {{.key = std::move(key), .value = std::move(value)}}});
+    }
+
+    /// Sets how the log answers from now on, to calls that wait as well.
+    void set_log(log_condition condition) {
+        const std::lock_guard lock(this->mutex);
+        this->log_now = condition;
+    }
+
+    /// Lets the entries of workers reach the log or not. Entries lapse after a while without.
+    void set_heartbeats(bool reach_the_log) {
+        const std::lock_guard lock(this->mutex);
+        this->heartbeats_reach_log = reach_the_log;
+    }
+
+    /// Sets the fault of the worker on a VM, which outlives the worker.
+    void set_worker_fault(const std::string& vm, worker_fault fault) {
+        const std::lock_guard lock(this->mutex);
+        this->worker_faults[vm] = fault;
+    }
+
+    [[nodiscard]] worker_fault fault_of_vm(const std::string& vm) {
         const std::lock_guard lock(this->mutex);
-        this->log.append(
-            {.topic = log_topic::operators, .records = {{.key = "config", .value = std::move(text)}}});
+        const auto found = this->worker_faults.find(vm);
+        return found == this->worker_faults.end() ? worker_fault::none : found->second;
     }
 
-    /// Starts publishing the list of workers, all at @p worker_address, every 50 ms.
+    /// Starts publishing the list of workers, all at @p worker_address. Changes are written within 50 ms, and
+    /// each entry again by heartbeat.
     void publish_workers(endpoint worker_address) {
         constexpr std::chrono::milliseconds interval{50};
         this->threads.repeat(interval, [weak = this->weak_from_this(), worker_address] {
@@ -83,6 +139,28 @@
     }
 
 private:
+    /// Sends a response, or closes the connection without one.
+    using responder = std::function<void(std::optional<http_response>)>;
+
+    /// Interval at which a worker writes its entry.
+    static constexpr std::chrono::milliseconds heartbeat{1500};
+    /// Time without a heartbeat after which an entry lapses.
+    static constexpr std::chrono::milliseconds entry_lifetime = 3 * heartbeat;
+    /// Delay of orders to a worker that is late.
+    static constexpr std::chrono::milliseconds late_order_time{2500};
+    /// Time for which a connection stays open without the answer.
+    static constexpr std::chrono::milliseconds silence{10000};
+    /// Run time of the tasks on a worker that fails all runs.
+    static constexpr std::chrono::milliseconds time_to_failure{100};
+
+    /// Entry of a worker as written to the log.
+    struct published_entry {
+        std::string value;
+        boot_time written{};
+        boot_time next_heartbeat{};
+        bool lapsed = false;
+    };
+
     explicit wire_standin(io_threads& workers) : threads(workers) {}
 
     static http_response answer(int status, const boost::json::object& body) {
@@ -141,31 +219,103 @@
 
     void handle(http_request request, http_reply reply) {
         const auto path = request.target.substr(0, request.target.find('?'));
+        if (path.starts_with("/hornbeamrail/log-")) {
+            this->handle_log_call(path, request, reply);
+        } else if (path.starts_with("/hornbeamrail/machine")) {
+            reply.send(this->answer_now(path, request));
+        } else {
+            this->handle_worker_call(path, request, reply);
+        }
+    }
+
+    void handle_log_call(const std::string& path, const http_request& request, const http_reply& reply) {
         if (path == "/hornbeamrail/log-read") {
             const auto deadline =
                 boot_clock::now() + std::chrono::milliseconds(query_number(request.target, "WaitMs"));
-            this->read(request.target, deadline, std::move(reply));
-            return;
+            this->read(request.target, deadline, reply);
+        } else if (!this->handles_log_fault(reply)) {
+            reply.send(this->answer_now(path, request));
         }
-        if (path == "/hornbeamrail/hold") {
-            const auto body = boost::json::parse(request.body).as_object();
-            const auto* wait = body.if_contains("WaitMs");
-            const auto deadline =
-                boot_clock::now() +
-                std::chrono::milliseconds(wait == nullptr ? 0 : wait->to_number<std::int64_t>());
-            this->hold(std::string(request.headers.value_or("X-Expect-Instance", "")), body, deadline,
-                       std::move(reply));
+    }
+
+    void handle_worker_call(const std::string& path, const http_request& request, const http_reply& reply) {
+        const auto fault =
+            this->fault_of_worker(std::string(request.headers.value_or("X-Expect-Instance", "")));
+        if (fault == worker_fault::down) {
+            reply.abandon();
+        } else if (fault == worker_fault::refuses_starts && path == "/hornbeamrail/run-start") {
+            reply.send(answer(503, {}));
+        } else if (fault == worker_fault::loses_answers) {
+            this->leave_unanswered(reply);
+            this->carry_out(path, request, [](const std::optional<http_response>&) {});
+        } else if (fault == worker_fault::late) {
+            this->leave_unanswered(reply);
+            this->threads.run_after(late_order_time, [weak = this->weak_from_this(), path, request] {
+                if (const auto self = weak.lock()) {
+                    self->carry_out(path, request, [](const std::optional<http_response>&) {});
+                }
+            });
+        } else {
+            this->carry_out(path, request, [reply](std::optional<http_response> response) {
+                if (response) {
+                    reply.send(std::move(*response));
+                } else {
+                    reply.abandon();
+                }
+            });
+        }
+    }
+
+    void carry_out(const std::string& path, const http_request& request, const responder& respond) {
+        if (path != "/hornbeamrail/hold") {
+            respond(this->answer_now(path, request));
             return;
         }
-        http_response response;
+        const auto body = boost::json::parse(request.body).as_object();
+        const auto* wait = body.if_contains("WaitMs");
+        const auto deadline = boot_clock::now() + std::chrono::milliseconds(
+                                                      wait == nullptr ? 0 : wait->to_number<std::int64_t>());
+        this->hold(std::string(request.headers.value_or("X-Expect-Instance", "")), body, deadline, respond);
+    }
+
+    /// Keeps the connection open, as after a loss that no side notices.
+    void leave_unanswered(const http_reply& reply) {
+        this->threads.run_after(silence, [reply] { reply.abandon(); });
+    }
+
+    /// @return whether the log is away, so that the call was refused or stays unanswered
+    bool handles_log_fault(const http_reply& reply) {
+        log_condition condition = log_condition::up;
         {
             const std::lock_guard lock(this->mutex);
-            response = this->answer_now(path, request);
+            condition = this->log_now;
         }
-        reply.send(std::move(response));
+        if (condition == log_condition::refusing) {
+            reply.send(answer(503, {}));
+        } else if (condition == log_condition::silent) {
+            this->leave_unanswered(reply);
+        }
+        return condition != log_condition::up;
+    }
+
+    worker_fault fault_of_worker(const std::string& worker) {
+        const std::lock_guard lock(this->mutex);
+        return this->find_fault(worker);
+    }
+
+    /// @return fault of the worker; the caller holds the lock
+    [[nodiscard]] worker_fault find_fault(const std::string& worker) const {
+        for (const auto& vm : this->site.vms()) {
+            const auto found = this->worker_faults.find(vm.id);
+            if (vm.worker == worker && found != this->worker_faults.end()) {
+                return found->second;
+            }
+        }
+        return worker_fault::none;
     }
 
     http_response answer_now(const std::string& path, const http_request& request) {
+        const std::lock_guard lock(this->mutex);
         if (path == "/hornbeamrail/log-append") {
             return this->append(request);
         }
@@ -212,6 +362,9 @@
 
     void read(const std::string& target, boot_time deadline, http_reply reply) {
         constexpr std::chrono::milliseconds poll_interval{5};
+        if (this->handles_log_fault(reply)) {
+            return;
+        }
         http_response response;
         {
             const std::lock_guard lock(this->mutex);
@@ -305,30 +458,37 @@
     }
 
     void hold(const std::string& worker, const boost::json::object& body, boot_time deadline,
-              http_reply reply) {
+              const responder& respond) {
         constexpr std::chrono::milliseconds poll_interval{5};
-        http_response response;
+        std::optional<http_response> response;
         {
             const std::lock_guard lock(this->mutex);
             const auto now = boot_clock::now();
             this->site.advance(now);
-            if (now < deadline && !this->site.has_end(worker)) {
+            const bool is_down = this->find_fault(worker) == worker_fault::down;
+            if (!is_down && now < deadline && !this->site.has_end(worker)) {
                 this->threads.run_after(poll_interval,
-                                        [weak = this->weak_from_this(), worker, body, deadline, reply] {
+                                        [weak = this->weak_from_this(), worker, body, deadline, respond] {
                                             if (const auto self = weak.lock()) {
-                                                self->hold(worker, body, deadline, reply);
+                                                self->hold(worker, body, deadline, respond);
                                             }
                                         });
                 return;
             }
-            hold_order order{.fence = body.at("Fence").to_number<std::int64_t>(),
-                             .acknowledged_end = body.at("AckCursor").to_number<std::int64_t>()};
-            if (const auto* lease = body.if_contains("UntilMs")) {
-                order.lease_until = std::chrono::milliseconds(lease->to_number<std::int64_t>());
+            if (!is_down) {
+                response = this->hold_now(worker, body, now);
             }
-            response = encode_report(this->site.hold({.id = worker}, order, now));
         }
-        reply.send(std::move(response));
+        respond(std::move(response));
+    }
+
+    http_response hold_now(const std::string& worker, const boost::json::object& body, boot_time now) {
+        hold_order order{.fence = body.at("Fence").to_number<std::int64_t>(),
+                         .acknowledged_end = body.at("AckCursor").to_number<std::int64_t>()};
+        if (const auto* lease = body.if_contains("UntilMs")) {
+            order.lease_until = std::chrono::milliseconds(lease->to_number<std::int64_t>());
+        }
+        return encode_report(this->site.hold({.id = worker}, order, now));
     }
 
     static http_response encode_report(const hold_report& report) {
@@ -383,34 +543,63 @@
         return vm_outcome == vm_order_outcome::done ? answer(200, {}) : answer(409, {{"Reason", "busy"}});
     }
 
+    static std::string encode_entry(const worker_entry& worker, const endpoint& address) {
+        return boost::json::serialize(boost::json::object{
+            {"Service", worker.pool},
+            {"Address", to_string(address)},
+            {"Zone", worker.zone},
+            {"State", worker.draining ? "draining" : "ready"},
+            {"Capacity", {{"Cpu", worker.capacity.cpu_millicores}, {"MemMb", worker.capacity.memory_mb}}},
+            {"Labels", boost::json::array(worker.labels.begin(), worker.labels.end())},
+            {"born", worker.instance_started_ms}});
+    }
+
     void refresh_workers(const endpoint& worker_address) {
-        this->site.advance(boot_clock::now());
-        std::set<std::string> now_listed;
-        std::vector<keyed_record> changes;
+        const auto now = boot_clock::now();
+        this->site.advance(now);
+        this->fail_runs(now);
+        std::set<std::string> running;
         for (const auto& worker : this->site.workers()) {
-            now_listed.insert(worker.id);
-            if (!this->listed.contains(worker.id)) {
-                changes.push_back(
-                    {.key = worker.id,
-                     .value = boost::json::serialize(boost::json::object{
-                         {"Service", worker.pool},
-                         {"Address", to_string(worker_address)},
-                         {"Zone", worker.zone},
-                         {"State", "ready"},
-                         {"Capacity",
-                          {{"Cpu", worker.capacity.cpu_millicores}, {"MemMb", worker.capacity.memory_mb}}},
-                         {"Labels", boost::json::array(worker.labels.begin(), worker.labels.end())},
-                         {"born", worker.instance_started_ms}})});
+            running.insert(worker.id);
+            if (this->find_fault(worker.id) != worker_fault::down) {
+                this->publish(worker.id, encode_entry(worker, worker_address), now);
             }
         }
-        for (const auto& id : this->listed) {
-            if (!now_listed.contains(id)) {
-                changes.push_back({.key = id});
+        for (auto at = this->published.begin(); at != this->published.end();) {
+            auto& [id, entry] = *at;
+            const bool has_left = this->heartbeats_reach_log && !running.contains(id);
+            if (!entry.lapsed && (has_left || now - entry.written >= entry_lifetime)) {
+                entry.lapsed = true;
+                this->log.append({.topic = log_topic::workers, .records = {{.key = id}}});
             }
+            at = has_left ? this->published.erase(at) : std::next(at);
         }
-        this->listed = std::move(now_listed);
-        if (!changes.empty()) {
-            this->log.append({.topic = log_topic::workers, .records = std::move(changes)});
+    }
+
+    /// Writes the entry of a worker when it has changed and by heartbeat, if it reaches the log.
+    void publish(const std::string& id, const std::string& value, boot_time now) {
+        auto& entry = this->published[id];
+        const bool beats = now >= entry.next_heartbeat;
+        if (beats) {
+            entry.next_heartbeat = now + heartbeat;
+        }
+        if (!this->heartbeats_reach_log || (!beats && entry.value == value)) {
+            return;
+        }
+        entry.value = value;
+        entry.written = now;
+        entry.lapsed = false;
+        this->log.append({.topic = log_topic::workers, .records = {{.key = id, .value = value}}});
+    }
+
+    void fail_runs(boot_time now) {
+        for (const auto& vm : this->site.vms()) {
+            const auto found = this->worker_faults.find(vm.id);
+            if (found != this->worker_faults.end() && found->second == worker_fault::fails_runs) {
+                this->site.fail_runs(
+                    vm.worker, [now](const auto& run) { return now - run.started_at >= time_to_failure; },
+                    now);
+            }
         }
     }
 
@@ -418,7 +607,10 @@
     std::mutex mutex; ///< guards all members below except the server
     fake_keyed_log log;
     fake_site site{{}};
-    std::set<std::string> listed;
+    std::map<std::string, published_entry> published;  ///< by worker id
+    std::map<std::string, worker_fault> worker_faults; ///< by VM id
+    log_condition log_now = log_condition::up;
+    bool heartbeats_reach_log = true;
     std::unique_ptr<http_server> server;
 };
 
