--- a/src/scheduler/scheduler_dispatch.cpp
+++ b/src/scheduler/scheduler_dispatch.cpp
@@ -106,15 +106,24 @@
     if (this->is_reserved(worker.entry.id)) {
         return worker_block::vm_reserved;
     }
+    if (now < worker.refused_until) {
+        return worker_block::refusing;
+    }
     return now < worker.avoid_until ? worker_block::avoided : worker_block::none;
 }
 
 accepting_workers scheduler::impl::find_accepting_workers(const std::string& pool, boot_time now) {
     accepting_workers found;
+    std::vector<failing_worker> failing;
     for (auto& [id, worker] : this->workers) {
-        if (worker.entry.pool != pool || this->find_block(worker, now) != worker_block::none) {
+        const auto block =
+            worker.entry.pool == pool ? this->find_block(worker, now) : worker_block::not_listed;
+        if (block != worker_block::none && block != worker_block::avoided) {
             continue;
         }
+        if (block == worker_block::avoided) {
+            failing.push_back({.index = found.views.size(), .recent_failures = worker.recent_failures});
+        }
         auto available = worker.entry.capacity;
         available -= worker.used;
         found.views.push_back({.id = id,
@@ -126,6 +135,7 @@
                                .long_running_tasks = worker.long_running_tasks});
         found.controls.push_back(&worker);
     }
+    set_standings(found.views, std::move(failing));
     return found;
 }
 
@@ -146,6 +156,7 @@
                               .max_per_worker = step.max_per_worker,
                               .best_effort = step.best_effort,
                               .latency_sensitive = step.latency_target.count() > 0,
+                              .may_fail = step.long_running,
                               .spread = step.long_running};
     if (step.best_effort) {
         request.need.cpu_millicores = 0;
@@ -190,7 +201,9 @@
     if (this->log_is_late(now)) {
         this->withdraw_unrecorded_starts();
     }
-    if (!this->dispatch_due || now < this->last_dispatch + this->timings.dispatch_interval) {
+    const auto interval =
+        this->dispatch_due ? this->timings.dispatch_interval : this->timings.dispatch_recheck;
+    if (now < this->last_dispatch + interval) {
         return;
     }
     this->dispatch_due = false;
@@ -250,22 +263,28 @@
     auto& [views, controls] = candidates;
     apply_step_rules(candidates, step, step_id);
     const auto* queue = this->find_queue(job.spec.queue);
-    if (queue != nullptr && queue->advice) {
-        const auto* granted_advice = this->get_advice(step_id, controls, now);
+    const bool needs_advice = queue != nullptr && queue->advice;
+    if (needs_advice) {
+        const auto& granted_advice = this->get_advice(step_id, controls, now);
         for (auto& view : views) {
-            view.allowed = view.allowed && granted_advice != nullptr &&
-                           granted_advice->tickets.contains(std::string(view.id));
+            view.allowed = view.allowed && granted_advice.tickets.contains(std::string(view.id));
         }
     }
+    const bool log_late = this->log_is_late(now);
+    bool placed_all = false;
     if (step.gang) {
-        return !this->log_is_late(now) && this->place_gang(job, occurrence, number, views, controls, now);
+        placed_all = !log_late && this->place_gang(job, occurrence, number, views, controls, now);
+    } else {
+        auto request = make_request(step);
+        if (step.rack_sensitive) {
+            request.preferred_rack = choose_rack(views, request.need, step.count);
+        }
+        placed_all = this->place_tasks(job, occurrence, number, request, views, controls, now);
     }
-    auto request = make_request(step);
-    if (step.rack_sensitive) {
-        request.preferred_rack = choose_rack(views, request.need, step.count);
+    if (!placed_all && needs_advice) {
+        this->request_more_advice(step_id, controls, now);
     }
-    const bool placed_all = this->place_tasks(job, occurrence, number, request, views, controls, now);
-    if (!this->log_is_late(now)) {
+    if (!log_late && !step.gang) {
         this->reserve_later_steps(job, occurrence, number);
     }
     return placed_all;
@@ -276,6 +295,7 @@
                                   const std::vector<worker_control*>& controls, boot_time now) {
     const auto& step = job.spec.steps[static_cast<std::size_t>(number)];
     const bool log_late = this->log_is_late(now);
+    bool placed_all = true;
     auto& tasks = occurrence.steps[static_cast<std::size_t>(number)].tasks;
     for (std::size_t index = 0; index < tasks.size(); ++index) {
         auto& task = tasks[index];
@@ -286,10 +306,11 @@
         if (!this->is_within_upper_limit(job.spec.account, step.need)) {
             return false;
         }
-        request.avoided_worker = views.size() > 1 ? std::string_view(task.worker) : std::string_view();
-        const auto choice =
-            log_late ? this->find_reserved_worker(task, views, request) : choose_worker(views, request);
-        if (!choice && log_late) {
+        const auto choice = log_late ? this->find_reserved_worker(task, views, request)
+                                     : this->find_worker(task, views, request, now);
+        const bool others_may_fit = log_late || !task.worker.empty(); // they may have failed elsewhere
+        if (!choice && others_may_fit) {
+            placed_all = placed_all && log_late;
             continue;
         }
         if (!choice) {
@@ -311,7 +332,20 @@
             this->place(job, id, task, *controls[*choice], task.run + 1, now);
         }
     }
-    return true;
+    return placed_all;
+}
+
+std::optional<std::size_t> scheduler::impl::find_worker(const task_progress& task,
+                                                        const std::vector<worker_view>& views,
+                                                        placement_request request, boot_time now) const {
+    request.avoided_worker = task.worker; // where its last run failed, else empty
+    auto choice = choose_worker(views, request);
+    const bool may_return = request.may_fail || now >= task.retry_at + this->timings.return_after_failure;
+    if (!choice && !task.worker.empty() && may_return) {
+        request.avoided_worker = {};
+        choice = choose_worker(views, request);
+    }
+    return choice;
 }
 
 bool scheduler::impl::place_gang(job_progress& job, occurrence_progress& occurrence, std::int32_t number,
@@ -321,8 +355,12 @@
     auto& tasks = occurrence.steps[static_cast<std::size_t>(number)].tasks;
     std::int64_t run = 0;
     for (const auto& task : tasks) {
-        if (task.phase != run_phase::waiting || now < task.retry_at) {
-            return false; // an earlier run still has members, or a retry is not due
+        if (task.phase != run_phase::waiting) {
+            return false; // an earlier run still has members
+        }
+        if (now < task.retry_at) {
+            this->dispatch_due = true;
+            return false;
         }
         run = std::max(run, task.run);
     }
@@ -380,9 +418,9 @@
     step_id.index = 0;
     if (const auto found = this->advice.find(step_id); found != this->advice.end()) {
         const auto ticket = found->second.tickets.find(worker.entry.id);
-        placed.ticket = ticket == found->second.tickets.end() ? std::string() : ticket->second;
+        placed.ticket = ticket == found->second.tickets.end() ? std::string() : ticket->second.ticket;
     }
-    this->next_batch.starts.emplace_back(worker.entry.id, id);
+    this->next_batch.starts.push_back({.worker = worker.entry.id, .task = id, .run = run});
 }
 
 void scheduler::impl::place_reserved(job_progress& job, const task_id& id, task_progress& task,
--- a/src/scheduler/scheduler_impl.hpp
+++ b/src/scheduler/scheduler_impl.hpp
@@ -27,6 +27,8 @@
     std::chrono::milliseconds start_lease{1500};   ///< the worker rejects a start order that arrives later
     std::chrono::milliseconds commit_interval{10}; ///< least time between two progress appends
     std::chrono::milliseconds dispatch_interval{15};
+    /// A search for workers at least this often: the end of a backoff or of a reservation is no event.
+    std::chrono::milliseconds dispatch_recheck{200};
     std::chrono::milliseconds stop_retry{300};
     /// An append of progress without an answer for this time shows that the log is late. Until it answers,
     /// only reserved tasks start.
@@ -43,10 +45,14 @@
     /// rejects a predecessor only after the first order of its successor, so orders must stop well before
     /// another node may claim the lease.
     std::chrono::milliseconds vm_order_window{800};
-    /// Before a task whose start order was refused is placed again, and least time for which its worker
-    /// receives no new tasks if the worker was the cause.
+    /// Before a task whose start order was refused is placed again. If the worker was the cause, it receives
+    /// no new tasks for this time, which doubles with each refusal that follows, up to
+    /// `longest_refusal_backoff`.
     std::chrono::milliseconds retry_after_refusal{150};
-    /// Unit of the time without new tasks for a worker on which tasks fail repeatedly.
+    std::chrono::milliseconds longest_refusal_backoff{2400};
+    /// A batch task is placed on the worker where it failed only after this time, if no other can run it.
+    std::chrono::milliseconds return_after_failure{1000};
+    /// Unit of the time for which a worker is avoided on which tasks fail repeatedly.
     std::chrono::milliseconds avoid_after_failure{2500};
     std::chrono::milliseconds state_cleanup_interval{1000}; ///< between two drops of records of final jobs
     std::chrono::milliseconds advice_retry{300};         ///< between two requests for the advice of one step
@@ -59,6 +65,8 @@
     std::chrono::milliseconds move_warmup{3000};
     /// Pools release VMs after this time even if no job has arrived.
     std::chrono::milliseconds longest_warmup{60000};
+    /// A VM that is up counts for its pool for this time without a worker that can be used.
+    std::chrono::milliseconds unserved_after{3000};
     std::chrono::milliseconds move_lead_time{2200}; ///< from the order of a move to the first task on the VM
     /// A long-running task that has waited for a worker for this time is reported.
     std::chrono::milliseconds overdue_after{2000};
@@ -106,9 +114,10 @@
     draining,
     zone_out,    ///< its availability zone is out of service
     vm_reserved, ///< its VM has a pending order or is next in a wave
-    avoided,     ///< tasks failed or were refused there
+    refusing,    ///< it refused a start a moment ago
+    avoided,     ///< tasks failed there repeatedly; used only if no other worker can run a task
 };
-inline constexpr std::size_t worker_block_count = 8;
+inline constexpr std::size_t worker_block_count = 9;
 
 /// @return the name of the enumerator
 std::string_view to_string(worker_block block) noexcept;
@@ -121,7 +130,7 @@
     bool confirmed = false;   ///< has answered a hold with the current fence
     bool hold_in_flight = false;
     boot_time hold_sent{};
-    std::int64_t hold_fence = 0; ///< of the hold in flight
+    std::int64_t hold_number = 0; ///< of the hold in flight
     boot_time next_hold{};
     std::int64_t applied_end = 0;                   ///< number of the last end that was applied in memory
     std::int64_t recorded_end = 0;                  ///< number of the last end that is in the log
@@ -130,8 +139,11 @@
     boot_time lease_bound{};           ///< every lease granted to the worker has expired by then
     std::int32_t unanswered_holds = 0; ///< consecutive holds without an answer
     boot_time unanswered_since{};
-    std::int32_t recent_failures = 0; ///< failed runs since the last one that succeeded
-    boot_time avoid_until{};          ///< no new tasks until then
+    std::optional<boot_time> fenced_since; ///< when it first refused the current fence
+    std::int32_t recent_failures = 0;      ///< failed runs since the last one that succeeded
+    boot_time avoid_until{};               ///< its standing is bad until then
+    std::int32_t refused_starts = 0;       ///< since the last start that it accepted
+    boot_time refused_until{};             ///< no new tasks until then
     std::map<task_id, placement> tasks;
     resources used; ///< sum of the needs of `tasks`
     std::int32_t latency_sensitive_tasks = 0;
@@ -141,12 +153,19 @@
     [[nodiscard]] bool is_unresponsive() const noexcept { return this->unanswered_holds > 0; }
 };
 
+/// A run whose start order is sent once its record is in the log.
+struct recorded_start {
+    std::string worker;
+    task_id task;
+    std::int64_t run = 0;
+};
+
 /// Effects to run once the records that they depend on are in the log.
 struct commit_batch {
     std::int64_t sequence = 0;
     std::vector<keyed_record> records;
     std::size_t records_appended = 0; ///< leading records that earlier appends of the batch hold
-    std::vector<std::pair<std::string, task_id>> starts;   ///< worker, task
+    std::vector<recorded_start> starts;
     std::map<std::string, std::int64_t> ends;              ///< number of the last recorded end, by worker
     std::vector<std::pair<std::string, job_state>> states; ///< to publish
 };
@@ -170,11 +189,16 @@
     std::deque<std::pair<boot_time, std::int32_t>> needs; ///< VMs needed at each plan within `need_window`
 };
 
+/// Permission to start tasks of one step on one worker.
+struct issued_ticket {
+    std::string ticket;
+    boot_time valid_until{};
+};
+
 /// Placement advice for one step: the workers that may run it, with their tickets.
 struct step_advice {
-    std::map<std::string, std::string> tickets; ///< by worker
-    boot_time requested{};                      ///< when the latest request was sent
-    boot_time valid_until{};
+    std::map<std::string, issued_ticket> tickets; ///< by worker
+    boot_time requested{};                        ///< when the latest request was sent
     bool in_flight = false;
     /// Workers without a ticket in an answer. Later requests do not name them, because the answer for them
     /// does not change.
@@ -195,7 +219,8 @@
     bool report_in_flight = false;
 };
 
-/// The workers of a pool that receive new tasks; `views` and `controls` have the same order.
+/// The workers of a pool that receive new tasks, those with bad standing included; `views` and `controls`
+/// have the same order.
 struct accepting_workers {
     std::vector<worker_view> views;
     std::vector<worker_control*> controls;
@@ -241,8 +266,13 @@
     void append_next_part();
     /// Appends the pending job states to the states topic.
     void publish(boot_time now);
-    /// Drops the records of final jobs, and their states after `site_limits::final_state_retention`.
+    /// Drops the records of final jobs, and their states after `site_limits::final_state_retention`. A state
+    /// is kept while the job's record may remain: without it a successor would run the job again.
     void drop_finished(boot_time now);
+    /// Orders the drops of the next job records.
+    void drop_job_records_of_finished();
+    /// Ends the cleanup in flight. Its progress records are dropped if the job records are.
+    void end_cleanup();
     /// Sends the start orders of the batch, releases its ends for acknowledgement and its job states for
     /// publication.
     void run_effects(commit_batch& batch, boot_time now);
@@ -267,6 +297,12 @@
                        boot_time now);
     /// Compares the runs in the report with the placements: stops unknown runs, requeues missing ones.
     void reconcile(worker_control& worker, const hold_order& order, const hold_report& report, boot_time now);
+    /// Continues with a new process of the worker. Runs of the earlier process have ended; the new one may
+    /// have accepted orders that were meant for it, so the next hold decides which placements exist.
+    /// @param entry of the new process
+    void restart_worker(worker_control& worker, const worker_entry& entry, boot_time now);
+    /// Forgets which ends are to be acknowledged to the worker: the numbers belong to one process.
+    void drop_acknowledgements(const std::string& worker);
     /// Removes the worker and requeues its tasks. Its runs must have ended.
     void declare_worker_lost(const std::string& id, std::string_view reason, boot_time now);
     /// Raises the worker's fence, so that the next hold resolves its unacknowledged orders.
@@ -278,8 +314,10 @@
     placement* add_placement(worker_control& worker, const job_progress& job, const task_id& id,
                              std::int64_t run, boot_time now);
     void remove_placement(worker_control& worker, const task_id& id, std::string_view account);
-    /// Counts a failed run; the worker receives no new tasks for a while after repeated failures.
+    /// Counts a failed run; the worker is avoided for a while after repeated failures.
     void count_failure(worker_control& worker, boot_time now);
+    /// Counts a refused start; the worker receives no new tasks for a while, longer with each refusal.
+    void count_refusal(worker_control& worker, boot_time now);
 
     // scheduler_dispatch.cpp: order and placement of tasks
     void apply_config(std::shared_ptr<const site_config> updated_config);
@@ -317,6 +355,12 @@
                                                                   const std::vector<worker_view>& views,
                                                                   const placement_request& request) const;
 
+    /// Chooses the worker for one task, which may return to the worker where it failed if no other can run
+    /// it.
+    [[nodiscard]] std::optional<std::size_t> find_worker(const task_progress& task,
+                                                         const std::vector<worker_view>& views,
+                                                         placement_request request, boot_time now) const;
+
     /// Places all tasks of the step or none.
     bool place_gang(job_progress& job, occurrence_progress& occurrence, std::int32_t step,
                     std::vector<worker_view>& views, const std::vector<worker_control*>& workers,
@@ -358,10 +402,12 @@
     void log_overdue_task(const overdue_task& overdue, std::size_t total, boot_time now);
 
     // scheduler_advice.cpp: queues that need placement advice
-    /// Requests new advice for the step if there is no valid one.
-    /// @return the valid advice, or null
-    const step_advice* get_advice(const task_id& step, const std::vector<worker_control*>& workers,
+    /// Drops the tickets that have expired, and requests advice if none is left.
+    const step_advice& get_advice(const task_id& step, const std::vector<worker_control*>& workers,
                                   boot_time now);
+    /// Requests advice about the workers that the latest answers do not cover, unless it was requested a
+    /// moment ago or too many requests are in flight.
+    void request_more_advice(const task_id& step, const std::vector<worker_control*>& workers, boot_time now);
     void drop_advice(const std::string& job);
 
     // scheduler_moves.cpp: moves of VMs between pools
@@ -374,6 +420,9 @@
     void plan_moves(boot_time now);
     [[nodiscard]] std::map<std::string, pool_load> compute_pool_loads(boot_time now);
     void update_need(pool_need& entry, const pool_load& load, boot_time now);
+    /// @return whether the VM is up and its worker has received no tasks for `unserved_after`, because it is
+    /// not listed, does not answer or refuses the fence
+    bool is_unserved(const vm_entry& vm, boot_time now);
     [[nodiscard]] pool_need compute_need(const worker_pool_config& pool, const pool_load& load,
                                          std::vector<movable_vm>& movable, boot_time now);
 
@@ -437,6 +486,7 @@
     std::map<std::string, learned_duration> durations;      ///< by queue
 
     std::map<std::string, worker_control> workers;
+    std::int64_t latest_hold = 0; ///< number of the latest hold of the term
     /// How often the fence of a worker was raised within the term, by worker id. Kept when the worker is
     /// removed: its process may come back, and it refuses fences below the highest that it has seen.
     std::unordered_map<std::string, std::int32_t> fence_increments;
@@ -465,6 +515,14 @@
     std::deque<finished_job> finished;
     boot_time last_cleanup{};
     std::size_t finished_dropped = 0; ///< leading items of `finished` whose job records are dropped
+    /// A cleanup whose drops are not all answered yet.
+    struct pending_cleanup {
+        std::size_t end = 0; ///< leading items of `finished` whose job records are dropped if it succeeds
+        std::int32_t unanswered = 0;
+        bool failed = false;
+    };
+    std::optional<pending_cleanup> cleanup_in_flight;
+    std::int64_t drop_sequence = 0; ///< of the latest cleanup; goes on in the next term
 
     std::map<task_id, boot_time> waiting_since; ///< long-running tasks that wait in a released step
     std::int64_t overdue_tasks = 0;             ///< as of the latest report
@@ -476,8 +534,9 @@
     std::map<std::string, vm_entry> vms; ///< latest list, by id
     std::map<std::string, std::string> vm_of_worker;
     bool vm_list_in_flight = false;
-    boot_time vm_list_requested{}; ///< when the latest read was sent
-    boot_time vm_list_as_of{};     ///< when the read that returned the latest list was sent
+    boot_time vm_list_requested{};                   ///< when the latest read was sent
+    boot_time vm_list_as_of{};                       ///< when the read that returned the latest list was sent
+    std::map<std::string, boot_time> unserved_since; ///< VMs that are up without a usable worker
     std::map<std::int64_t, wave_progress> waves;
     std::map<std::string, boot_time> vm_orders;                        ///< VMs with an order in flight
     std::map<std::string, std::pair<std::string, boot_time>> vm_moves; ///< target pool and time of the order
--- a/src/scheduler/scheduler_workers.cpp
+++ b/src/scheduler/scheduler_workers.cpp
@@ -70,8 +70,14 @@
         if (worker.hold_in_flight || now < due) {
             continue;
         }
-        hold_order order{.fence = this->fence_of(worker), .acknowledged_end = worker.recorded_end};
-        if (worker.clock) {
+        hold_order order{.number = ++this->latest_hold,
+                         .fence = this->fence_of(worker),
+                         .acknowledged_end = worker.recorded_end};
+        // A worker that stays silent may be cut off for good. Renewals that may not reach it would keep its
+        // tasks from running elsewhere.
+        const bool is_silent = worker.is_unresponsive() &&
+                               now > worker.unanswered_since + this->options.limits.max_lease_duration;
+        if (worker.clock && !is_silent) {
             order.lease_until = this->lease_end(worker, this->options.limits.max_lease_duration, now);
             this->extend_lease_bound(worker, this->options.limits.max_lease_duration, now);
         }
@@ -80,7 +86,7 @@
         }
         worker.hold_in_flight = true;
         worker.hold_sent = now;
-        worker.hold_fence = order.fence;
+        worker.hold_number = order.number;
         this->add_action(send_hold{.worker = {.id = id, .address = worker.entry.address}, .order = order});
     }
 }
@@ -148,6 +154,15 @@
     }
 }
 
+void scheduler::impl::count_refusal(worker_control& worker, boot_time now) {
+    auto backoff = this->timings.retry_after_refusal;
+    for (int refusal = 0; refusal < worker.refused_starts; ++refusal) {
+        backoff = std::min(backoff * 2, this->timings.longest_refusal_backoff);
+    }
+    ++worker.refused_starts;
+    worker.refused_until = now + backoff;
+}
+
 void scheduler::impl::send_stop_order(worker_control& worker, const task_id& task, std::int64_t run) {
     this->add_action(send_stop{.worker = {.id = worker.entry.id, .address = worker.entry.address},
                                .order = {.task = task, .run = run, .fence = this->fence_of(worker)}});
@@ -155,6 +170,7 @@
 
 void scheduler::impl::accept_report(worker_control& worker, const hold_order& order,
                                     const hold_report& report, boot_time now) {
+    this->dispatch_due = this->dispatch_due || worker.is_unresponsive();
     worker.unanswered_holds = 0;
     if (!report.complete) {
         write_log(severity::warning, "worker_report_unreadable", {{"worker", worker.entry.id}});
@@ -201,7 +217,11 @@
             placed->second.stage = start_stage::confirmed;
             placed->second.stage_entered = now;
         }
+        const bool was_ready = placed->second.ready;
         placed->second.ready = running.percent >= startup_complete_percent;
+        if (placed->second.long_running && placed->second.ready && !was_ready) {
+            worker.recent_failures = 0; // long-running tasks have no other sign of success
+        }
         placed->second.latest_load = running.latest_load;
         if (task->phase == run_phase::placed) {
             job->set_phase(running.task, *task, run_phase::running);
@@ -246,6 +266,35 @@
     }
 }
 
+void scheduler::impl::drop_acknowledgements(const std::string& worker) {
+    this->next_batch.ends.erase(worker);
+    if (this->batch_in_flight) {
+        this->batch_in_flight->ends.erase(worker);
+    }
+}
+
+void scheduler::impl::restart_worker(worker_control& worker, const worker_entry& entry, boot_time now) {
+    write_log(severity::warning, "worker_restarted",
+              {{"worker", entry.id}, {"tasks", worker.tasks.size()}, {"fence", this->fence_of(worker)}});
+    this->drop_acknowledgements(entry.id);
+    worker.entry = entry;
+    worker.applied_end = 0;
+    worker.recorded_end = 0;
+    worker.clock.reset();
+    worker.recent_failures = 0;
+    worker.avoid_until = {};
+    worker.refused_starts = 0;
+    worker.refused_until = {};
+    for (auto& [id, placed] : worker.tasks) {
+        placed.ready = false;
+        if (placed.stage != start_stage::recording) {
+            placed.stage = start_stage::unacknowledged;
+            placed.fence = this->fence_of(worker);
+        }
+    }
+    this->raise_fence(worker, now);
+}
+
 void scheduler::impl::declare_worker_lost(const std::string& id, std::string_view reason, boot_time now) {
     const auto found = this->workers.find(id);
     if (found == this->workers.end()) {
@@ -264,6 +313,7 @@
             this->advance_job(*job, now);
         }
     }
+    this->drop_acknowledgements(id);
     this->workers.erase(found);
 }
 
@@ -326,7 +376,7 @@
 
 void scheduler::on_worker(const worker_entry& entry, boot_time now) {
     auto& state = *this->self;
-    auto found = state.workers.find(entry.id);
+    const auto found = state.workers.find(entry.id);
     const auto known_start =
         found == state.workers.end() ? std::int64_t{0} : found->second.entry.instance_started_ms;
     const bool is_other_instance =
@@ -337,8 +387,7 @@
         return;
     }
     if (is_other_instance) {
-        state.declare_worker_lost(entry.id, "the worker process has restarted", now);
-        found = state.workers.end();
+        state.restart_worker(found->second, entry, now);
     }
     const bool is_new = found == state.workers.end();
     auto& worker = is_new ? state.workers[entry.id] : found->second;
@@ -372,6 +421,7 @@
     found->second.listed = false;
     found->second.listed_since = now;
     if (found->second.tasks.empty()) {
+        state.drop_acknowledgements(id);
         state.workers.erase(found);
     }
 }
@@ -396,8 +446,8 @@
         return;
     }
     auto& worker = found->second;
-    if (order.fence != worker.hold_fence || !worker.hold_in_flight) {
-        return; // a hold with a higher fence replaced this one
+    if (order.number != worker.hold_number || !worker.hold_in_flight) {
+        return; // a later hold replaced this one, or the record of the worker was made anew
     }
     worker.hold_in_flight = false;
     switch (report.outcome) {
@@ -406,10 +456,10 @@
             report.instance_started_ms != worker.entry.instance_started_ms) {
             auto entry = worker.entry;
             entry.instance_started_ms = report.instance_started_ms;
-            state.declare_worker_lost(target.id, "the worker process has restarted", now);
-            this->on_worker(entry, now);
+            state.restart_worker(worker, entry, now);
             return;
         }
+        worker.fenced_since.reset();
         state.accept_report(worker, order, report, now);
         return;
     case order_outcome::other_worker:
@@ -419,6 +469,11 @@
         if (order.fence == state.fence_of(worker)) {
             write_log(severity::warning, "worker_fenced", {{"worker", target.id}, {"fence", order.fence}});
             worker.confirmed = false;
+            if (worker.fenced_since && state.term_confirmed > *worker.fenced_since) {
+                state.raise_fence(worker, now); // no successor has begun, so the higher fence is of this term
+                worker.fenced_since.reset();
+            }
+            worker.fenced_since = worker.fenced_since.value_or(now);
             worker.next_hold = now + state.timings.hold_retry;
         } else {
             worker.next_hold = now;
@@ -439,6 +494,9 @@
 
 void scheduler::on_vm_list(const std::vector<vm_entry>& vms, boot_time requested_at, boot_time now) {
     auto& state = *this->self;
+    if (requested_at < state.term_begin || requested_at < state.vm_list_as_of) {
+        return; // requested in an earlier term, or older than the list that is known
+    }
     state.vm_list_in_flight = false;
     state.vm_list_as_of = requested_at;
     const auto before = std::exchange(state.vm_of_worker, {});
@@ -449,6 +507,7 @@
             state.vm_of_worker[vm.worker] = vm.id;
         }
     }
+    std::erase_if(state.unserved_since, [&](const auto& item) { return !state.vms.contains(item.first); });
     state.declare_replaced_workers_lost(before, now);
 }
 
--- /dev/null
+++ b/tests/scheduler_answers_test.cpp
@@ -0,0 +1,450 @@
+#include "fakes/fake_site.hpp"
+#include "scheduler/scheduler.hpp"
+#include "state/job_index.hpp"
+
+#include <boost/json/serialize.hpp>
+#include <boost/test/unit_test.hpp>
+#include <fmt/format.h>
+
+#include <map>
+#include <vector>
+
+// Answers that come late, out of order or not at all, and decisions that wait for them.
+
+using namespace hornbeamrail;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// A scheduler whose appends of progress succeed at once while `log_answers` is true, and whose other calls
+/// the test answers.
+struct manual_site {
+    manual_site() {
+        auto config = std::make_shared<site_config>();
+        config->version = 1;
+        config->queues = {{.name = "batch", .host = "h", .path_prefix = "/b/", .pool = "pool", .attempts = 2},
+                          {.name = "advised",
+                           .host = "h",
+                           .path_prefix = "/a/",
+                           .pool = "pool",
+                           .attempts = 2,
+                           .advice = advice_config{.ticket_lifetime = milliseconds(30000)}}};
+        config->pools = {{.name = "pool"}};
+        this->schedule.set_config(config);
+        this->begin_term();
+    }
+
+    void begin_term() {
+        this->schedule.begin_term(++this->term, this->now);
+        this->schedule.finish_load(this->now);
+    }
+
+    void add_worker(const std::string& id, std::int64_t instance = 1, bool draining = false) {
+        this->schedule.on_worker({.id = id,
+                                  .instance_started_ms = instance,
+                                  .pool = "pool",
+                                  .address = {.address = "127.0.0.1", .port = 1},
+                                  .zone = "zone-a",
+                                  .draining = draining,
+                                  .capacity = {.cpu_millicores = 32000, .memory_mb = 65536},
+                                  .labels = {"a", "r1"}},
+                                 this->now);
+    }
+
+    std::string submit(step_spec step, const std::string& queue = "batch") {
+        job_spec job{.id = fmt::format("{:016x}", ++this->jobs),
+                     .queue = queue,
+                     .pool = "pool",
+                     .attempts = 2,
+                     .payload = "work",
+                     .steps = {step}};
+        this->schedule.on_job_record(0, {.key = job.id, .value = boost::json::serialize(to_json(job))},
+                                     this->now);
+        return job.id;
+    }
+
+    void run(milliseconds span) {
+        const auto until = this->now + span;
+        while (this->now < until) {
+            this->now += milliseconds(5);
+            this->schedule.set_term_confirmed(this->now);
+            this->schedule.set_lease_renewed(this->now);
+            for (auto& action : this->schedule.tick(this->now, unix_time(milliseconds(1)))) {
+                this->execute(action);
+            }
+        }
+    }
+
+    void execute(scheduler_action& action) {
+        if (const auto* commit = std::get_if<commit_progress>(&action)) {
+            this->commits.push_back(commit->sequence);
+            if (this->log_answers) {
+                this->answer_appends();
+            }
+        } else if (const auto* states = std::get_if<publish_states>(&action)) {
+            for (const auto& record : states->records) {
+                this->deleted_states += record.value.empty() ? 1 : 0;
+            }
+            this->schedule.on_published(states->sequence, this->now);
+        } else if (const auto* report = std::get_if<write_report>(&action)) {
+            this->schedule.on_reported(report->wave, report->completed, true);
+        } else if (auto* start = std::get_if<send_start>(&action)) {
+            this->starts.push_back(std::move(*start));
+        } else if (auto* hold = std::get_if<send_hold>(&action)) {
+            this->holds[hold->worker.id].push_back(std::move(*hold));
+        } else if (auto* request = std::get_if<request_advice>(&action)) {
+            this->advice.push_back(std::move(*request));
+        } else if (auto* order = std::get_if<order_maintenance>(&action)) {
+            this->maintenance.push_back(std::move(*order));
+        } else if (const auto* drop = std::get_if<drop_job_records>(&action)) {
+            ++this->drops;
+            if (this->drop_succeeds) {
+                this->schedule.on_records_dropped(drop->sequence, *this->drop_succeeds);
+            }
+        } else if (std::holds_alternative<read_vm_list>(action)) {
+            this->vm_lists_requested.push_back(this->now);
+        }
+    }
+
+    /// Confirms the appends of progress that the log has not answered.
+    void answer_appends() {
+        for (const auto sequence : std::exchange(this->commits, {})) {
+            this->schedule.on_committed(sequence, this->now);
+        }
+    }
+
+    static hold_report report_of(std::vector<running_task> running, std::int64_t instance) {
+        return {.outcome = order_outcome::done,
+                .worker_clock = milliseconds(1000),
+                .instance_started_ms = instance,
+                .running = std::move(running)};
+    }
+
+    void answer(const send_hold& hold, std::vector<running_task> running = {}, std::int64_t instance = 1) {
+        this->schedule.on_hold_report(hold.worker, hold.order, report_of(std::move(running), instance),
+                                      this->now);
+    }
+
+    /// Answers the latest hold of the worker.
+    void answer_hold(const std::string& worker, std::vector<running_task> running = {},
+                     std::int64_t instance = 1) {
+        this->answer(this->holds.at(worker).back(), std::move(running), instance);
+    }
+
+    /// Answers the first two holds of a new worker: from then on it takes tasks.
+    void confirm(const std::string& worker) {
+        this->run(milliseconds(20));
+        this->answer_hold(worker);
+        this->run(milliseconds(20));
+        this->answer_hold(worker);
+        this->run(milliseconds(40));
+    }
+
+    void answer(const send_start& start, order_outcome outcome) {
+        this->schedule.on_start_answer(start.worker, start.order,
+                                       {.outcome = outcome, .worker_clock = milliseconds(1000)}, this->now);
+    }
+
+    void answer(const request_advice& request) {
+        advice_answer answer{.done = true};
+        for (const auto& worker : request.call.workers) {
+            answer.tickets.push_back({.worker = worker, .ticket = "ticket"});
+        }
+        this->schedule.on_advice(request.call, answer, this->now);
+    }
+
+    void set_vms(std::vector<vm_entry> vms, boot_time requested_at) {
+        this->schedule.on_vm_list(vms, requested_at, this->now);
+    }
+
+    boot_time now{milliseconds(100000)};
+    scheduler schedule{{.node_id = "node-1"}};
+    std::int64_t term = 0;
+    std::uint64_t jobs = 0;
+    std::vector<send_start> starts;
+    std::map<std::string, std::vector<send_hold>> holds;
+    std::vector<request_advice> advice;
+    std::vector<order_maintenance> maintenance;
+    std::vector<boot_time> vm_lists_requested;
+    bool log_answers = true;
+    std::vector<std::int64_t> commits; ///< appends of progress without an answer
+    std::int64_t deleted_states = 0;   ///< states dropped from the states topic
+    std::int64_t drops = 0;            ///< appends that drop records of jobs
+    std::optional<bool> drop_succeeds; ///< their result; empty: not answered
+};
+
+step_spec long_running_step(std::int32_t count) {
+    return {.count = count,
+            .need = {.cpu_millicores = 20000, .memory_mb = 1000},
+            .long_running = true,
+            .max_per_worker = 1,
+            .max_unavailable = 1};
+}
+
+vm_entry vm_of(const std::string& id, const std::string& worker) {
+    return {.id = id,
+            .pool = "pool",
+            .condition = vm_condition::up,
+            .zone = "zone-a",
+            .capacity = {.cpu_millicores = 32000, .memory_mb = 65536},
+            .worker = worker};
+}
+
+} // namespace
+
+// Guards against a count of calls for advice in flight that never falls again: after four tickets refused
+// while a new call was in flight, no step of any queue with advice started for the rest of the term.
+BOOST_AUTO_TEST_CASE(refused_tickets_do_not_use_up_the_calls_for_advice) {
+    manual_site site;
+    for (const auto* worker : {"w-1", "w-2"}) {
+        site.add_worker(worker);
+        site.confirm(worker);
+    }
+    site.submit({.count = 2, .need = {.cpu_millicores = 20000, .memory_mb = 1000}}, "advised");
+    for (int round = 0; round < 6; ++round) {
+        site.run(milliseconds(1000));
+        for (const auto& request : std::exchange(site.advice, {})) {
+            site.answer(request);
+        }
+        site.run(milliseconds(300));
+        const auto refused = std::exchange(site.starts, {});
+        BOOST_TEST_CONTEXT("round " << round) {
+            BOOST_REQUIRE(refused.size() == 2);
+        }
+        site.answer(refused[0], order_outcome::no_ticket);
+        site.run(milliseconds(50)); // the scheduler calls for advice again
+        site.answer(refused[1], order_outcome::no_ticket);
+    }
+}
+
+// Guards against two runs of a task: the late answer to a hold of an earlier record of the worker was taken
+// for that of the hold in flight, whose list would have named the run.
+BOOST_AUTO_TEST_CASE(answer_to_an_earlier_hold_ends_no_run) {
+    manual_site site;
+    site.add_worker("w-1");
+    site.run(milliseconds(20));
+    const auto first = site.holds["w-1"].back();
+    site.schedule.on_worker_removed("w-1", site.now);
+    site.add_worker("w-1");
+    site.run(milliseconds(20));
+    BOOST_REQUIRE(site.holds["w-1"].size() == 2);
+    const auto second = site.holds["w-1"].back();
+    site.answer(first); // overtakes the answer to the second one
+    site.run(milliseconds(20));
+    if (site.holds["w-1"].size() == 2) {
+        site.answer(second);
+        site.run(milliseconds(20));
+    }
+    site.answer_hold("w-1");
+    site.run(milliseconds(40));
+    const auto job = site.submit(long_running_step(1));
+    site.run(milliseconds(100));
+    BOOST_REQUIRE(site.starts.size() == 1);
+    site.answer(site.starts.front(), order_outcome::done);
+    const running_task run{.task = site.starts.front().order.task, .run = 1};
+    site.answer_hold("w-1", {run});
+    site.run(milliseconds(40));
+    site.answer(second);
+    site.run(milliseconds(500));
+    BOOST_TEST(site.starts.size() == 1);
+}
+
+// Guards against a live worker that is taken for replaced: the list that an earlier term requested arrived
+// after a newer one.
+BOOST_AUTO_TEST_CASE(earlier_vm_list_replaces_no_worker) {
+    manual_site site;
+    site.run(milliseconds(10));
+    const auto before = site.now;
+    site.begin_term();
+    site.add_worker("w-2");
+    site.confirm("w-2");
+    site.set_vms({vm_of("m-1", "w-2")}, site.now);
+    site.submit(long_running_step(1));
+    site.run(milliseconds(100));
+    BOOST_REQUIRE(site.starts.size() == 1);
+    site.answer(site.starts.front(), order_outcome::done);
+    site.set_vms({vm_of("m-1", "w-1")}, before);
+    site.run(milliseconds(500));
+    const auto workers = site.schedule.dump(site.now).at("workers").as_array();
+    BOOST_REQUIRE(workers.size() == 1);
+    BOOST_TEST(workers.front().at("tasks").to_number<std::int64_t>() == 1);
+}
+
+// Guards against two runs of a task that was started while its worker restarted: the report that shows the
+// restart lists the run.
+BOOST_AUTO_TEST_CASE(run_that_a_restarted_worker_lists_is_not_started_again) {
+    manual_site site;
+    for (const auto* worker : {"w-1", "w-2"}) {
+        site.add_worker(worker);
+        site.confirm(worker);
+    }
+    site.submit(long_running_step(1));
+    site.run(milliseconds(100));
+    BOOST_REQUIRE(site.starts.size() == 1);
+    const auto start = site.starts.front();
+    site.answer(start, order_outcome::done); // the new process accepted it
+    site.answer_hold(start.worker.id, {{.task = start.order.task, .run = 1}}, 2);
+    site.run(milliseconds(500));
+    BOOST_TEST(site.starts.size() == 1);
+}
+
+// Guards against a second run of a task that had ended: the scheduler acknowledged the end to a new process
+// of the worker before it was listed, because the end of the earlier process had the same number.
+BOOST_AUTO_TEST_CASE(restarted_worker_gets_no_acknowledgement_of_earlier_ends) {
+    manual_site site;
+    site.add_worker("w-1");
+    site.confirm("w-1");
+    site.submit({.count = 1, .need = {.cpu_millicores = 2000, .memory_mb = 1000}});
+    site.run(milliseconds(100));
+    BOOST_REQUIRE(site.starts.size() == 1);
+    site.answer(site.starts.front(), order_outcome::done);
+    site.run(milliseconds(40));
+    site.log_answers = false;
+    auto report = site.report_of({}, 1);
+    report.ended = {
+        {.number = 1, .task = site.starts.front().order.task, .run = 1, .outcome = task_end::failed}};
+    site.schedule.on_hold_report(site.holds["w-1"].back().worker, site.holds["w-1"].back().order, report,
+                                 site.now);
+    site.run(milliseconds(1600)); // the append that records the end is not answered yet
+    site.answer_hold("w-1", {}, 2);
+    site.answer_appends();
+    site.run(milliseconds(100));
+    BOOST_TEST(site.holds["w-1"].back().order.acknowledged_end == 0);
+}
+
+// Guards against a start that the log does not hold: the record of an earlier run of the task on the same
+// worker was taken for that of the new run.
+BOOST_AUTO_TEST_CASE(record_of_an_earlier_run_starts_no_later_one) {
+    manual_site site;
+    site.add_worker("w-1");
+    site.confirm("w-1");
+    site.log_answers = false;
+    site.submit(long_running_step(1));
+    site.run(milliseconds(30)); // the append that records the first run is not answered yet
+    const auto hold = site.holds["w-1"].back();
+    site.schedule.on_hold_report(hold.worker, hold.order, {.outcome = order_outcome::other_worker}, site.now);
+    site.add_worker("w-1");
+    site.confirm("w-1");
+    BOOST_REQUIRE(site.commits.size() == 1);
+    site.answer_appends();
+    site.run(milliseconds(40));
+    BOOST_TEST(site.starts.empty());
+    site.answer_appends(); // records the second run
+    site.run(milliseconds(40));
+    BOOST_REQUIRE(site.starts.size() == 1);
+    BOOST_TEST(site.starts.front().order.run == 2);
+}
+
+// Guards against a worker that refuses every order for the rest of a term because it has seen a higher fence
+// of the same term, for whatever reason: no successor can exist while answers of the log confirm the term.
+BOOST_AUTO_TEST_CASE(worker_with_a_higher_fence_of_this_term_takes_tasks_again) {
+    manual_site site;
+    site.add_worker("w-1");
+    site.run(milliseconds(20));
+    const auto seen = site.holds["w-1"].back().order.fence + 3;
+    std::size_t answered = 0;
+    for (int round = 0; round < 600; ++round) {
+        site.run(milliseconds(10));
+        const auto& holds = site.holds["w-1"];
+        if (holds.size() > answered) {
+            const auto& hold = holds.back();
+            answered = holds.size();
+            auto report = manual_site::report_of({}, 1);
+            report.outcome = hold.order.fence < seen ? order_outcome::fenced : order_outcome::done;
+            site.schedule.on_hold_report(hold.worker, hold.order, report, site.now);
+        }
+    }
+    BOOST_TEST(site.holds["w-1"].back().order.fence == seen);
+    site.submit(long_running_step(1));
+    site.run(milliseconds(100));
+    BOOST_TEST(site.starts.size() == 1);
+}
+
+// Guards against a job that runs again minutes after its end: the log did not store the drop of its record,
+// its state was dropped nevertheless, and the next scheduler loads it as a new job.
+BOOST_AUTO_TEST_CASE(state_of_a_job_stays_while_its_record_may_remain) {
+    manual_site site;
+    site.add_worker("w-1");
+    site.confirm("w-1");
+    const auto job = site.submit({.count = 1, .need = {.cpu_millicores = 2000, .memory_mb = 1000}});
+    site.run(milliseconds(100));
+    site.schedule.on_job_record(0, {.key = job + std::string(cancel_suffix), .value = "1"}, site.now);
+    BOOST_REQUIRE(site.starts.size() == 1);
+    site.answer(site.starts.front(), order_outcome::late);
+    site.run(milliseconds(5000));
+    BOOST_REQUIRE(site.drops == 1);
+    site.run(site_limits().final_state_retention + milliseconds(5000));
+    BOOST_TEST(site.deleted_states == 0);
+}
+
+// Guards against the same after a drop that the log refused: it is repeated, and the state goes only then.
+BOOST_AUTO_TEST_CASE(refused_drop_of_a_job_record_is_repeated) {
+    manual_site site;
+    site.drop_succeeds = false;
+    const auto job = site.submit({.count = 1, .need = {.cpu_millicores = 2000, .memory_mb = 1000}});
+    site.run(milliseconds(100));
+    site.schedule.on_job_record(0, {.key = job + std::string(cancel_suffix), .value = "1"}, site.now);
+    site.run(site_limits().final_state_retention + milliseconds(5000));
+    BOOST_TEST(site.drops > 1);
+    BOOST_TEST(site.deleted_states == 0);
+    site.drop_succeeds = true;
+    site.run(milliseconds(5000));
+    BOOST_TEST(site.deleted_states == 1);
+}
+
+// Guards against a gang that is forgotten: its start was refused, its retry was not due yet when the
+// scheduler looked, and nothing else happened.
+BOOST_AUTO_TEST_CASE(gang_is_placed_again_after_a_refused_start) {
+    manual_site site;
+    site.add_worker("w-1");
+    site.confirm("w-1");
+    site.submit({.count = 2, .need = {.cpu_millicores = 2000, .memory_mb = 1000}, .gang = true});
+    site.run(milliseconds(100));
+    BOOST_REQUIRE(site.starts.size() == 2);
+    const auto refused = std::exchange(site.starts, {});
+    for (const auto& start : refused) {
+        site.answer(start, order_outcome::late);
+    }
+    site.run(milliseconds(1000));
+    BOOST_TEST(site.starts.size() == 2);
+}
+
+// Guards against a task that waits although the only VM with room was released: its maintenance was refused,
+// and the scheduler did not look again.
+BOOST_AUTO_TEST_CASE(refused_vm_order_lets_waiting_tasks_start) {
+    manual_site site;
+    site.add_worker("w-1");
+    site.confirm("w-1");
+    site.set_vms({vm_of("m-1", "w-1")}, site.now);
+    site.schedule.set_waves({{.number = 1, .vms = {"m-1"}, .duration = milliseconds(20000), .max_down = 1}});
+    site.run(milliseconds(100));
+    BOOST_REQUIRE(site.maintenance.size() == 1);
+    site.submit(long_running_step(1));
+    site.run(milliseconds(100));
+    BOOST_REQUIRE(site.starts.empty());
+    site.schedule.on_vm_order(site.maintenance.front().order, vm_order_outcome::wrong_wave, site.now);
+    site.run(milliseconds(1000));
+    BOOST_TEST(site.starts.size() == 1);
+}
+
+// Guards against a task that waits until a ticket expires: the advice was given when other workers took
+// tasks, and those that take tasks now were never asked about.
+BOOST_AUTO_TEST_CASE(advice_is_requested_for_workers_that_came_later) {
+    manual_site site;
+    site.add_worker("w-1");
+    site.confirm("w-1");
+    site.submit(long_running_step(2), "advised");
+    site.run(milliseconds(100));
+    BOOST_REQUIRE(site.advice.size() == 1);
+    site.answer(site.advice.front());
+    site.run(milliseconds(100));
+    BOOST_REQUIRE(site.starts.size() == 1);
+    site.answer(site.starts.front(), order_outcome::done);
+    site.add_worker("w-2");
+    site.run(milliseconds(20));
+    site.answer_hold("w-2");
+    site.run(milliseconds(20));
+    site.answer_hold("w-2");
+    site.run(milliseconds(3000));
+    BOOST_TEST(site.advice.size() == 2);
+}
--- a/tests/scheduler_waiting_test.cpp
+++ b/tests/scheduler_waiting_test.cpp
@@ -62,3 +62,165 @@
     site.run(restart_limit);
     BOOST_TEST(site.running_tasks(second) == 1);
 }
+
+// Guards against a task that waits for ever beside free workers: its workers did not answer when it became
+// ready, and nothing started the search again when they did.
+BOOST_AUTO_TEST_CASE(returning_worker_runs_the_waiting_task) {
+    scheduler_site site(4);
+    site.add_vms(2);
+    site.take_over();
+    site.run(milliseconds(100));
+    site.unanswered_workers = {"w-1", "w-2"};
+    site.run(milliseconds(3000));
+    const auto id = site.submit(long_running_job(1, 1));
+    site.run(milliseconds(1000));
+    site.unanswered_workers.clear();
+    site.run(restart_limit);
+    BOOST_TEST(site.running_tasks(id) == 1);
+}
+
+// Guards against a task that waits for ever after its worker was avoided for repeated failures: the end of
+// that time is no event of its own.
+BOOST_AUTO_TEST_CASE(avoided_worker_runs_the_waiting_task_later) {
+    scheduler_site site(5);
+    site.add_vms(1);
+    site.take_over();
+    const auto id = site.submit(long_running_job(1, 1));
+    for (int failure = 0; failure < 3; ++failure) {
+        site.run(milliseconds(1500));
+        site.site.fail_tasks(id, site.now);
+    }
+    site.run(restart_limit);
+    BOOST_TEST(site.running_tasks(id) == 1);
+}
+
+// Guards against a pool in which nothing starts for seconds: jobs that can never be done fail on every
+// worker, and all workers are avoided at the same time.
+BOOST_AUTO_TEST_CASE(hopeless_jobs_do_not_close_the_pool) {
+    scheduler_site site(6);
+    site.add_vms(4);
+    site.site.set_duration(milliseconds(200));
+    site.take_over();
+    for (int number = 0; number < 60; ++number) {
+        auto hopeless = batch_job(4);
+        hopeless.account.clear();
+        site.site.set_failing(site.submit(hopeless));
+        site.run(milliseconds(50));
+    }
+    site.run(milliseconds(1000));
+    const auto lasting = site.submit(long_running_job(4, 1));
+    const auto batch = site.submit(batch_job(4));
+    site.run(milliseconds(2000));
+    BOOST_TEST(site.running_tasks(lasting) == 4);
+    BOOST_TEST(site.state_of(batch) == "completed");
+}
+
+// Guards against a worker that is avoided for the failures of long-running tasks that worked in between.
+BOOST_AUTO_TEST_CASE(long_running_task_at_work_clears_earlier_failures) {
+    scheduler_site site(10);
+    site.add_vms(1);
+    site.take_over();
+    const auto id = site.submit(long_running_job(1, 1));
+    for (int failure = 0; failure < 3; ++failure) {
+        site.run(milliseconds(3000));
+        BOOST_REQUIRE(site.ready_tasks(id) == 1);
+        site.site.fail_tasks(id, site.now);
+    }
+    site.run(milliseconds(100));
+    BOOST_TEST(count_blocked(site, "avoided") == 0);
+}
+
+// Guards against a task that is sent to the same worker for ever although others have room: the worker
+// refuses every start, and its backoff ended at the same moment as that of the task.
+BOOST_AUTO_TEST_CASE(refused_task_starts_elsewhere) {
+    scheduler_site site(7);
+    site.add_vms(2);
+    site.take_over();
+    const auto first = site.submit(long_running_job(1, 1));
+    site.run(milliseconds(2000));
+    BOOST_REQUIRE(site.running_tasks(first) == 1);
+    site.site.set_refusing(site.site.history().front().worker, true); // long-running tasks share this worker
+    const auto second = site.submit(long_running_job(1, 1));
+    site.run(restart_limit);
+    BOOST_TEST(site.running_tasks(second) == 1);
+}
+
+// Guards against a long-running task that may never return to the worker where it failed, although no other
+// has room.
+BOOST_AUTO_TEST_CASE(failed_task_returns_to_the_only_worker_with_room) {
+    scheduler_site site(8);
+    site.add_vms(2);
+    site.take_over();
+    auto large = long_running_job(1, 1);
+    large.steps.front().need.cpu_millicores = 31000;
+    site.submit(large);
+    site.run(milliseconds(500));
+    const auto id = site.submit(long_running_job(1, 1));
+    site.run(milliseconds(2000));
+    BOOST_REQUIRE(site.running_tasks(id) == 1);
+    site.site.fail_tasks(id, site.now);
+    site.run(restart_limit);
+    BOOST_TEST(site.running_tasks(id) == 1);
+}
+
+// The same for a batch task whose only permitted worker is the one where it failed: it has another attempt.
+BOOST_AUTO_TEST_CASE(failed_batch_task_returns_to_the_only_permitted_worker) {
+    scheduler_site site(9);
+    site.add_vms(2);
+    site.take_over();
+    auto job = batch_job(1);
+    job.steps.front().required_label = "r0"; // of the first VM
+    const auto id = site.submit(job);
+    site.run(milliseconds(500));
+    site.site.fail_tasks(id, site.now);
+    site.run(milliseconds(4000));
+    BOOST_TEST(site.state_of(id) == "completed");
+}
+
+// Guards against a task that counts as running for ever on a worker that is cut off: each hold that it did
+// not answer prolonged the lease that it might have.
+BOOST_AUTO_TEST_CASE(tasks_of_a_worker_that_stays_cut_off_run_elsewhere) {
+    scheduler_site site(11);
+    site.add_vms(2);
+    site.take_over();
+    const auto id = site.submit(long_running_job(1, 1));
+    site.run(milliseconds(2000));
+    BOOST_REQUIRE(site.running_tasks(id) == 1);
+    site.cut_workers = {site.site.history().front().worker};
+    // Its leases are renewed for one lease without an answer, and end within another one.
+    site.run(fake_site::options().longest_lease * 3);
+    BOOST_TEST(site.running_tasks(id) == 1);
+    BOOST_TEST(site.duplicate_runs().empty());
+}
+
+// Guards against work that is started elsewhere because its worker was silent for a while.
+BOOST_AUTO_TEST_CASE(short_silence_of_a_worker_ends_no_task) {
+    scheduler_site site(12);
+    site.add_vms(2);
+    site.take_over();
+    const auto id = site.submit(long_running_job(1, 1));
+    site.run(milliseconds(2000));
+    const auto worker = site.site.history().front().worker;
+    site.unanswered_workers = {worker};
+    site.run(milliseconds(9000));
+    site.unanswered_workers.clear();
+    site.run(milliseconds(2000));
+    BOOST_TEST(site.running_tasks(id) == 1);
+    BOOST_TEST(site.site.history().size() == 1);
+}
+
+// Guards against a pool that gets no VMs while its own run nothing: VMs whose workers do not answer, or are
+// not listed any more, counted for it.
+BOOST_AUTO_TEST_CASE(vms_without_a_usable_worker_do_not_count_for_their_pool) {
+    scheduler_site site(13);
+    site.add_vms(2);
+    site.add_vms(3, "spare");
+    site.take_over();
+    site.run(milliseconds(100));
+    site.cut_workers = {"w-1"};
+    site.lapsed_entries = {"w-2"};
+    site.run(milliseconds(6000));
+    const auto id = site.submit(long_running_job(1, 1));
+    site.run(restart_limit);
+    BOOST_TEST(site.running_tasks(id) == 1);
+}
