--- a/src/node/task_manager.cpp
+++ b/src/node/task_manager.cpp
@@ -87,8 +87,26 @@
 }
 
 void task_manager::cancel(std::string_view task_id) {
-    this->pending_actions.emplace_back(append_task_record{
-        .change_id = random_uuid(), .body = task_cancel_record{.task_id = std::string(task_id)}});
+    if (this->cancels.contains(task_id)) {
+        return; // a second change would have no other effect
+    }
+    this->cancels.emplace(
+        std::string(task_id),
+        pending_cancel{.record = {.change_id = random_uuid(),
+                                  .body = task_cancel_record{.task_id = std::string(task_id)}}});
+}
+
+void task_manager::append_due_cancels(boot_time now, const fleet_state& state,
+                                      std::vector<task_action>& actions) {
+    std::erase_if(this->cancels, [&state](const auto& entry) {
+        return state.outcome_of(entry.second.record.change_id).has_value();
+    });
+    for (auto& [id, pending] : this->cancels) {
+        if (now >= pending.due) {
+            pending.due = now + this->options.record_retry;
+            actions.emplace_back(pending.record);
+        }
+    }
 }
 
 const task_info* task_manager::owned_task(const fleet_state& state, std::string_view id) const {
@@ -254,10 +272,10 @@
     }
 }
 
-void task_manager::on_reserved(boot_time now, std::string_view task_id, boot_time sent_at,
-                               worker_answer answer, const std::string& lease_id) {
+void task_manager::on_reserved(boot_time now, std::string_view task_id, log_offset fencing_token,
+                               boot_time sent_at, worker_answer answer, const std::string& lease_id) {
     const auto found = this->active_tasks.find(task_id);
-    if (found == this->active_tasks.end()) {
+    if (found == this->active_tasks.end() || found->second.fencing_token != fencing_token) {
         return; // The lease expires on its own.
     }
     auto& task = found->second;
@@ -276,14 +294,13 @@
             return;
         }
         task.current_step = step::recording;
-        task.change_id = random_uuid();
-        this->pending_actions.emplace_back(
-            append_task_record{.change_id = task.change_id,
-                               .body = task_state_record{.task_id = std::string(task_id),
-                                                         .fencing_token = task.fencing_token,
-                                                         .phase = task_phase::placed,
-                                                         .vm = task.vm,
-                                                         .detail = {}}});
+        task.record = {.change_id = random_uuid(),
+                       .body = task_state_record{.task_id = std::string(task_id),
+                                                 .fencing_token = task.fencing_token,
+                                                 .phase = task_phase::placed,
+                                                 .vm = task.vm,
+                                                 .detail = {}}};
+        task.record_due = {};
         return;
     }
     if (task.current_step == step::adopting) {
@@ -298,10 +315,11 @@
     this->release_task(now, std::string(task_id));
 }
 
-void task_manager::on_command_done(boot_time now, std::string_view task_id, task_command command,
-                                   boot_time sent_at, worker_answer answer) {
+void task_manager::on_command_done(boot_time now, std::string_view task_id, log_offset fencing_token,
+                                   task_command command, boot_time sent_at, worker_answer answer) {
     const auto found = this->active_tasks.find(task_id);
-    if (found == this->active_tasks.end()) {
+    const bool is_current = found != this->active_tasks.end() && found->second.fencing_token == fencing_token;
+    if (!is_current) {
         return;
     }
     auto& task = found->second;
@@ -405,14 +423,21 @@
 void task_manager::record_phase(const std::string& id, active_task& task, task_phase phase,
                                 std::string detail) {
     task.current_step = step::ending;
-    task.change_id = random_uuid();
-    this->pending_actions.emplace_back(
-        append_task_record{.change_id = task.change_id,
-                           .body = task_state_record{.task_id = id,
-                                                     .fencing_token = task.fencing_token,
-                                                     .phase = phase,
-                                                     .vm = {},
-                                                     .detail = std::move(detail)}});
+    task.record = {.change_id = random_uuid(),
+                   .body = task_state_record{.task_id = id,
+                                             .fencing_token = task.fencing_token,
+                                             .phase = phase,
+                                             .vm = {},
+                                             .detail = std::move(detail)}};
+    task.record_due = {};
+}
+
+void task_manager::append_due_record(boot_time now, active_task& active,
+                                     std::vector<task_action>& actions) const {
+    if (now >= active.record_due) {
+        active.record_due = now + this->options.record_retry;
+        actions.emplace_back(active.record);
+    }
 }
 
 void task_manager::handle_lost_task(const task_info& task, active_task& active, std::string detail) {
@@ -484,7 +509,8 @@
 
 void task_manager::start_recorded(boot_time now, const fleet_state& state, const task_info& task,
                                   active_task& active, std::vector<task_action>& actions) {
-    if (!state.outcome_of(active.change_id)) {
+    if (!state.outcome_of(active.record.change_id)) {
+        this->append_due_record(now, active, actions);
         return;
     }
     if (task.phase != task_phase::placed) {
@@ -520,7 +546,10 @@
         return;
     case step::ending:
         // A task that ended is no longer owned; one that was queued again is placed again.
-        active.is_done = state.outcome_of(active.change_id).has_value();
+        active.is_done = state.outcome_of(active.record.change_id).has_value();
+        if (!active.is_done) {
+            this->append_due_record(now, active, actions);
+        }
         return;
     case step::recording:
         this->start_recorded(now, state, *task, active, actions);
@@ -587,6 +616,7 @@
             }
         }
     }
+    this->append_due_cancels(now, *state, actions);
     std::move(this->pending_actions.begin(), this->pending_actions.end(), std::back_inserter(actions));
     this->pending_actions.clear();
     return actions;
