--- a/tests/site_soak_test.cpp
+++ b/tests/site_soak_test.cpp
@@ -39,9 +39,9 @@
 
 // Guards against lost, failed or duplicate jobs, and long-running tasks that do not run again, while
 // processes and links fail. Seeds 2, 19 and 20 failed, with the faults of that time, when a node was started
-// before the process that it replaced had released its address. Seed 4 failed in 2 of 3 runs when the
-// fence of a worker that restarted under its id fell back: it carried out a late order of a task that had
-// ended, or refused all orders for the rest of the term.
+// before the process that it replaced had released its address. Seed 4 failed when the fence of a worker that
+// restarted under its id fell back: it carried out a late order of a task that had ended, or refused all
+// orders for the rest of the term.
 BOOST_AUTO_TEST_CASE(accepted_jobs_end_correctly_under_faults) {
     std::vector<soak_case> cases{
         {.seed = 1}, {.seed = 2}, {.seed = 4, .series = 2}, {.seed = 19}, {.seed = 20}};
