--- a/tests/site_soak.hpp
+++ b/tests/site_soak.hpp
@@ -17,6 +17,8 @@
 #include <set>
 #include <thread>
 
+#include <unistd.h>
+
 namespace hornbeamrail::test {
 
 struct soak_options {
@@ -204,10 +206,22 @@
         return true;
     }
 
+    /// @return a port that no outgoing connection takes while a node is down: those ports begin at 32768
     static std::uint16_t free_port() {
+        constexpr unsigned first = 10000;
+        constexpr unsigned count = 20000;
+        static std::atomic<unsigned> next = static_cast<unsigned>(getpid());
         boost::asio::io_context context;
-        boost::asio::ip::tcp::acceptor probe(context, {boost::asio::ip::make_address("127.0.0.1"), 0});
-        return probe.local_endpoint().port();
+        while (true) {
+            const auto port = static_cast<std::uint16_t>(first + next++ % count);
+            boost::asio::ip::tcp::acceptor probe(context);
+            boost::system::error_code failure;
+            probe.open(boost::asio::ip::tcp::v4());
+            probe.bind({boost::asio::ip::make_address("127.0.0.1"), port}, failure);
+            if (!failure) {
+                return port;
+            }
+        }
     }
 
     node make_node(int number) {
