--- a/src/fakes/fake_site.cpp
+++ b/src/fakes/fake_site.cpp
@@ -403,6 +403,23 @@
     }
 }
 
+void fake_site::fail_runs(const std::string& worker, const std::function<bool(const observed_run&)>& selects,
+                          boot_time now) {
+    auto* found = this->find_instance({.id = worker});
+    if (found == nullptr) {
+        return;
+    }
+    std::vector<task_id> failed;
+    for (const auto& [id, task] : found->tasks) {
+        if (selects(this->runs[task.run_index])) {
+            failed.push_back(id);
+        }
+    }
+    for (const auto& id : failed) {
+        this->finish(*found, id, task_end::failed, now);
+    }
+}
+
 void fake_site::advance(boot_time now) {
     for (auto& [id, worker] : this->instances) {
         std::vector<std::pair<task_id, task_end>> finished;
--- a/src/fakes/fake_site.hpp
+++ b/src/fakes/fake_site.hpp
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <random>
@@ -149,6 +150,11 @@
         this->random.seed(seed);
     }
 
+    /// Fails the tasks on a worker.
+    /// @param selects called with each run on the worker; true: its task fails
+    void fail_runs(const std::string& worker, const std::function<bool(const observed_run&)>& selects,
+                   boot_time now);
+
     /// Ends tasks that are complete or whose lease has lapsed, and restarts the workers of VMs whose move or
     /// maintenance is complete.
     void advance(boot_time now);
