--- a/tests/submission_queue_test.cpp
+++ b/tests/submission_queue_test.cpp
@@ -155,7 +155,11 @@
     const auto load_start = now;
     tail.tick(now);
     tail.on_newest(tail.latest_ticket(),
-                   {.done = true, .records = {{.key = "a", .value = "completed"}}, .more = true, .end = 2},
+                   {.done = true,
+                    .records = {{.key = "a", .value = "completed"}},
+                    .more = true,
+                    .continue_after = "a",
+                    .end = 2},
                    ignore, now);
     BOOST_TEST((tail.confirmed() == boot_time{}));
     BOOST_TEST((tail.complete_until() == boot_time{}));
