Simulated processes of one worker never share a start time

Cause: a restart with the clock set back and one with a steady clock could end at the start time of an earlier process, which no scheduler can tell apart. Change: later starts and earlier starts count up and down without a repeat.

--- a/src/fakes/fake_site.cpp
+++ b/src/fakes/fake_site.cpp
@@ -359,7 +359,9 @@
     const auto id = found->second.entry.worker;
     auto entry = this->instances.at(id).entry;
     this->end_instance(id, now);
-    entry.instance_started_ms += changes.clock_stepped_back ? -1 : 1;
+    // No two processes have the same start.
+    entry.instance_started_ms =
+        changes.clock_stepped_back ? --this->earliest_start : ++this->next_instance * instance_spacing;
     entry.address.port += changes.new_address ? 1 : 0;
     entry.capacity = changes.capacity.value_or(entry.capacity);
     entry.draining = false;
--- a/src/fakes/fake_site.hpp
+++ b/src/fakes/fake_site.hpp
@@ -217,6 +217,7 @@
     std::map<std::string, site_vm> site_vms;   ///< by VM id
     std::vector<observed_run> runs;
     std::int64_t next_instance = 1;
+    std::int64_t earliest_start = 1000; ///< below the start of every process with a steady clock
 };
 
 } // namespace hornbeamrail
