A wave stops no long-running task that has no other worker to run on

Callers could see: a task is stopped to empty a VM and then waits for that VM. Cause: the stop was decided by the availability limit alone. Change: another worker must have room for the task. The case of a stop that had no effect gets a second worker, since without one the stop is not decided any more; its check is the same.

--- a/src/scheduler/scheduler_impl.hpp
+++ b/src/scheduler/scheduler_impl.hpp
@@ -447,6 +447,9 @@
     [[nodiscard]] bool is_ready(const task_id& id, const task_progress& task) const;
     /// @return whether the availability limits of all long-running tasks on the worker permit ending them now
     [[nodiscard]] bool can_end_tasks_of(const worker_control& worker);
+    /// @return whether another worker of the pool could run the task now
+    [[nodiscard]] bool has_room_elsewhere(const worker_control& worker, const step_spec& step,
+                                          const task_id& task, boot_time now);
     /// Stops one long-running task on a worker that is to be maintained if the worker runs more tasks of its
     /// step than may be unavailable at once. The task restarts on another worker.
     void spread_tasks_of(worker_control& worker, boot_time now);
--- a/src/scheduler/scheduler_vms.cpp
+++ b/src/scheduler/scheduler_vms.cpp
@@ -95,6 +95,15 @@
     return true;
 }
 
+bool scheduler::impl::has_room_elsewhere(const worker_control& worker, const step_spec& step,
+                                         const task_id& task, boot_time now) {
+    auto candidates = this->find_accepting_workers(worker.entry.pool, now);
+    apply_step_rules(candidates, step, task);
+    auto request = make_request(step);
+    request.avoided_worker = worker.entry.id;
+    return choose_worker(candidates.views, request).has_value();
+}
+
 void scheduler::impl::spread_tasks_of(worker_control& worker, boot_time now) {
     for (const auto& [id, placed] : worker.tasks) {
         auto* job = this->find_job(id.job);
@@ -108,7 +117,8 @@
             return other.worker == worker.entry.id && other.phase == run_phase::running;
         });
         if (step.long_running && running_here > step.max_unavailable && step.max_unavailable > 0 &&
-            this->count_unavailable_tasks(*job, id) < step.max_unavailable) {
+            this->count_unavailable_tasks(*job, id) < step.max_unavailable &&
+            this->has_room_elsewhere(worker, step, id, now)) {
             task->stop_sent = now;
             write_log(severity::info, "run_moved_away",
                       {{"job", id.job}, {"index", id.index}, {"worker", worker.entry.id}});
--- a/tests/scheduler_answers_test.cpp
+++ b/tests/scheduler_answers_test.cpp
@@ -476,6 +476,8 @@
         runs.push_back({.task = start.order.task, .run = start.order.run});
     }
     site.answer_hold("w-1", runs);
+    site.add_worker("w-2"); // with room for the task
+    site.confirm("w-2");
     site.set_vms({vm_of("m-1", "w-1")}, site.now);
     site.schedule.set_waves({{.number = 1, .vms = {"m-1"}, .duration = milliseconds(60000), .max_down = 1}});
     site.run(milliseconds(200));
