Restarts with an earlier clock, and answers after silence, lose no worker and no end

Callers could see: the tasks of a worker do not run again, or run again after their end. Cause: (1) an entry with an earlier start than the known process was ignored for good, also when the clock had been set back and nobody answered at the known address any more; (2) the first holds after silence acknowledged ends of the known process to whichever process answered. Change: (1) such an entry is kept; the next answer, or its absence, decides; (2) holds acknowledge nothing while the worker does not answer.

--- a/src/scheduler/scheduler_impl.hpp
+++ b/src/scheduler/scheduler_impl.hpp
@@ -126,7 +126,10 @@
 /// The scheduler's view of one worker instance.
 struct worker_control {
     worker_entry entry;
-    bool listed = false;      ///< its entry is in the workers topic
+    bool listed = false; ///< its entry is in the workers topic
+    /// Entry of a process with an earlier start than the known one. It was written late, or the clock has
+    /// been set back; the next answer to a hold, or none, decides.
+    std::optional<worker_entry> earlier_entry;
     boot_time listed_since{}; ///< when `listed` last changed
     bool confirmed = false;   ///< has answered a hold with the current fence
     bool hold_in_flight = false;
@@ -302,6 +305,10 @@
     /// have accepted orders that were meant for it, so the next hold decides which placements exist.
     /// @param entry of the new process
     void restart_worker(worker_control& worker, const worker_entry& entry, boot_time now);
+    /// Sets the worker to listed.
+    static void mark_listed(worker_control& worker, boot_time now);
+    /// Continues with the process of `earlier_entry`, which is present.
+    void accept_earlier_entry(worker_control& worker, boot_time now);
     /// Forgets which ends are to be acknowledged to the worker: the numbers belong to one process.
     void drop_acknowledgements(const std::string& worker);
     /// Removes the worker and requeues its tasks. Its runs must have ended.
--- a/src/scheduler/scheduler_workers.cpp
+++ b/src/scheduler/scheduler_workers.cpp
@@ -70,9 +70,11 @@
         if (worker.hold_in_flight || now < due) {
             continue;
         }
+        // After silence another process may answer under the id; its ends have the same numbers.
+        const auto acknowledged_end = worker.is_unresponsive() ? 0 : worker.recorded_end;
         hold_order order{.number = ++this->latest_hold,
                          .fence = this->fence_of(worker),
-                         .acknowledged_end = worker.recorded_end};
+                         .acknowledged_end = acknowledged_end};
         // A worker that stays silent may be cut off for good. Renewals that may not reach it would keep its
         // tasks from running elsewhere.
         const bool is_silent = worker.is_unresponsive() &&
@@ -279,6 +281,20 @@
     }
 }
 
+void scheduler::impl::mark_listed(worker_control& worker, boot_time now) {
+    if (!worker.listed) {
+        worker.listed = true;
+        worker.listed_since = now;
+        worker.next_hold = std::min(worker.next_hold, now);
+    }
+}
+
+void scheduler::impl::accept_earlier_entry(worker_control& worker, boot_time now) {
+    const auto entry = *std::exchange(worker.earlier_entry, std::nullopt);
+    this->restart_worker(worker, entry, now);
+    mark_listed(worker, now);
+}
+
 void scheduler::impl::restart_worker(worker_control& worker, const worker_entry& entry, boot_time now) {
     write_log(severity::warning, "worker_restarted",
               {{"worker", entry.id}, {"tasks", worker.tasks.size()}, {"fence", this->fence_of(worker)}});
@@ -387,9 +403,11 @@
         found == state.workers.end() ? std::int64_t{0} : found->second.entry.instance_started_ms;
     const bool is_other_instance =
         known_start != 0 && entry.instance_started_ms != 0 && entry.instance_started_ms != known_start;
-    if (is_other_instance && entry.instance_started_ms < known_start) {
-        // The log may deliver the entry of an instance after the worker itself reported its restart.
+    if (is_other_instance && entry.instance_started_ms < known_start && !found->second.is_unresponsive()) {
+        // The log may deliver the entry of an instance after the worker itself reported its restart. Without
+        // an answer, the entry may as well be of a later instance whose clock has been set back.
         write_log(severity::info, "worker_entry_outdated", {{"worker", entry.id}});
+        found->second.earlier_entry = entry;
         return;
     }
     if (is_other_instance) {
@@ -406,11 +424,7 @@
         write_log(severity::info, "worker_joined",
                   {{"worker", entry.id}, {"pool", entry.pool}, {"zone", entry.zone}});
     }
-    if (!worker.listed) {
-        worker.listed = true;
-        worker.listed_since = now;
-        worker.next_hold = std::min(worker.next_hold, now);
-    }
+    impl::mark_listed(worker, now);
     if (entry.draining && !worker.entry.draining) {
         write_log(severity::info, "worker_draining", {{"worker", entry.id}});
     }
@@ -426,6 +440,7 @@
     }
     found->second.listed = false;
     found->second.listed_since = now;
+    found->second.earlier_entry.reset();
     if (found->second.tasks.empty()) {
         state.drop_acknowledgements(id);
         state.workers.erase(found);
@@ -460,11 +475,17 @@
     case order_outcome::done:
         if (report.instance_started_ms != 0 && worker.entry.instance_started_ms != 0 &&
             report.instance_started_ms != worker.entry.instance_started_ms) {
+            if (worker.earlier_entry &&
+                worker.earlier_entry->instance_started_ms == report.instance_started_ms) {
+                state.accept_earlier_entry(worker, now);
+                return;
+            }
             auto entry = worker.entry;
             entry.instance_started_ms = report.instance_started_ms;
             state.restart_worker(worker, entry, now);
             return;
         }
+        worker.earlier_entry.reset();
         worker.fenced_since.reset();
         state.accept_report(worker, order, report, now);
         return;
@@ -492,6 +513,10 @@
                 severity::info, "worker_doubted",
                 {{"worker", target.id}, {"outcome", to_string(report.outcome)}, {"reason", report.reason}});
         }
+        if (worker.earlier_entry) {
+            state.accept_earlier_entry(worker, now);
+            return;
+        }
         // Retries at once after the first failure, which may be a single lost answer.
         worker.next_hold = now + state.timings.hold_retry * std::min(worker.unanswered_holds - 1, 4);
         return;
