Answers to holds of an earlier term on the same node are ignored

Callers could see: a task runs twice, when one node begins two terms within 1.5 s. Change: the numbers go on in the next term. Evidence: answer_to_a_hold_of_an_earlier_term_is_ignored failed before (3 holds, expected 2) and passes.

--- a/src/protocol/platform_port.hpp
+++ b/src/protocol/platform_port.hpp
@@ -179,7 +179,7 @@
 
 /// Renews the leases of all tasks on a worker, lists the running tasks and long-polls for ended ones.
 struct hold_order {
-    std::int64_t number = 0; ///< tells the answers to the holds of one term apart; not sent
+    std::int64_t number = 0; ///< tells the answers to the holds of one scheduler apart; not sent
     std::int64_t fence = 0;
     std::int64_t acknowledged_end = 0; ///< the worker may discard ended tasks up to this number
     std::optional<std::chrono::milliseconds> lease_until; ///< on the worker's clock
--- a/src/scheduler/scheduler.cpp
+++ b/src/scheduler/scheduler.cpp
@@ -23,6 +23,7 @@
     }
     next->stopping = this->self->stopping;
     next->drop_sequence = this->self->drop_sequence;
+    next->latest_hold = this->self->latest_hold;
     next->term = term;
     next->term_begin = now;
     next->term_confirmed = now;
--- a/src/scheduler/scheduler_impl.hpp
+++ b/src/scheduler/scheduler_impl.hpp
@@ -497,7 +497,7 @@
     std::map<std::string, learned_duration> durations;      ///< by queue
 
     std::map<std::string, worker_control> workers;
-    std::int64_t latest_hold = 0; ///< number of the latest hold of the term
+    std::int64_t latest_hold = 0; ///< number of the latest hold; goes on in the next term
     /// How often the fence of a worker was raised within the term, by worker id. Kept when the worker is
     /// removed: its process may come back, and it refuses fences below the highest that it has seen.
     std::unordered_map<std::string, std::int32_t> fence_increments;
--- a/tests/scheduler_answers_test.cpp
+++ b/tests/scheduler_answers_test.cpp
@@ -545,3 +545,35 @@
     }
     BOOST_TEST(tried.size() == 2);
 }
+
+// Guards against two runs of a task: the answer to a hold of an earlier term on the same node was taken for
+// that of the hold in flight.
+BOOST_AUTO_TEST_CASE(answer_to_a_hold_of_an_earlier_term_is_ignored) {
+    manual_site site;
+    site.add_worker("w-1");
+    site.run(milliseconds(20));
+    const auto earlier = site.holds["w-1"].back();
+    site.begin_term();
+    site.add_worker("w-1");
+    site.run(milliseconds(20));
+    BOOST_REQUIRE(site.holds["w-1"].size() == 2);
+    site.answer(earlier);
+    site.run(milliseconds(100));
+    BOOST_TEST(site.holds["w-1"].size() == 2); // the one in flight has no answer yet
+}
+
+// Guards against a late order that a worker carries out after the scheduler gave it up: the fence of the
+// worker stayed the same when it was declared lost.
+BOOST_AUTO_TEST_CASE(lost_worker_comes_back_with_a_higher_fence) {
+    manual_site site;
+    site.add_worker("w-1");
+    site.confirm("w-1");
+    site.submit(long_running_step(1));
+    site.run(milliseconds(100));
+    BOOST_REQUIRE(site.starts.size() == 1);
+    const auto hold = site.holds["w-1"].back();
+    site.schedule.on_hold_report(hold.worker, hold.order, {.outcome = order_outcome::other_worker}, site.now);
+    site.add_worker("w-1");
+    site.run(milliseconds(20));
+    BOOST_TEST(site.holds["w-1"].back().order.fence > site.starts.front().order.fence);
+}
