A VM that returns from maintenance gets its time to be served

Cause: the time since which a VM is up without a usable worker was not cleared while the VM was in maintenance, down or draining, so it could count as unserved at once on its return. Change: the state is followed at every plan.

--- a/src/scheduler/scheduler_moves.cpp
+++ b/src/scheduler/scheduler_moves.cpp
@@ -147,10 +147,10 @@
         }
         const auto worker = this->workers.find(vm.worker);
         const bool has_worker = worker != this->workers.end();
-        const bool usable = !this->zones_out.contains(vm.zone) && vm.condition != vm_condition::down &&
-                            vm.condition != vm_condition::maintenance &&
-                            !(has_worker && worker->second.entry.draining) && !this->is_next_in_wave(name) &&
-                            (pool.spare || !this->is_unserved(vm, now));
+        const bool unserved = !pool.spare && this->is_unserved(vm, now);
+        const bool usable = !unserved && !this->zones_out.contains(vm.zone) &&
+                            vm.condition != vm_condition::down && vm.condition != vm_condition::maintenance &&
+                            !(has_worker && worker->second.entry.draining) && !this->is_next_in_wave(name);
         entry.vms += usable ? 1 : 0;
         const bool idle = pool.spare || (has_worker && worker->second.tasks.empty() &&
                                          worker->second.confirmed && !worker->second.is_unresponsive());
