An overdue task does not wait behind one of its step that is not overdue

Cause: only overdue tasks may use VMs that are next in a wave, and the first task without a worker ended the search for its step. Change: the search goes on for long-running steps.

--- a/src/scheduler/scheduler_dispatch.cpp
+++ b/src/scheduler/scheduler_dispatch.cpp
@@ -320,7 +320,9 @@
         request.overdue = step.long_running && this->is_overdue(id, now);
         const auto choice = log_late ? this->find_reserved_worker(task, views, request)
                                      : this->find_worker(task, views, request, now);
-        const bool others_may_fit = log_late || !task.worker.empty(); // they may have failed elsewhere
+        // Others may have failed elsewhere, or may use more workers because they are overdue.
+        const bool others_may_fit =
+            log_late || !task.worker.empty() || (step.long_running && !request.overdue);
         if (!choice && others_may_fit) {
             placed_all = placed_all && log_late;
             continue;
