A worker that is declared lost comes back with a higher fence

Callers could see: a task runs twice, when an order that was in flight at the loss is carried out late by the same process. Cause: the fence stayed the same, so nothing rejected the order. Change: the loss raises the fence. An entry with an earlier start is dropped when a later one or a restart refutes it. Evidence: lost_worker_comes_back_with_a_higher_fence failed before (fence 100000 twice) and passes; scheduler_restart_test, scheduler_test and scheduler_outage_test pass.

--- a/src/scheduler/scheduler_workers.cpp
+++ b/src/scheduler/scheduler_workers.cpp
@@ -300,6 +300,7 @@
               {{"worker", entry.id}, {"tasks", worker.tasks.size()}, {"fence", this->fence_of(worker)}});
     this->drop_acknowledgements(entry.id);
     worker.entry = entry;
+    worker.earlier_entry.reset();
     worker.applied_end = 0;
     worker.recorded_end = 0;
     worker.clock.reset();
@@ -336,6 +337,7 @@
         }
     }
     this->drop_acknowledgements(id);
+    this->raise_fence(worker, now); // an order in flight may reach the worker if it lives and comes back
     this->workers.erase(found);
 }
 
@@ -425,6 +427,7 @@
                   {{"worker", entry.id}, {"pool", entry.pool}, {"zone", entry.zone}});
     }
     impl::mark_listed(worker, now);
+    worker.earlier_entry.reset();
     if (entry.draining && !worker.entry.draining) {
         write_log(severity::info, "worker_draining", {{"worker", entry.id}});
     }
