A pace that is not known is ordered again

Callers could see: a best-effort task stays slowed down for good after a takeover, or after an order of pace whose answer was lost. Cause: the pace belongs to the run on the worker, no report carries it, and the scheduler assumed full speed (successor) or the pace before (lost answer). Change: an adopted run and an order without an answer have no known pace; the next plan orders one whatever it was. Evidence: pace_whose_answer_was_lost_is_ordered_again failed before (last order 33, expected 100) and passes; scheduler_test and scheduler_outage_test pass.

--- a/src/scheduler/scheduler.cpp
+++ b/src/scheduler/scheduler.cpp
@@ -113,6 +113,7 @@
                     worker.entry.id = task.worker;
                     task.placed_at = now;
                     auto* placed = state.add_placement(worker, *job, name, task.run, now);
+                    placed->pace.reset(); // ordered by a predecessor
                     placed->stage =
                         start_stage::unacknowledged; // its fence is 0, so any hold of this term resolves it
                     ++adopted;
--- a/src/scheduler/scheduler_impl.hpp
+++ b/src/scheduler/scheduler_impl.hpp
@@ -98,9 +98,9 @@
     bool best_effort = false;
     bool latency_sensitive = false;
     bool long_running = false;
-    bool beyond_share = false;    ///< the job exceeds the share of its account
-    bool ready = false;           ///< the latest report shows a long-running task past its startup
-    std::int32_t pace = 100;      ///< percentage of full speed that was ordered last
+    bool beyond_share = false;              ///< the job exceeds the share of its account
+    bool ready = false;                     ///< the latest report shows a long-running task past its startup
+    std::optional<std::int32_t> pace = 100; ///< percentage of full speed; empty: not known
     std::int64_t latest_load = 0; ///< tail latency in ms of a latency-sensitive task, else millicores in use
     boot_time pace_sent{};
 };
--- a/src/scheduler/scheduler_orders.cpp
+++ b/src/scheduler/scheduler_orders.cpp
@@ -129,6 +129,21 @@
     }
 }
 
+namespace {
+
+/// @param current empty: not known, so the result is an order that holds whatever it is
+std::int32_t next_pace(std::optional<std::int32_t> current, bool target_at_risk) {
+    constexpr std::int32_t full_speed = 100;
+    constexpr std::int32_t recovery = 10;
+    constexpr std::int32_t slow_down = 3;
+    if (!current) {
+        return target_at_risk ? full_speed / slow_down : full_speed;
+    }
+    return target_at_risk ? *current / slow_down : std::min(full_speed, *current + recovery);
+}
+
+} // namespace
+
 void scheduler::impl::pace_best_effort_tasks(boot_time now) {
     constexpr milliseconds pace_settle_time{600}; // between two changes of the pace of one task
     for (auto& [id, worker] : this->workers) {
@@ -151,7 +166,7 @@
                 now < placed.pace_sent + pace_settle_time) {
                 continue;
             }
-            const auto percent = target_at_risk ? placed.pace / 3 : std::min(100, placed.pace + 10);
+            const auto percent = next_pace(placed.pace, target_at_risk);
             if (percent == placed.pace) {
                 continue;
             }
@@ -174,8 +189,13 @@
     }
     state.update_clock(found->second, answer.worker_clock, now);
     const auto placed = found->second.tasks.find(order.task);
-    if (answer.outcome == order_outcome::done && placed != found->second.tasks.end()) {
+    if (placed == found->second.tasks.end() || placed->second.run != order.run) {
+        return;
+    }
+    if (answer.outcome == order_outcome::done) {
         placed->second.pace = order.percent;
+    } else if (answer.outcome == order_outcome::unknown) {
+        placed->second.pace.reset();
     }
 }
 
--- a/tests/scheduler_answers_test.cpp
+++ b/tests/scheduler_answers_test.cpp
@@ -94,7 +94,7 @@
         } else if (auto* stop = std::get_if<send_stop>(&action)) {
             this->stops.push_back(std::move(*stop));
         } else if (auto* pace = std::get_if<send_pace>(&action)) {
-            this->schedule.on_pace_answer(pace->worker, pace->order, {.outcome = order_outcome::done},
+            this->schedule.on_pace_answer(pace->worker, pace->order, {.outcome = this->pace_outcome},
                                           this->now);
             this->paces.push_back(std::move(*pace));
         } else if (auto* hold = std::get_if<send_hold>(&action)) {
@@ -170,7 +170,8 @@
     std::uint64_t jobs = 0;
     std::vector<send_start> starts;
     std::vector<send_stop> stops;
-    std::vector<send_pace> paces; ///< answered at once
+    std::vector<send_pace> paces; ///< answered at once with `pace_outcome`
+    order_outcome pace_outcome = order_outcome::done;
     std::map<std::string, std::vector<send_hold>> holds;
     std::vector<request_advice> advice;
     std::vector<order_maintenance> maintenance;
@@ -577,3 +578,34 @@
     site.run(milliseconds(20));
     BOOST_TEST(site.holds["w-1"].back().order.fence > site.starts.front().order.fence);
 }
+
+// Guards against a best-effort task that stays slowed down for good: the answer to the order was lost, and
+// the scheduler went on with the pace before it.
+BOOST_AUTO_TEST_CASE(pace_whose_answer_was_lost_is_ordered_again) {
+    manual_site site;
+    site.add_worker("w-1");
+    site.confirm("w-1");
+    site.submit({.count = 1,
+                 .need = {.cpu_millicores = 2000, .memory_mb = 1000},
+                 .long_running = true,
+                 .latency_target = milliseconds(100)});
+    site.submit({.count = 1, .need = {.cpu_millicores = 2000, .memory_mb = 1000}, .best_effort = true});
+    site.run(milliseconds(100));
+    BOOST_REQUIRE(site.starts.size() == 2);
+    std::vector<running_task> runs;
+    for (const auto& start : site.starts) {
+        site.answer(start, order_outcome::done);
+        runs.push_back({.task = start.order.task, .run = start.order.run, .latest_load = 500});
+    }
+    site.pace_outcome = order_outcome::unknown;
+    site.answer_hold("w-1", runs);
+    site.run(milliseconds(500));
+    BOOST_REQUIRE(site.paces.size() == 1);
+    site.pace_outcome = order_outcome::done;
+    for (auto& run : runs) {
+        run.latest_load = 10;
+    }
+    site.answer_hold("w-1", runs);
+    site.run(milliseconds(3000));
+    BOOST_TEST(site.paces.back().order.percent == 100);
+}
