--- a/src/policy/worker_choice.cpp
+++ b/src/policy/worker_choice.cpp
@@ -8,7 +8,8 @@
 
 namespace {
 
-/// Fraction of the workers of a pool that may be avoided for failed tasks; at least one of two or more is.
+/// Fraction of the workers of a pool that may be avoided for failed tasks. With two or more workers, at least
+/// one may be avoided.
 constexpr double max_avoided_fraction = 0.3;
 
 /// @return unreserved CPU of a worker, in thousandths of its capacity
@@ -65,7 +66,7 @@
 
 bool can_run(const worker_view& worker, const placement_request& request) {
     const bool under_limit = request.max_per_worker <= 0 || worker.same_step_tasks < request.max_per_worker;
-    const bool has_standing = (request.may_fail || worker.standing != worker_standing::avoided) &&
+    const bool has_standing = (request.unlimited_attempts || worker.standing != worker_standing::avoided) &&
                               (request.overdue || worker.standing != worker_standing::leaving);
     return worker.allowed && has_standing && under_limit && worker.id != request.avoided_worker &&
            fits(request.need, worker.available);
@@ -80,7 +81,7 @@
     const auto limit = workers.size() < 2 ? 0 : std::max<std::size_t>(1, fraction);
     for (std::size_t rank = 0; rank < failing.size(); ++rank) {
         workers[failing[rank].index].standing =
-            rank < limit ? worker_standing::avoided : worker_standing::doubtful;
+            rank < limit ? worker_standing::avoided : worker_standing::suspect;
     }
 }
 
--- a/src/policy/worker_choice.hpp
+++ b/src/policy/worker_choice.hpp
@@ -11,12 +11,12 @@
 
 namespace hornbeamrail {
 
-/// What speaks against a worker, in ascending order.
+/// How far a worker is excluded from placement, in ascending order.
 enum class worker_standing : std::uint8_t {
     good,
-    doubtful, ///< chosen only if no good worker can run the task
-    avoided,  ///< like `doubtful`, and only for tasks that may fail any number of times
-    leaving,  ///< its VM is next in maintenance: only for tasks that have waited too long
+    suspect, ///< chosen only if no good worker can run the task
+    avoided, ///< like `suspect`, and only for tasks that may fail any number of times
+    leaving, ///< its VM is next in maintenance: only for tasks that have waited too long
 };
 
 /// State of a worker on which `choose_worker` bases its decision. The strings are not owned.
@@ -36,12 +36,13 @@
 /// Requirements and preferences of a task. The strings are not owned.
 struct placement_request {
     resources need;
-    std::string_view data_rack;      ///< rack of the task's data, preferred; empty: no preference
-    std::string_view avoided_worker; ///< where the last run failed; never chosen; empty: all permitted
+    std::string_view data_rack; ///< rack of the task's data, preferred; empty: no preference
+    std::string_view
+        avoided_worker; ///< where the last run failed; excluded from this search; empty: all permitted
     std::int32_t max_per_worker = 0; ///< limit on tasks of the same step; 0: no limit
     bool best_effort = false;
     bool latency_sensitive = false;
-    bool may_fail = false;           ///< failed runs have no limit
+    bool unlimited_attempts = false; ///< the task may fail any number of times
     bool overdue = false;            ///< it has waited too long
     bool spread = false;             ///< distribute the step over as many workers as possible
     std::string_view preferred_rack; ///< rack chosen for a rack-sensitive step; empty: no preference
@@ -71,7 +72,7 @@
 ///
 /// Jobs that can never be done fail on every worker, so failures speak against a worker only as far as most
 /// others have none. A limited fraction of the workers, those with the most failures, is avoided; the others
-/// are doubtful.
+/// are suspect.
 /// @param workers that are not avoided for another reason
 /// @param failing those of @p workers on which tasks failed
 void set_standings(std::vector<worker_view>& workers, std::vector<failing_worker> failing);
--- a/src/scheduler/scheduler_dispatch.cpp
+++ b/src/scheduler/scheduler_dispatch.cpp
@@ -163,7 +163,7 @@
                               .max_per_worker = step.max_per_worker,
                               .best_effort = step.best_effort,
                               .latency_sensitive = step.latency_target.count() > 0,
-                              .may_fail = step.long_running,
+                              .unlimited_attempts = step.long_running,
                               .spread = step.long_running};
     if (step.best_effort) {
         request.need.cpu_millicores = 0;
@@ -350,7 +350,8 @@
                                                         placement_request request, boot_time now) const {
     request.avoided_worker = task.worker; // where its last run failed or was not answered, else empty
     auto choice = choose_worker(views, request);
-    const bool may_return = request.may_fail || now >= task.retry_at + this->timings.return_after_failure;
+    const bool may_return =
+        request.unlimited_attempts || now >= task.retry_at + this->timings.return_after_failure;
     if (!choice && !task.worker.empty() && may_return) {
         request.avoided_worker = {};
         choice = choose_worker(views, request);
--- a/src/scheduler/scheduler_impl.hpp
+++ b/src/scheduler/scheduler_impl.hpp
@@ -27,7 +27,7 @@
     std::chrono::milliseconds start_lease{1500};   ///< the worker rejects a start order that arrives later
     std::chrono::milliseconds commit_interval{10}; ///< least time between two progress appends
     std::chrono::milliseconds dispatch_interval{15};
-    /// A search for workers at least this often: the end of a backoff or of a reservation is no event.
+    /// Longest time between two searches for workers: the end of a backoff or of a reservation triggers none.
     std::chrono::milliseconds dispatch_recheck{200};
     std::chrono::milliseconds stop_retry{300};
     /// An append of progress without an answer for this time shows that the log is late. Until it answers,
@@ -116,7 +116,7 @@
     vm_ordered, ///< its VM has a pending order
     refusing,   ///< it refused a start a moment ago
     leaving,    ///< its VM is next in a wave; used only for long-running tasks that are overdue
-    avoided,    ///< tasks failed there repeatedly; used only if no other worker can run a task
+    avoided,    ///< tasks failed there repeatedly; see `worker_standing`
 };
 inline constexpr std::size_t worker_block_count = 10;
 
@@ -127,8 +127,8 @@
 struct worker_control {
     worker_entry entry;
     bool listed = false; ///< its entry is in the workers topic
-    /// Entry of a process with an earlier start than the known one. It was written late, or the clock has
-    /// been set back; the next answer to a hold, or none, decides.
+    /// Entry of a process with an earlier start than the known one: it was written late, or the clock has
+    /// been set back. The next answer to a hold decides; without an answer the entry is adopted.
     std::optional<worker_entry> earlier_entry;
     boot_time listed_since{}; ///< when `listed` last changed
     bool confirmed = false;   ///< has answered a hold with the current fence
@@ -145,7 +145,7 @@
     boot_time unanswered_since{};
     std::optional<boot_time> fenced_since; ///< when it first refused the current fence
     std::int32_t recent_failures = 0;      ///< failed runs since the last one that succeeded
-    boot_time avoid_until{};               ///< its standing is bad until then
+    boot_time avoid_until{};               ///< tasks failed there repeatedly; until then see `set_standings`
     std::int32_t refused_starts = 0;       ///< since the last start that it accepted
     boot_time refused_until{};             ///< no new tasks until then
     std::map<task_id, placement> tasks;
@@ -223,7 +223,7 @@
     bool report_in_flight = false;
 };
 
-/// The workers of a pool that receive new tasks, those with bad standing included; `views` and `controls`
+/// The workers of a pool that receive new tasks, those without good standing included; `views` and `controls`
 /// have the same order.
 struct accepting_workers {
     std::vector<worker_view> views;
--- a/src/scheduler/scheduler_waiting.cpp
+++ b/src/scheduler/scheduler_waiting.cpp
@@ -8,8 +8,8 @@
 #include <algorithm>
 #include <array>
 
-// Long-running tasks are restarted wherever there is room. When one waits nevertheless, its log line shows
-// what keeps each worker of its pool from running it.
+// A long-running task that waits longer than `scheduler_timings::overdue_after` is reported, with what keeps
+// the workers of its pool from running it.
 
 namespace hornbeamrail {
 
--- a/src/scheduler/scheduler_workers.cpp
+++ b/src/scheduler/scheduler_workers.cpp
@@ -70,7 +70,8 @@
         if (worker.hold_in_flight || now < due) {
             continue;
         }
-        // After silence another process may answer under the id; its ends have the same numbers.
+        // After silence another process may answer under the id. It numbers its ends from 1 as well, so
+        // nothing is acknowledged.
         const auto acknowledged_end = worker.is_unresponsive() ? 0 : worker.recorded_end;
         hold_order order{.number = ++this->latest_hold,
                          .fence = this->fence_of(worker),
@@ -238,7 +239,7 @@
             task->stop_sent = now;
             this->send_stop_order(worker, running.task, running.run);
         } else if (worker.hold_sent >= task->stop_sent + this->timings.stop_retry) {
-            task->stop_sent = {}; // it had no effect, so the run goes on until another stop is decided
+            task->stop_sent = {}; // the run outlived it, so another stop has to be decided
         }
     }
     // A run that is neither listed as running nor as ended does not exist: the fence of this hold rejects
--- a/src/site/site_node_options.hpp
+++ b/src/site/site_node_options.hpp
@@ -34,7 +34,8 @@
     /// A node that holds the scheduler lease and has loaded nothing of its term for this time passes the
     /// lease on. Longer than two reads of newest records without an answer.
     std::chrono::milliseconds load_stall_limit{5000};
-    /// Time for which a node that passed the lease on does not claim it. Longer than the others wait.
+    /// Time for which a node that passed the lease on does not claim it. Exceeds the time after which the
+    /// other nodes claim a lease that is not renewed.
     std::chrono::milliseconds lease_pause{4000};
     /// Delay before the scheduler retries an append.
     std::chrono::milliseconds append_retry{60};
--- a/src/site/site_node_scheduler.hpp
+++ b/src/site/site_node_scheduler.hpp
@@ -26,7 +26,7 @@
             self->with_lock([&](boot_time at) {
                 self->lease.on_append(answer, at);
                 if (answer.outcome != append_outcome::appended) {
-                    self->load_progress_at = at; // the log is out of reach for more than the load
+                    self->load_progress_at = at; // the log rejects renewals as well
                 }
             });
         });
