The soak does not lose its ports to another soak's start

site_soak_test failed in about half of its runs with "node N ended with an error".

While one probes a port with an open socket, another one starts a node, and the node inherits the probe, so the port stays in use for as long as that node lives. Close-on-exec does not cover the time between fork and exec.

Change: child_start_mutex is held while a process is started and while a port is probed, so no child can hold a probe.

--- a/tests/child_process.hpp
+++ b/tests/child_process.hpp
@@ -8,6 +8,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <mutex>
 #include <optional>
 #include <stdexcept>
 #include <string>
@@ -17,7 +18,16 @@
 
 namespace hornbeamrail::test {
 
-/// Owns a child process. The destructor kills it and waits for its end. Not thread-safe.
+/// Held while a process is started, and while a socket is open that no process may inherit: a child holds
+/// copies of all sockets of this process from its start until it runs its program, and longer without
+/// close-on-exec.
+inline std::mutex& child_start_mutex() {
+    static std::mutex mutex;
+    return mutex;
+}
+
+/// Owns a child process. The destructor kills it and waits for its end. One object is not thread-safe;
+/// several threads may start processes.
 class child_process {
 public:
     /// Starts a program.
@@ -35,8 +45,12 @@
             arguments.push_back(const_cast<char*>(argument.c_str()));
         }
         arguments.push_back(nullptr);
-        const int failure =
-            posix_spawn(&this->id, command.front().c_str(), &actions, nullptr, arguments.data(), environ);
+        int failure = 0;
+        {
+            const std::lock_guard lock(child_start_mutex());
+            failure =
+                posix_spawn(&this->id, command.front().c_str(), &actions, nullptr, arguments.data(), environ);
+        }
         posix_spawn_file_actions_destroy(&actions);
         if (failure != 0) {
             throw std::runtime_error("cannot start " + command.front());
--- a/tests/site_soak.hpp
+++ b/tests/site_soak.hpp
@@ -212,6 +212,8 @@
         constexpr unsigned count = 20000;
         static std::atomic<unsigned> next = static_cast<unsigned>(getpid());
         boost::asio::io_context context;
+        // A node of another soak that starts meanwhile would inherit the probe and keep the port in use.
+        const std::lock_guard lock(child_start_mutex());
         while (true) {
             const auto port = static_cast<std::uint16_t>(first + next++ % count);
             boost::asio::ip::tcp::acceptor probe(context);
