--- a/src/fakes/fake_site.cpp
+++ b/src/fakes/fake_site.cpp
@@ -19,7 +19,24 @@
 
 } // namespace
 
+std::string fake_keyed_log::find_rejection(const append_call& call) const {
+    std::size_t bytes = 0;
+    for (const auto& record : call.records) {
+        bytes += bytes_in_log(record);
+        if (bytes_in_log(record) > this->limits.max_record_bytes) {
+            return fmt::format("a record of {} bytes", bytes_in_log(record));
+        }
+        if (this->is_rejected && this->is_rejected(call.topic, record)) {
+            return "a record that the test selected";
+        }
+    }
+    return bytes > this->limits.max_append_bytes ? fmt::format("an append of {} bytes", bytes) : "";
+}
+
 append_answer fake_keyed_log::append(const append_call& call) {
+    if (auto reason = this->find_rejection(call); !reason.empty()) {
+        return {.outcome = append_outcome::rejected, .reason = std::move(reason)};
+    }
     auto& log = this->partitions[{call.topic, call.partition}];
     const auto end = log.first + static_cast<std::int64_t>(log.records.size());
     producer_state* producer = nullptr;
@@ -249,7 +266,11 @@
     active_task started{.run = order.run, .need = need, .run_index = this->runs.size()};
     this->plan_end(started, *worker, order.task, now);
     worker->tasks[order.task] = started;
-    this->runs.push_back({.worker = target.id, .task = order.task, .run = order.run, .started_at = now});
+    this->runs.push_back({.worker = target.id,
+                          .task = order.task,
+                          .run = order.run,
+                          .started_at = now,
+                          .resumed = !order.checkpoint.empty()});
     return {.outcome = order_outcome::done, .worker_clock = clock};
 }
 
@@ -303,7 +324,12 @@
     for (const auto& [id, task] : worker->tasks) {
         const bool is_starting = this->long_running.contains(id.job) &&
                                  now < this->runs[task.run_index].started_at + this->limits.startup_time;
-        report.running.push_back({.task = id, .run = task.run, .percent = is_starting ? 50 : 100});
+        const auto bytes = this->checkpoint_bytes.find(id.job);
+        report.running.push_back(
+            {.task = id,
+             .run = task.run,
+             .checkpoint = std::string(bytes == this->checkpoint_bytes.end() ? 0 : bytes->second, 'c'),
+             .percent = is_starting ? 50 : 100});
     }
     return report;
 }
--- a/src/fakes/fake_site.hpp
+++ b/src/fakes/fake_site.hpp
@@ -16,14 +16,21 @@
 
 namespace hornbeamrail {
 
-/// In-memory stand-in of a keyed, partitioned log with conditional appends, producer epochs and the newest
-/// record of each key. Not thread-safe.
+/// In-memory stand-in of a keyed, partitioned log with conditional appends, producer epochs, limits of
+/// records and appends, and the newest record of each key. Not thread-safe.
 class fake_keyed_log {
 public:
     append_answer append(const append_call& call);
     [[nodiscard]] read_answer read(const read_call& call) const;
     [[nodiscard]] newest_answer newest(const newest_call& call) const;
 
+    void set_limits(append_limits changed) { this->limits = changed; }
+
+    /// Makes the log reject appends with a record that @p selects, as long as it is set.
+    void set_rejected(std::function<bool(log_topic, const keyed_record&)> selects) {
+        this->is_rejected = std::move(selects);
+    }
+
     /// Drops the records of a partition except the newest record of each key. Reads of dropped offsets answer
     /// `expired`.
     void drop_history(log_topic topic, std::int32_t partition);
@@ -42,6 +49,11 @@
     };
     using partition_key = std::pair<log_topic, std::int32_t>;
 
+    /// @return the reason why the log does not accept the records, or an empty text
+    [[nodiscard]] std::string find_rejection(const append_call& call) const;
+
+    append_limits limits;
+    std::function<bool(log_topic, const keyed_record&)> is_rejected;
     std::map<partition_key, partition_log> partitions;
 };
 
@@ -54,6 +66,7 @@
     boot_time ended_at = boot_time::max(); ///< the maximum while the task runs
     std::optional<task_end> outcome;       ///< absent while the task runs, or when its worker instance ended
     bool acknowledged = false;             ///< a hold has acknowledged its end
+    bool resumed = false;                  ///< its start order had a checkpoint
 };
 
 /// How a worker treats the starts that it is ordered.
@@ -105,6 +118,12 @@
     /// Makes the tasks of a job run until they are stopped or their lease lapses.
     void set_long_running(const std::string& job) { this->long_running[job] = true; }
 
+    /// Makes the tasks of a job report checkpoints of that size, and keep the one that they were started
+    /// with.
+    void set_checkpoint_bytes(const std::string& job, std::size_t bytes) {
+        this->checkpoint_bytes[job] = bytes;
+    }
+
     /// Makes the tasks of a job fail at the end of their run time.
     void set_failing(const std::string& job) { this->failing.insert(job); }
 
@@ -209,9 +228,10 @@
     options limits;
     std::chrono::milliseconds task_duration{1000};
     std::map<std::string, bool> long_running;
-    std::set<std::string> failing;  ///< jobs
-    std::set<std::string> refusing; ///< workers
-    double failure_share = 0;       ///< of long-running tasks in each span of 2 s
+    std::map<std::string, std::size_t> checkpoint_bytes; ///< by job
+    std::set<std::string> failing;                       ///< jobs
+    std::set<std::string> refusing;                      ///< workers
+    double failure_share = 0;                            ///< of long-running tasks in each span of 2 s
     std::mt19937_64 random;
     std::map<std::string, instance> instances; ///< by worker id
     std::map<std::string, site_vm> site_vms;   ///< by VM id
--- a/src/protocol/job.hpp
+++ b/src/protocol/job.hpp
@@ -32,7 +32,7 @@
 /// @return whether @p need fits into @p available in every dimension
 [[nodiscard]] bool fits(const resources& need, const resources& available) noexcept;
 
-/// Limits of a job. The progress of all its open tasks must fit into one record of the log.
+/// Limits of a job, which bound what the scheduler keeps of it.
 struct job_limits {
     static constexpr std::size_t max_steps = 200;
     static constexpr std::int64_t max_tasks = 2000; ///< of all steps together
--- a/src/protocol/platform_port.cpp
+++ b/src/protocol/platform_port.cpp
@@ -13,8 +13,15 @@
 constexpr std::array<std::string_view, 7> vm_order_names{"done",     "fenced",     "busy",   "wrong_wave",
                                                          "rejected", "overloaded", "unknown"};
 
+/// Upper bound of what the log adds to key and value of a record: the lengths of both.
+constexpr std::size_t record_overhead_bytes = 8;
+
 } // namespace
 
+std::size_t bytes_in_log(const keyed_record& record) noexcept {
+    return record.key.size() + record.value.size() + record_overhead_bytes;
+}
+
 std::string_view to_string(order_outcome outcome) noexcept {
     return order_names[static_cast<std::size_t>(outcome)];
 }
--- a/src/protocol/platform_port.hpp
+++ b/src/protocol/platform_port.hpp
@@ -67,10 +67,20 @@
     wrong_end,      ///< the partition does not end at `expected_end`; nothing was appended
     fenced,         ///< the producer's epoch is too low; nothing was appended
     wrong_sequence, ///< the sequence number is not the next one; nothing was appended
-    refused,        ///< the log is overloaded or full, or rejected the call; nothing was appended
+    refused,        ///< the log is overloaded or full; nothing was appended, a later attempt may succeed
+    rejected,       ///< the log does not accept these records, such as one too large; nothing was appended
     unknown,        ///< no answer; the records may have been appended, or may be later
 };
 
+/// Limits of the log on one append.
+struct append_limits {
+    std::size_t max_record_bytes = 256 * 1024;      ///< of one record, see `bytes_in_log`
+    std::size_t max_append_bytes = 2 * 1024 * 1024; ///< of all records of one append
+};
+
+/// @return bytes of a record that count against the limits of the log
+[[nodiscard]] std::size_t bytes_in_log(const keyed_record& record) noexcept;
+
 /// Response to an `append_call`.
 struct append_answer {
     append_outcome outcome = append_outcome::unknown;
@@ -299,7 +309,8 @@
     std::chrono::milliseconds vm_maintenance{2000}; ///< duration of the maintenance of a VM
     /// Slowdown of a task away from its data or in a step spread over several racks.
     double remote_slowdown = 1.5;
-    std::int32_t job_partitions = 4;  ///< of the jobs topic
+    std::int32_t job_partitions = 4; ///< of the jobs topic
+    append_limits appends;
     double vm_orders_per_second = 30; ///< rate limit of VM orders
 };
 
--- a/src/scheduler/scheduler.cpp
+++ b/src/scheduler/scheduler.cpp
@@ -54,22 +54,31 @@
 }
 
 void scheduler::load_progress(const keyed_record& record) {
-    if (this->self->load_wave(record)) {
+    auto& state = *this->self;
+    if (state.load_wave(record) || record.value.empty()) {
         return;
     }
-    auto* job = this->self->find_job(record.key);
-    if (job == nullptr || record.value.empty()) {
+    if (parse_progress_key(record.key).part) {
+        state.loaded_parts.push_back(record); // the main record says whether it counts
         return;
     }
-    error problem;
-    const auto read = value_or_error(
-        [&]() -> result<bool> {
-            BOOST_LEAF_CHECK(job->decode(record.value));
-            return true;
-        },
-        problem);
-    if (!read) {
-        write_log(severity::error, "progress_unreadable", {{"job", record.key}, {"reason", problem.message}});
+    if (auto* job = state.find_job(record.key)) {
+        impl::read_progress(record.key, [&] { return decode_progress(*job, record.value); });
+    }
+}
+
+void scheduler::impl::apply_loaded_parts() {
+    for (const auto& record : std::exchange(this->loaded_parts, {})) {
+        const auto key = parse_progress_key(record.key);
+        auto* job = this->find_job(key.job);
+        if (job == nullptr) {
+            continue;
+        }
+        if (*key.part >= job->recorded.parts) {
+            this->next_batch.records.push_back({.key = record.key}); // no main record counts it
+            continue;
+        }
+        read_progress(record.key, [&] { return decode_progress_part(*job, *key.part, record.value); });
     }
 }
 
@@ -79,12 +88,14 @@
     if (!state || !is_final(*state)) {
         return;
     }
-    this->self->finals.emplace(record.key, job == nullptr ? 0 : job->partition);
-    this->self->finished.push_back({.id = record.key,
-                                    .partition = job == nullptr ? 0 : job->partition,
-                                    .finished = this->self->term_begin,
-                                    .records_dropped = job == nullptr,
-                                    .cancelled = *state == job_state::cancelled});
+    const final_job known{.partition = job == nullptr ? 0 : job->partition,
+                          .parts = job == nullptr ? 0 : job->recorded.parts,
+                          .state_recorded = true};
+    this->self->finals.emplace(record.key, known);
+    this->self->cleanups[known.partition].jobs.push_back({.id = record.key,
+                                                          .finished = this->self->term_begin,
+                                                          .records_dropped = job == nullptr,
+                                                          .cancelled = *state == job_state::cancelled});
     // Runs of a final job that still exist are reported by their workers and stopped as unknown.
     this->self->jobs.erase(record.key);
 }
@@ -93,6 +104,7 @@
     auto& state = *this->self;
     std::size_t adopted = 0;
     const auto longest_lease = state.timings.hold_without_log + state.options.limits.max_lease_duration;
+    state.apply_loaded_parts();
     for (auto& [id, job] : state.jobs) {
         if (job->cancel_requested && !is_final(job->state)) {
             job->state = job_state::cancelled;
@@ -207,31 +219,6 @@
     this->self->lease_renewed = std::max(this->self->lease_renewed, renewed);
 }
 
-void scheduler::on_committed(std::int64_t sequence, boot_time now) {
-    auto& state = *this->self;
-    if (!state.batch_in_flight || state.batch_in_flight->sequence != sequence) {
-        return;
-    }
-    if (state.batch_in_flight->records_appended < state.batch_in_flight->records.size()) {
-        state.append_next_part();
-        return;
-    }
-    auto batch = std::move(*state.batch_in_flight);
-    state.batch_in_flight.reset();
-    if (now >= state.last_commit + state.timings.late_append) {
-        state.dispatch_due = true; // tasks without a reservation have waited for the log
-        state.last_dispatch = {};
-    }
-    state.run_effects(batch, now);
-}
-
-void scheduler::on_published(std::int64_t sequence, boot_time) {
-    auto& state = *this->self;
-    if (state.publish_in_flight && state.publish_in_flight->sequence == sequence) {
-        state.publish_in_flight.reset();
-    }
-}
-
 std::vector<scheduler_action> scheduler::tick(boot_time now, unix_time clock) {
     auto& state = *this->self;
     if (state.term == 0 || !state.loaded) {
--- a/src/scheduler/scheduler.hpp
+++ b/src/scheduler/scheduler.hpp
@@ -17,13 +17,15 @@
 
 namespace hornbeamrail {
 
-/// Appends to the progress topic; the driver reports success with `on_committed`.
+/// Appends to the progress topic. The driver repeats the append until the log answers, and reports the result
+/// with `on_committed` or `on_commit_rejected`.
 struct commit_progress {
     std::int64_t sequence = 0;
     std::vector<keyed_record> records;
 };
 
-/// Appends to the states topic; the driver reports success with `on_published`.
+/// Appends to the states topic, like `commit_progress`; the driver reports the result with `on_published` or
+/// `on_publish_rejected`.
 struct publish_states {
     std::int64_t sequence = 0;
     std::vector<keyed_record> records;
@@ -31,7 +33,7 @@
 
 /// Drops records from a partition of the jobs topic; the driver reports the result with `on_records_dropped`.
 struct drop_job_records {
-    std::int64_t sequence = 0; ///< the same for all partitions of one cleanup
+    std::int64_t sequence = 0;
     std::int32_t partition = 0;
     std::vector<keyed_record> records;
 };
@@ -193,6 +195,11 @@
     void on_committed(std::int64_t sequence, boot_time now);
     void on_published(std::int64_t sequence, boot_time now);
 
+    /// Handles that the log does not accept the records of an action. The next action has other records under
+    /// the same sequence number.
+    void on_commit_rejected(std::int64_t sequence, std::string_view reason, boot_time now);
+    void on_publish_rejected(std::int64_t sequence, std::string_view reason, boot_time now);
+
     /// @param done whether the log has stored the drop; repeated later if not
     void on_records_dropped(std::int64_t sequence, bool done);
 
--- a/src/scheduler/scheduler_dispatch.cpp
+++ b/src/scheduler/scheduler_dispatch.cpp
@@ -215,16 +215,16 @@
     }
     this->dispatch_due = false;
     this->last_dispatch = now;
-    for (auto& [pool, pending] : this->collect_pending_occurrences(clock)) {
+    for (auto& [pool, pending] : this->collect_pending_occurrences(now, clock)) {
         this->dispatch_pool(std::string(pool), std::move(pending), now);
     }
 }
 
 std::map<std::string_view, std::vector<pending_occurrence>>
-scheduler::impl::collect_pending_occurrences(unix_time clock) {
+scheduler::impl::collect_pending_occurrences(boot_time now, unix_time clock) {
     std::map<std::string_view, std::vector<pending_occurrence>> by_pool;
     for (auto& [id, job] : this->jobs) {
-        if (is_final(job->state)) {
+        if (is_final(job->state) || this->is_set_aside(id, now)) {
             continue;
         }
         for (const auto& occurrence : job->occurrences) {
--- a/src/scheduler/scheduler_impl.hpp
+++ b/src/scheduler/scheduler_impl.hpp
@@ -7,9 +7,12 @@
 #include "policy/pool_moves.hpp"
 #include "policy/vm_plan.hpp"
 #include "policy/worker_choice.hpp"
+#include "protocol/append_window.hpp"
+#include "protocol/json_log.hpp"
 #include "scheduler/scheduler.hpp"
-#include "state/job_progress.hpp"
+#include "state/progress_records.hpp"
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <optional>
@@ -55,6 +58,10 @@
     /// Unit of the time for which a worker is avoided on which tasks fail repeatedly.
     std::chrono::milliseconds avoid_after_failure{2500};
     std::chrono::milliseconds state_cleanup_interval{1000}; ///< between two drops of records of final jobs
+    /// Before a record that the log has rejected is appended again; doubles with each rejection that follows,
+    /// up to `longest_rejection_backoff`.
+    std::chrono::milliseconds retry_after_rejection{1000};
+    std::chrono::milliseconds longest_rejection_backoff{30000};
     std::chrono::milliseconds advice_retry{300};         ///< between two requests for the advice of one step
     std::chrono::milliseconds ticket_expiry_margin{300}; ///< a ticket that expires sooner is not used
     std::chrono::milliseconds move_interval{150};        ///< between two plans of VM moves
@@ -137,7 +144,7 @@
     std::int64_t hold_number = 0; ///< of the hold in flight
     boot_time next_hold{};
     std::int64_t applied_end = 0;                   ///< number of the last end that was applied in memory
-    std::int64_t recorded_end = 0;                  ///< number of the last end that is in the log
+    std::set<std::int64_t> unrecorded_ends;         ///< numbers of the applied ends that are not in the log
     std::optional<std::chrono::milliseconds> clock; ///< the worker's own clock as of `clock_at`
     boot_time clock_at{};
     boot_time lease_bound{};           ///< every lease granted to the worker has expired by then
@@ -155,6 +162,11 @@
     std::int32_t long_running_tasks = 0;
 
     [[nodiscard]] bool is_unresponsive() const noexcept { return this->unanswered_holds > 0; }
+
+    /// @return number of the last end up to which all are in the log
+    [[nodiscard]] std::int64_t recorded_end() const noexcept {
+        return this->unrecorded_ends.empty() ? this->applied_end : *this->unrecorded_ends.begin() - 1;
+    }
 };
 
 /// A run whose start order is sent once its record is in the log.
@@ -164,16 +176,58 @@
     std::int64_t run = 0;
 };
 
+/// An applied end of a run, which is acknowledged once the progress of its job is in the log.
+struct recorded_end {
+    std::string worker;
+    std::int64_t number = 0;
+    std::string job;
+};
+
 /// Effects to run once the records that they depend on are in the log.
 struct commit_batch {
     std::int64_t sequence = 0;
     std::vector<keyed_record> records;
-    std::size_t records_appended = 0; ///< leading records that earlier appends of the batch hold
+    std::size_t records_appended = 0; ///< leading records that are in the log
+    std::size_t records_in_flight = 0;
+    std::vector<std::string> jobs;      ///< whose progress the records hold
+    std::set<std::string> final_jobs;   ///< those of `jobs` that are recorded for the last time
+    std::set<std::string> refused_jobs; ///< those of `jobs` whose progress the log has rejected
     std::vector<recorded_start> starts;
-    std::map<std::string, std::int64_t> ends;              ///< number of the last recorded end, by worker
+    std::vector<recorded_end> ends;
     std::vector<std::pair<std::string, job_state>> states; ///< to publish
 };
 
+/// A job whose progress the log has rejected. Nothing of it starts, ends or is published until the log
+/// accepts its progress, and all other jobs go on.
+struct unrecorded_job {
+    boot_time retry_at{};
+    std::chrono::milliseconds backoff{0};
+    std::vector<recorded_end> ends;
+    std::vector<job_state> states;
+};
+
+/// A final job.
+struct final_job {
+    std::int32_t partition = 0;  ///< of the jobs topic
+    std::int32_t parts = 0;      ///< `recorded_progress::parts`
+    bool state_recorded = false; ///< its final state is in the log
+};
+
+/// Final jobs of one partition of the jobs topic, whose records are dropped in the order in which they became
+/// final.
+struct partition_cleanup {
+    struct item {
+        std::string id;
+        boot_time finished{};
+        bool records_dropped = false; ///< there are none
+        bool cancelled = false;
+    };
+    std::deque<item> jobs;
+    std::size_t dropped = 0;   ///< leading jobs whose records are dropped
+    std::size_t ordered = 0;   ///< jobs after these whose drop is in flight
+    std::int64_t sequence = 0; ///< of the drop in flight
+};
+
 /// Learned task durations of one queue, with the estimates that were stated for the same tasks.
 struct learned_duration {
     double mean_ms = 0;
@@ -245,9 +299,36 @@
 };
 
 struct scheduler::impl {
-    explicit impl(scheduler_options settings) : options(std::move(settings)) {}
+    explicit impl(scheduler_options settings)
+        : options(std::move(settings)), commit_window(bounded_appends(this->options.limits.appends)),
+          publish_window(bounded_appends(this->options.limits.appends)) {}
+
+    /// @return limits of the scheduler's appends, of which one at a time is in flight
+    static append_limits bounded_appends(append_limits limits) {
+        constexpr std::size_t largest_append_bytes = 1024 * 1024;
+        limits.max_append_bytes = std::min(limits.max_append_bytes, largest_append_bytes);
+        return limits;
+    }
+
+    // scheduler.cpp: the records of the log at the begin of a term
+    /// Runs @p decode and logs its failure.
+    template <class Decode>
+    static void read_progress(const std::string& key, Decode decode) {
+        error problem;
+        const auto read = value_or_error(
+            [&]() -> result<bool> {
+                BOOST_LEAF_CHECK(decode());
+                return true;
+            },
+            problem);
+        if (!read) {
+            write_log(severity::error, "progress_unreadable", {{"key", key}, {"reason", problem.message}});
+        }
+    }
+    /// Applies the parts of progress that the main records count; others are dropped.
+    void apply_loaded_parts();
 
-    // scheduler_jobs.cpp: jobs, ended tasks, records in the log
+    // scheduler_jobs.cpp: jobs and ended tasks
     void add_job(std::int32_t partition, const keyed_record& record, boot_time now);
     void cancel_job(const std::string& id, boot_time now);
     /// Makes the job final. Its records are kept until its last run has ended.
@@ -264,24 +345,38 @@
     void advance_job(job_progress& job, boot_time now);
     void mark_dirty(const job_progress& job) { this->dirty_jobs.insert(job.spec.id); }
     void set_state(job_progress& job, job_state state);
+    /// @return the job, or null
+    job_progress* find_job(const std::string& id);
+
+    // scheduler_records.cpp: records in the log
     /// Appends the pending records to the progress topic; one batch is in flight at a time.
     void commit(boot_time now);
-    /// Appends the records of the batch in flight that fit into one append.
-    void append_next_part();
+    /// Adds the progress of the dirty jobs to the batch.
+    void encode_dirty_jobs(commit_batch& batch);
+    /// Appends the next records of the batch in flight, or runs its effects when all are in the log.
+    void append_next_part(boot_time now);
+    /// Leaves out the record that the log does not accept, and the rest of its job.
+    void leave_out_record(boot_time now);
+    /// @return whether the progress of the job is not to be appended yet because the log has rejected it
+    [[nodiscard]] bool is_set_aside(const std::string& job, boot_time now) const;
+    /// Takes the effects of jobs that are set aside out of the batch.
+    void withhold_effects(commit_batch& batch, boot_time now);
+    /// Adds jobs whose progress is to be appended again, with their effects, to the batch.
+    void retry_unrecorded_jobs(commit_batch& batch, boot_time now);
+    /// Withdraws a start that was not ordered; the task is placed again after @p retry_at.
+    void withdraw_start(const recorded_start& start, boot_time retry_at);
+    /// Sends the start orders of the batch, releases its ends for acknowledgement and its job states for
+    /// publication.
+    void run_effects(commit_batch& batch, boot_time now);
     /// Appends the pending job states to the states topic.
     void publish(boot_time now);
     /// Drops the records of final jobs, and their states after `site_limits::final_state_retention`. A state
     /// is kept while the job's record may remain: without it a successor would run the job again.
     void drop_finished(boot_time now);
-    /// Orders the drops of the next job records.
-    void drop_job_records_of_finished();
-    /// Ends the cleanup in flight. Its progress records are dropped if the job records are.
-    void end_cleanup();
-    /// Sends the start orders of the batch, releases its ends for acknowledgement and its job states for
-    /// publication.
-    void run_effects(commit_batch& batch, boot_time now);
-    /// @return the job, or null
-    job_progress* find_job(const std::string& id);
+    /// Orders the drops of the next job records of one partition.
+    void order_drop(std::int32_t partition, partition_cleanup& cleanup);
+    /// Ends the drop in flight of a partition. The progress records are dropped if the job records are.
+    void end_drop(partition_cleanup& cleanup, bool done);
 
     // scheduler_workers.cpp: leases, fences, lost workers
     /// @return fence of the orders to the worker; combines the term and `fence_increments`
@@ -332,7 +427,7 @@
     /// @return the queue, or null if the configuration has none of that name
     [[nodiscard]] const queue_config* find_queue(const std::string& name) const;
     [[nodiscard]] std::map<std::string_view, std::vector<pending_occurrence>>
-    collect_pending_occurrences(unix_time clock);
+    collect_pending_occurrences(boot_time now, unix_time clock);
     /// Opens the occurrences of timed jobs that are due.
     void open_occurrences(unix_time clock);
     void dispatch(boot_time now, unix_time clock);
@@ -355,6 +450,8 @@
     /// Reserves a worker for each task of the steps that depend on others and have not started: one of those
     /// that run tasks of step @p number. The reservations are recorded with the placement of that step.
     void reserve_later_steps(job_progress& job, occurrence_progress& occurrence, std::int32_t number);
+    /// Removes the reservations of the job that are not in the log.
+    void drop_unrecorded_reservations(job_progress& job) const;
     /// @return whether the step may start before its placement is recorded
     [[nodiscard]] bool can_be_reserved(const job_progress& job, const step_spec& step) const;
     /// @return the index in @p views of the worker on which the task is reserved, if the reservation is in
@@ -477,6 +574,8 @@
     scheduler_timings timings;
     std::int64_t term = 0; ///< 0 while another node is the scheduler
     bool loaded = false;   ///< the records of the log have been applied
+    /// Parts of the progress that were read; applied once the main records are known.
+    std::vector<keyed_record> loaded_parts;
     bool stopping = false; ///< the lease is about to be released
     boot_time term_begin{};
     /// When the latest request was sent whose answer showed that no successor had begun.
@@ -490,9 +589,8 @@
 
     /// Jobs that are not final or still have runs, by id.
     std::unordered_map<std::string, std::unique_ptr<job_progress>> jobs;
-    /// Partitions of the final jobs whose state is still kept, by id.
-    std::unordered_map<std::string, std::int32_t> finals;
-    std::unordered_set<std::string> cancelled_early; ///< jobs whose cancellation was read before the job
+    std::unordered_map<std::string, final_job> finals; ///< final jobs whose state is still kept, by id
+    std::unordered_set<std::string> cancelled_early;   ///< jobs whose cancellation was read before the job
     std::unordered_map<std::string, resources> account_use; ///< needs of placed tasks, by account
     std::map<std::string, learned_duration> durations;      ///< by queue
 
@@ -505,6 +603,8 @@
     std::int32_t advice_in_flight = 0;
 
     std::set<std::string> dirty_jobs; ///< jobs whose progress must be written
+    std::map<std::string, unrecorded_job> unrecorded_jobs;
+    append_window commit_window;
     commit_batch next_batch;
     std::optional<commit_batch> batch_in_flight;
     boot_time last_commit{};
@@ -512,28 +612,16 @@
     std::int64_t commits_begun = 0;    ///< number of the latest commit
     std::int64_t commits_recorded = 0; ///< number of the latest commit whose records are all in the log
 
-    std::vector<keyed_record> states_to_publish;
-    std::optional<publish_states> publish_in_flight;
+    std::deque<keyed_record> states_to_publish;
+    std::size_t states_in_flight = 0; ///< leading items of `states_to_publish`
+    append_window publish_window;
     std::int64_t publish_sequence = 0;
+    std::vector<keyed_record> rejected_states; ///< to be published again later
+    boot_time rejected_states_retry_at{};
 
-    struct finished_job {
-        std::string id;
-        std::int32_t partition = 0;
-        boot_time finished{};
-        bool records_dropped = false;
-        bool cancelled = false;
-    };
-    std::deque<finished_job> finished;
+    std::map<std::int32_t, partition_cleanup> cleanups; ///< by partition of the jobs topic
     boot_time last_cleanup{};
-    std::size_t finished_dropped = 0; ///< leading items of `finished` whose job records are dropped
-    /// A cleanup whose drops are not all answered yet.
-    struct pending_cleanup {
-        std::size_t end = 0; ///< leading items of `finished` whose job records are dropped if it succeeds
-        std::int32_t unanswered = 0;
-        bool failed = false;
-    };
-    std::optional<pending_cleanup> cleanup_in_flight;
-    std::int64_t drop_sequence = 0; ///< of the latest cleanup; goes on in the next term
+    std::int64_t drop_sequence = 0; ///< of the latest drop; goes on in the next term
 
     std::map<task_id, boot_time> waiting_since; ///< long-running tasks that wait in a released step
     std::int64_t overdue_tasks = 0;             ///< as of the latest report
--- a/src/scheduler/scheduler_jobs.cpp
+++ b/src/scheduler/scheduler_jobs.cpp
@@ -14,12 +14,6 @@
 
 using std::chrono::milliseconds;
 
-/// Maximum number of jobs whose records are dropped in one cleanup.
-constexpr std::size_t cleanup_batch = 200;
-/// Limit of one append, well below the 2 MB that the log accepts.
-constexpr std::size_t max_append_bytes = 1024 * 1024;
-/// Bytes of a record in an append besides key and value.
-constexpr std::size_t record_overhead = 8;
 /// Delay before a failed long-running task is placed again.
 constexpr milliseconds long_running_backoff{50};
 
@@ -50,13 +44,16 @@
 }
 
 void scheduler::impl::add_job(std::int32_t partition, const keyed_record& record, boot_time now) {
-    if (record.value.empty() || this->jobs.contains(record.key)) {
+    if (record.value.empty()) {
         return;
     }
     if (this->finals.contains(record.key)) {
         // A repeated request stored the job again after its records were dropped. Without another drop a
         // successor would run it once its final state is forgotten.
-        this->finished.push_back({.id = record.key, .partition = partition, .finished = now});
+        this->cleanups[partition].jobs.push_back({.id = record.key, .finished = now});
+        return;
+    }
+    if (this->jobs.contains(record.key)) {
         return;
     }
     boost::system::error_code parse_failure;
@@ -97,11 +94,12 @@
 }
 
 void scheduler::impl::cancel_job(const std::string& id, boot_time now) {
+    if (this->finals.contains(id)) {
+        return;
+    }
     auto* job = this->find_job(id);
     if (job == nullptr) {
-        if (!this->finals.contains(id)) {
-            this->cancelled_early.insert(id);
-        }
+        this->cancelled_early.insert(id);
         return;
     }
     if (job->cancel_requested) {
@@ -148,11 +146,11 @@
     if (job.active_tasks() > 0 || this->finals.contains(job.spec.id)) {
         return; // the job is kept until its last run has ended
     }
-    this->finished.push_back(
-        {.id = job.spec.id, .partition = job.partition, .finished = now, .cancelled = job.cancel_requested});
-    this->finals.emplace(job.spec.id, job.partition);
+    this->cleanups[job.partition].jobs.push_back(
+        {.id = job.spec.id, .finished = now, .cancelled = job.cancel_requested});
+    this->finals.emplace(job.spec.id, final_job{.partition = job.partition});
     this->drop_advice(job.spec.id);
-    // The commit encodes the job a last time and then erases it.
+    // Its progress is recorded a last time, and then the job is erased.
     this->mark_dirty(job);
 }
 
@@ -284,158 +282,4 @@
     this->dispatch_due = true;
 }
 
-void scheduler::impl::commit(boot_time now) {
-    const bool empty = this->dirty_jobs.empty() && this->next_batch.starts.empty() &&
-                       this->next_batch.ends.empty() && this->next_batch.states.empty() &&
-                       this->next_batch.records.empty();
-    if (this->batch_in_flight || empty || now < this->last_commit + this->timings.commit_interval) {
-        return;
-    }
-    commit_batch batch = std::move(this->next_batch);
-    this->next_batch = {};
-    ++this->commits_begun;
-    for (const auto& start : batch.starts) {
-        auto* job = this->find_job(start.task.job);
-        if (auto* task = job == nullptr ? nullptr : job->find_task(start.task)) {
-            task->reserved_worker.clear(); // the append replaces the reservation
-        }
-    }
-    for (const auto& id : this->dirty_jobs) {
-        if (const auto* job = this->find_job(id)) {
-            batch.records.push_back({.key = id, .value = job->encode()});
-            if (this->finals.contains(id)) {
-                this->jobs.erase(id);
-            }
-        }
-    }
-    this->dirty_jobs.clear();
-    this->last_commit = now;
-    if (batch.records.empty()) {
-        this->run_effects(batch, now);
-        return;
-    }
-    this->batch_in_flight = std::move(batch);
-    this->append_next_part();
-}
-
-void scheduler::impl::append_next_part() {
-    auto& batch = *this->batch_in_flight;
-    std::size_t bytes = 0;
-    std::vector<keyed_record> part;
-    // In order, because the last record of a key replaces the others.
-    for (; batch.records_appended < batch.records.size(); ++batch.records_appended) {
-        auto& record = batch.records[batch.records_appended];
-        bytes += record.key.size() + record.value.size() + record_overhead;
-        if (!part.empty() && bytes > max_append_bytes) {
-            break;
-        }
-        part.push_back(std::move(record));
-    }
-    batch.sequence = ++this->commit_sequence;
-    this->add_action(commit_progress{.sequence = batch.sequence, .records = std::move(part)});
-}
-
-void scheduler::impl::run_effects(commit_batch& batch, boot_time now) {
-    // One commit is in flight at a time, so the latest one is recorded now.
-    this->commits_recorded = this->commits_begun;
-    for (const auto& start : batch.starts) {
-        const auto worker = this->workers.find(start.worker);
-        if (worker == this->workers.end()) {
-            continue; // the worker was lost meanwhile; its tasks were requeued
-        }
-        const auto placed = worker->second.tasks.find(start.task);
-        if (placed != worker->second.tasks.end() && placed->second.stage == start_stage::recording &&
-            placed->second.run == start.run) {
-            this->send_start_order(worker->second, start.task, placed->second, now);
-        }
-    }
-    for (const auto& [worker_id, number] : batch.ends) {
-        const auto worker = this->workers.find(worker_id);
-        if (worker != this->workers.end()) {
-            worker->second.recorded_end = std::max(worker->second.recorded_end, number);
-        }
-    }
-    for (const auto& [id, state] : batch.states) {
-        this->states_to_publish.push_back({.key = id, .value = std::string(to_string(state))});
-    }
-}
-
-void scheduler::impl::publish(boot_time) {
-    if (this->publish_in_flight || this->states_to_publish.empty()) {
-        return;
-    }
-    this->publish_in_flight =
-        publish_states{.sequence = ++this->publish_sequence, .records = std::move(this->states_to_publish)};
-    this->states_to_publish.clear();
-    this->add_action(*this->publish_in_flight);
-}
-
-void scheduler::impl::drop_job_records_of_finished() {
-    std::map<std::int32_t, std::vector<keyed_record>> by_partition;
-    const auto end = std::min(this->finished.size(), this->finished_dropped + cleanup_batch);
-    for (auto index = this->finished_dropped; index < end; ++index) {
-        const auto& job = this->finished[index];
-        if (job.records_dropped) {
-            continue;
-        }
-        // Its final state is in the log by now, so a successor does not load the job as a new one.
-        by_partition[job.partition].push_back({.key = job.id});
-        if (job.cancelled) {
-            by_partition[job.partition].push_back({.key = job.id + std::string(cancel_suffix)});
-        }
-    }
-    ++this->drop_sequence;
-    this->cleanup_in_flight =
-        pending_cleanup{.end = end, .unanswered = static_cast<std::int32_t>(by_partition.size())};
-    for (auto& [partition, records] : by_partition) {
-        this->add_action(drop_job_records{
-            .sequence = this->drop_sequence, .partition = partition, .records = std::move(records)});
-    }
-    if (by_partition.empty()) {
-        this->end_cleanup();
-    }
-}
-
-void scheduler::impl::end_cleanup() {
-    const auto ended = *std::exchange(this->cleanup_in_flight, std::nullopt);
-    if (ended.failed) {
-        return;
-    }
-    for (; this->finished_dropped < ended.end; ++this->finished_dropped) {
-        const auto& job = this->finished[this->finished_dropped];
-        if (!job.records_dropped) {
-            this->next_batch.records.push_back({.key = job.id});
-        }
-    }
-}
-
-void scheduler::on_records_dropped(std::int64_t sequence, bool done) {
-    auto& state = *this->self;
-    if (!state.cleanup_in_flight || sequence != state.drop_sequence) {
-        return;
-    }
-    auto& cleanup = *state.cleanup_in_flight;
-    cleanup.failed = cleanup.failed || !done;
-    if (--cleanup.unanswered == 0) {
-        state.end_cleanup();
-    }
-}
-
-void scheduler::impl::drop_finished(boot_time now) {
-    const bool busy = this->publish_in_flight || !this->states_to_publish.empty() || this->batch_in_flight ||
-                      !this->next_batch.states.empty() || this->cleanup_in_flight;
-    if (busy || now < this->last_cleanup + this->timings.state_cleanup_interval) {
-        return;
-    }
-    this->last_cleanup = now;
-    while (this->finished_dropped > 0 &&
-           now > this->finished.front().finished + this->options.limits.final_state_retention) {
-        this->states_to_publish.push_back({.key = this->finished.front().id});
-        this->finals.erase(this->finished.front().id);
-        this->finished.pop_front();
-        --this->finished_dropped;
-    }
-    this->drop_job_records_of_finished();
-}
-
 } // namespace hornbeamrail
--- a/src/scheduler/scheduler_lease.cpp
+++ b/src/scheduler/scheduler_lease.cpp
@@ -147,7 +147,7 @@
             this->holder_incarnation = this->options.incarnation;
             this->holder_term = this->own_term;
         }
-    } else if (answer.outcome != append_outcome::refused) {
+    } else if (answer.outcome != append_outcome::refused && answer.outcome != append_outcome::rejected) {
         this->must_read = true;
     }
 }
--- a/src/scheduler/scheduler_reservations.cpp
+++ b/src/scheduler/scheduler_reservations.cpp
@@ -31,6 +31,18 @@
     this->next_batch.starts.clear();
 }
 
+void scheduler::impl::drop_unrecorded_reservations(job_progress& job) const {
+    for (auto& occurrence : job.occurrences) {
+        for (auto& step : occurrence.steps) {
+            for (auto& task : step.tasks) {
+                if (task.is_reserved() && task.reserved_in > this->commits_recorded) {
+                    task.reserved_worker.clear();
+                }
+            }
+        }
+    }
+}
+
 bool scheduler::impl::can_be_reserved(const job_progress& job, const step_spec& step) const {
     const auto* queue = this->find_queue(job.spec.queue);
     const bool needs_ticket = queue != nullptr && queue->advice;
--- a/src/scheduler/scheduler_workers.cpp
+++ b/src/scheduler/scheduler_workers.cpp
@@ -61,18 +61,22 @@
         return;
     }
     const auto renewal_interval = this->options.limits.max_lease_duration / renewals_per_lease;
+    // A log that rejects the progress of one job takes that of others, whose ends must not wait long.
+    const bool log_takes_others = !this->unrecorded_jobs.empty() && !this->log_is_late(now);
+    const auto unrecorded_interval = log_takes_others ? this->timings.hold_retry : renewal_interval;
     for (auto& [id, worker] : this->workers) {
         // Ends that are not recorded yet cannot be acknowledged, so the worker would answer at once with the
         // same list. While the log is down this lasts long, and the leases must be renewed nevertheless.
-        const bool has_unrecorded_ends = worker.applied_end > worker.recorded_end;
-        const auto due = has_unrecorded_ends ? std::max(worker.next_hold, worker.hold_sent + renewal_interval)
-                                             : worker.next_hold;
+        const bool has_unrecorded_ends = !worker.unrecorded_ends.empty();
+        const auto due = has_unrecorded_ends
+                             ? std::max(worker.next_hold, worker.hold_sent + unrecorded_interval)
+                             : worker.next_hold;
         if (worker.hold_in_flight || now < due) {
             continue;
         }
         // After silence another process may answer under the id. It numbers its ends from 1 as well, so
         // nothing is acknowledged.
-        const auto acknowledged_end = worker.is_unresponsive() ? 0 : worker.recorded_end;
+        const auto acknowledged_end = worker.is_unresponsive() ? 0 : worker.recorded_end();
         hold_order order{.number = ++this->latest_hold,
                          .fence = this->fence_of(worker),
                          .acknowledged_end = acknowledged_end};
@@ -188,12 +192,12 @@
     for (const auto& ended : report.ended) {
         if (ended.number > worker.applied_end) {
             worker.applied_end = ended.number;
+            worker.unrecorded_ends.insert(ended.number);
+            this->next_batch.ends.push_back(
+                {.worker = worker.entry.id, .number = ended.number, .job = ended.task.job});
             this->apply_end(worker, ended, now);
         }
     }
-    if (worker.applied_end > worker.recorded_end) {
-        this->next_batch.ends[worker.entry.id] = worker.applied_end;
-    }
     this->reconcile(worker, order, report, now);
     // A hold that was sent before the worker's clock was known renews no lease. Its report carries the clock,
     // so the next hold follows at once.
@@ -276,9 +280,15 @@
 }
 
 void scheduler::impl::drop_acknowledgements(const std::string& worker) {
-    this->next_batch.ends.erase(worker);
+    const auto is_of_worker = [&worker](const recorded_end& end) {
+        return end.worker == worker;
+    };
+    std::erase_if(this->next_batch.ends, is_of_worker);
     if (this->batch_in_flight) {
-        this->batch_in_flight->ends.erase(worker);
+        std::erase_if(this->batch_in_flight->ends, is_of_worker);
+    }
+    for (auto& [id, job] : this->unrecorded_jobs) {
+        std::erase_if(job.ends, is_of_worker);
     }
 }
 
@@ -303,7 +313,7 @@
     worker.entry = entry;
     worker.earlier_entry.reset();
     worker.applied_end = 0;
-    worker.recorded_end = 0;
+    worker.unrecorded_ends.clear();
     worker.clock.reset();
     worker.recent_failures = 0;
     worker.avoid_until = {};
--- a/src/site/site_node_callers.hpp
+++ b/src/site/site_node_callers.hpp
@@ -66,24 +66,15 @@
         std::move(record), deadline,
         [this, reply, success_status, started_at, key,
          on_stored = std::move(on_stored)](store_outcome outcome) {
-            http_response response;
             if (outcome == store_outcome::stored) {
                 on_stored();
-                response = site_node_detail::json_answer(success_status, "{}");
-            } else if (outcome == store_outcome::not_stored) {
-                response =
-                    site_node_detail::retry_later("log_unavailable", "the log does not accept the request");
-            } else {
-                response = make_error_response(504, "log_silent", "the log has not answered",
-                                               "repeat the request with the same id", "unknown");
             }
+            auto response = site_node_detail::answer_to_store(outcome, success_status);
             this->store_latency.record(clock::now() - started_at);
             this->count_answer("store", response.status);
             if (outcome != store_outcome::stored) {
                 write_log(severity::info, "call_refused",
-                          {{"key", key},
-                           {"status", response.status},
-                           {"reason", outcome == store_outcome::unknown ? "log_silent" : "log_unavailable"}});
+                          {{"key", key}, {"status", response.status}, {"reason", to_string(outcome)}});
             }
             this->replies.push_back([reply, response = std::move(response)] { reply.send(response); });
         });
@@ -181,16 +172,19 @@
     const auto* account = queue.open ? nullptr : this->operators.config()->account_of_key(call.key);
     job->account = account == nullptr ? std::string() : account->name;
     job->submitted = site_node_detail::wall_clock_now();
+    keyed_record record{.key = id, .value = boost::json::serialize(to_json(*job))};
+    if (bytes_in_log(record) > this->options.settings.limits.appends.max_record_bytes) {
+        return site_node_detail::too_large();
+    }
     is_deferred = true;
-    this->store(id, {.key = id, .value = boost::json::serialize(to_json(*job))}, call, reply, 200,
-                [this, stored_job = *job] {
-                    write_log(severity::info, "job_accepted",
-                              {{"job", stored_job.id},
-                               {"queue", stored_job.queue},
-                               {"account", stored_job.account},
-                               {"steps", stored_job.steps.size()}});
-                    this->index.note_stored(stored_job);
-                });
+    this->store(id, std::move(record), call, reply, 200, [this, stored_job = *job] {
+        write_log(severity::info, "job_accepted",
+                  {{"job", stored_job.id},
+                   {"queue", stored_job.queue},
+                   {"account", stored_job.account},
+                   {"steps", stored_job.steps.size()}});
+        this->index.note_stored(stored_job);
+    });
     return {};
 }
 
--- a/src/site/site_node_impl.hpp
+++ b/src/site/site_node_impl.hpp
@@ -27,6 +27,41 @@
     return response;
 }
 
+/// @return the answer to a request whose record the log does not accept
+inline http_response too_large() {
+    return make_error_response(413, "too_large", "the job does not fit into one record of the log",
+                               "divide the job into several jobs", "not_run");
+}
+
+/// @param success_status status if the record was stored
+/// @return the answer to a request whose record was to be stored
+inline http_response answer_to_store(store_outcome outcome, int success_status) {
+    switch (outcome) {
+    case store_outcome::stored:
+        return json_answer(success_status, "{}");
+    case store_outcome::not_stored:
+        return retry_later("log_unavailable", "the log does not accept the request");
+    case store_outcome::rejected:
+        return too_large();
+    case store_outcome::unknown:
+        break;
+    }
+    return make_error_response(504, "log_silent", "the log has not answered",
+                               "repeat the request with the same id", "unknown");
+}
+
+/// Limits appends to what the link of the node transfers in a moment: a larger append would still be in
+/// transit when its timeout passes, each time that it is repeated.
+inline site_node_options fit_appends_to_link(site_node_options options) {
+    constexpr double bytes_per_megabit = 1e6 / 8;
+    constexpr double longest_transfer_s = 0.25;
+    const auto transferable =
+        static_cast<std::size_t>(options.settings.link_mbps * bytes_per_megabit * longest_transfer_s);
+    auto& limit = options.settings.limits.appends.max_append_bytes;
+    limit = std::min(limit, transferable);
+    return options;
+}
+
 } // namespace site_node_detail
 
 /// @return delay before the node claims the scheduler lease: nodes that are too small to schedule a large
@@ -46,7 +81,8 @@
 
 template <class Port, class Codec>
 site_node<Port, Codec>::site_node(io_threads& workers, site_node_options node_options)
-    : threads(workers), options(std::move(node_options)), port(workers, this->options.settings),
+    : threads(workers), options(site_node_detail::fit_appends_to_link(std::move(node_options))),
+      port(workers, this->options.settings),
       lease({.node_id = this->options.settings.node_id,
              .incarnation = this->options.incarnation,
              .weak_node_delay = lease_claim_delay(this->options.settings)}),
@@ -69,9 +105,10 @@
                                             .partition = partition,
                                             .wait = timings.follower_wait,
                                             .pause = timings.jobs_pause}));
-        this->submissions.emplace_back(submission_queue_options{.producer = this->options.settings.node_id +
-                                                                            "-" + this->options.incarnation,
-                                                                .partition = partition});
+        this->submissions.emplace_back(submission_queue_options{
+            .producer = this->options.settings.node_id + "-" + this->options.incarnation,
+            .partition = partition,
+            .appends = this->options.settings.limits.appends});
     }
     this->workers_tail = add_tail({.topic = log_topic::workers, .pause = timings.workers_pause});
     this->progress_tail = add_tail({.topic = log_topic::progress});
--- a/src/site/site_node_scheduler.hpp
+++ b/src/site/site_node_scheduler.hpp
@@ -171,6 +171,11 @@
         this->lease.step_down(now);
         return;
     }
+    if (answer.outcome == append_outcome::rejected && !call.records.empty()) {
+        call.topic == log_topic::progress ? this->schedule.on_commit_rejected(sequence, answer.reason, now)
+                                          : this->schedule.on_publish_rejected(sequence, answer.reason, now);
+        return;
+    }
     const auto self = this->shared_from_this();
     this->threads.run_after(this->options.timings.append_retry, [self, call, sequence] {
         bool is_current_term = false;
--- a/src/site/submission_queue.cpp
+++ b/src/site/submission_queue.cpp
@@ -6,7 +6,22 @@
 
 namespace hornbeamrail {
 
-submission_queue::submission_queue(submission_queue_options settings) : options(std::move(settings)) {}
+std::string_view to_string(store_outcome outcome) noexcept {
+    switch (outcome) {
+    case store_outcome::stored:
+        return "stored";
+    case store_outcome::not_stored:
+        return "log_unavailable";
+    case store_outcome::rejected:
+        return "too_large";
+    case store_outcome::unknown:
+        break;
+    }
+    return "log_silent";
+}
+
+submission_queue::submission_queue(submission_queue_options settings)
+    : options(std::move(settings)), window(this->options.appends) {}
 
 void submission_queue::add(keyed_record record, boot_time deadline, callback done) {
     this->queued.push_back({.record = std::move(record), .deadline = deadline, .done = std::move(done)});
@@ -44,17 +59,37 @@
         if (this->queued.empty()) {
             return std::nullopt;
         }
-        const auto count = std::min(this->queued.size(), this->options.max_batch_records);
-        std::move(this->queued.begin(), this->queued.begin() + static_cast<std::ptrdiff_t>(count),
-                  std::back_inserter(this->batch));
-        this->queued.erase(this->queued.begin(), this->queued.begin() + static_cast<std::ptrdiff_t>(count));
-        ++this->sequence;
-        this->may_be_appended = false;
+        this->fill_batch();
     }
     this->in_flight = true;
     return this->make_append();
 }
 
+void submission_queue::fill_batch() {
+    const auto count = static_cast<std::ptrdiff_t>(this->window.next_count(
+        this->queued, [](const submission& entry) -> const auto& { return entry.record; }));
+    std::move(this->queued.begin(), this->queued.begin() + count, std::back_inserter(this->batch));
+    this->queued.erase(this->queued.begin(), this->queued.begin() + count);
+    ++this->sequence;
+    this->may_be_appended = false;
+}
+
+void submission_queue::on_rejected(const append_answer& answer) {
+    if (this->may_be_appended) {
+        ++this->epoch; // fences the earlier attempt, whose sequence number is used again
+    }
+    --this->sequence;
+    if (this->window.on_rejected()) {
+        const auto& record = this->batch.front().record;
+        write_log(severity::error, "record_rejected",
+                  {{"key", record.key}, {"bytes", bytes_in_log(record)}, {"reason", answer.reason}});
+        this->answer_batch(store_outcome::rejected);
+        return;
+    }
+    std::move(this->batch.rbegin(), this->batch.rend(), std::front_inserter(this->queued));
+    this->batch.clear();
+}
+
 void submission_queue::answer_batch(store_outcome outcome) {
     auto answered = std::move(this->batch);
     this->batch.clear();
@@ -70,8 +105,12 @@
     this->next_append = now + this->options.append_interval;
     switch (answer.outcome) {
     case append_outcome::appended:
+        this->window.on_appended();
         this->answer_batch(store_outcome::stored);
         return;
+    case append_outcome::rejected:
+        this->on_rejected(answer);
+        return;
     case append_outcome::refused:
         if (!this->may_be_appended) {
             write_log(severity::info, "store_refused",
--- a/src/state/job_progress.hpp
+++ b/src/state/job_progress.hpp
@@ -63,6 +63,14 @@
     [[nodiscard]] bool is_done() const noexcept;
 };
 
+/// How the log holds the progress of a job; see progress_records.hpp.
+struct recorded_progress {
+    std::int32_t parts = 0; ///< records with tasks besides the main one; 0: the main one holds all tasks
+    bool parts_are_counted = false;   ///< the main record in the log says that there are parts
+    std::vector<std::size_t> digests; ///< of each part as it was encoded last, without checkpoints
+    bool omits_checkpoints = false;   ///< the log did not accept a record with them
+};
+
 /// A job with the progress of its tasks, as the scheduler tracks and records it.
 class job_progress {
 public:
@@ -83,7 +91,7 @@
     /// @return whether a task waits in a released step of the occurrence
     [[nodiscard]] bool has_released_tasks(const occurrence_progress& progress) const;
 
-    /// @return how many occurrences may be open at once, so that the progress fits into one record
+    /// @return how many occurrences may be open at once, which bounds the memory and the records of a job
     [[nodiscard]] std::int32_t max_open_occurrences() const noexcept;
 
     /// @return whether every occurrence is done
@@ -95,12 +103,8 @@
     /// @return number of tasks that are placed or running
     [[nodiscard]] std::int32_t active_tasks() const noexcept;
 
-    /// @return state and progress in the format of the log
-    [[nodiscard]] std::string encode() const;
-
-    /// Restores state and progress from the output of `encode`; after an error they may be incomplete.
-    /// @return `errc::parse_failed` when the text is malformed or does not match the job
-    result<void> decode(std::string_view text);
+    /// Opens the unfinished occurrences up to @p number, in order, if that many may be open at once.
+    void open_recorded_occurrences(std::int32_t number);
 
     job_spec spec;
     job_state state = job_state::pending;
@@ -109,10 +113,7 @@
     std::int32_t partition = 0; ///< partition of the jobs topic that holds the job's record
     std::deque<occurrence_progress> occurrences;
     std::int32_t finished_occurrences = 0; ///< occurrences below this number are done and no longer kept
-
-private:
-    /// Opens the unfinished occurrences up to @p number, in order, if that many may be open at once.
-    void open_recorded_occurrences(std::int32_t number);
+    recorded_progress recorded;
 };
 
 } // namespace hornbeamrail
--- a/tests/core_log_test.cpp
+++ b/tests/core_log_test.cpp
@@ -76,6 +76,34 @@
     }
 }
 
+// Guards against a record that the log never accepts: the calls with it fail, and the records that were due
+// with it would wait forever.
+BOOST_AUTO_TEST_CASE(record_that_the_log_never_accepts_stops_no_other) {
+    append_queue queue(core_limits{}, 1);
+    const fleet_state state;
+    for (int number = 0; number < 40; ++number) {
+        const auto id = fmt::format("change-{}", number);
+        queue.add({.change_id = id, .body = zone_in_record{.zone = number == 17 ? "bad" : "good"}});
+    }
+    const auto bad = encode_record({.change_id = "change-17", .body = zone_in_record{.zone = "bad"}});
+    std::set<std::string> appended;
+    log_offset next = 1;
+    for (auto now = boot_time(1s); now < boot_time(11s); now += 10ms) {
+        const auto call = queue.next_call(now, state);
+        if (!call) {
+            continue;
+        }
+        if (std::find(call->records.begin(), call->records.end(), bad) != call->records.end()) {
+            queue.on_failed(now, call->batch);
+            continue;
+        }
+        appended.insert(call->records.begin(), call->records.end());
+        queue.on_appended(call->batch, next);
+        next += static_cast<log_offset>(call->records.size());
+    }
+    BOOST_TEST(appended.size() == 39);
+}
+
 // Guards against retrying a record whose outcome the fold may no longer remember.
 BOOST_AUTO_TEST_CASE(records_with_unknown_outcome_are_not_retried) {
     append_queue queue(core_limits{}, 1);
--- a/tests/job_state_test.cpp
+++ b/tests/job_state_test.cpp
@@ -1,5 +1,5 @@
 #include "state/job_index.hpp"
-#include "state/job_progress.hpp"
+#include "state/progress_records.hpp"
 
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
@@ -76,100 +76,6 @@
     BOOST_TEST(rejected([](job_spec& job) { job.first_due = unix_time::max(); }));
 }
 
-// The progress of the largest job must fit into one record of the log, with worker ids and checkpoints.
-BOOST_AUTO_TEST_CASE(progress_of_the_largest_job_fits_into_a_record) {
-    constexpr std::size_t max_record_bytes = 256 * 1024;
-    auto job = sample_job();
-    job.steps = {{.count = job_limits::max_tasks}};
-    job_progress progress(job);
-    for (std::int32_t index = 0; index < job_limits::max_tasks; ++index) {
-        const task_id id{.job = job.id, .index = index};
-        progress.occurrence(0);
-        auto* task = progress.find_task(id);
-        task->run = 10;
-        task->worker = std::string(24, 'w');
-        task->checkpoint = std::string(40, 'c');
-        progress.set_phase(id, *task, run_phase::running);
-    }
-    BOOST_TEST(progress.encode().size() <= max_record_bytes);
-}
-
-// Guards against a new scheduler losing the runs, failures, workers or checkpoints recorded by its
-// predecessor.
-BOOST_AUTO_TEST_CASE(progress_round_trips_through_the_log) {
-    job_progress job(sample_job());
-    auto& first = job.occurrence(0).steps[0].tasks[1];
-    const task_id name{.job = job.spec.id, .step = 0, .index = 1};
-    first.run = 3;
-    first.failures = 1;
-    first.worker = "w-1";
-    first.checkpoint = "point";
-    job.set_phase(name, first, run_phase::running);
-    job.state = job_state::running;
-    job_progress read(sample_job());
-    error failure;
-    BOOST_REQUIRE(value_or_error(
-        [&]() -> result<bool> {
-            BOOST_LEAF_CHECK(read.decode(job.encode()));
-            return true;
-        },
-        failure));
-    const auto* task = read.find_task(name);
-    BOOST_REQUIRE(task != nullptr);
-    BOOST_TEST((task->phase == run_phase::placed)); // a new scheduler queries the worker for the actual state
-    BOOST_TEST(task->run == 3);
-    BOOST_TEST(task->failures == 1);
-    BOOST_TEST(task->worker == "w-1");
-    BOOST_TEST(task->checkpoint == "point");
-    BOOST_TEST((read.state == job_state::running));
-    BOOST_TEST(read.active_tasks() == 1);
-}
-
-// Guards against an occurrence that never runs: a later one was started before it, and the record of the job,
-// which holds only tasks that were started, did not name it. A new scheduler opened those that follow.
-BOOST_AUTO_TEST_CASE(progress_keeps_an_occurrence_without_started_tasks) {
-    auto spec = sample_job();
-    spec.occurrences = 5;
-    job_progress job(spec);
-    job.finished_occurrences = 1;
-    for (const std::int32_t number : {1, 2, 3}) {
-        job.occurrence(number);
-    }
-    const task_id started{.job = spec.id, .occurrence = 3};
-    auto* task = job.find_task(started);
-    task->run = 1;
-    task->worker = "w-1";
-    job.set_phase(started, *task, run_phase::running);
-    job_progress read(spec);
-    error failure;
-    BOOST_REQUIRE(value_or_error(
-        [&]() -> result<bool> {
-            BOOST_LEAF_CHECK(read.decode(job.encode()));
-            return true;
-        },
-        failure));
-    std::vector<std::int32_t> numbers;
-    for (const auto& occurrence : read.occurrences) {
-        numbers.push_back(occurrence.number);
-    }
-    BOOST_TEST(numbers == (std::vector<std::int32_t>{1, 2, 3}), boost::test_tools::per_element());
-}
-
-BOOST_AUTO_TEST_CASE(malformed_progress_is_rejected) {
-    for (const auto* text :
-         {"", "[]", "{}", R"({"state":"odd","tasks":[]})",
-          R"({"state":"running","tasks":[[0,7,0,1,1,0,"w",""]]})",
-          R"({"state":"running","tasks":[[0,0,0,9,1,0,"w",""]]})", R"({"state":"running","tasks":[[0,0]]})",
-          R"({"state":"running","tasks":[[1,0,0,1,1,0,"w",""]]})",
-          R"({"state":"running","tasks":[[-1,0,0,1,1,0,"w",""]]})"}) {
-        job_progress job(sample_job());
-        BOOST_TEST(fails([&]() -> result<bool> {
-            BOOST_LEAF_CHECK(job.decode(text));
-            return true;
-        }));
-    }
-}
-
 BOOST_AUTO_TEST_CASE(index_counts_pending_jobs) {
     job_index index;
     auto job = sample_job();
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -36,13 +36,15 @@
     const auto settings = value([] {
         return platform::parse_settings(
             R"({"Node":"n1","Zone":"z","Listen":{"Front":"10.0.0.1:80","Ready":"10.0.0.1:81"},
-            "platform":{"Address":"10.0.0.9:90","parts":2},"Limits":{"CpuShare":0.5,"Cores":2,"MaxFds":4100},
+            "platform":{"Address":"10.0.0.9:90","parts":2,"RecordBytes":1000,"CallBytes":5000},"Limits":{"CpuShare":0.5,"Cores":2,"MaxFds":4100},
             "Bounds":{"HoldMaxMs":5000,"status_s":60},"Cloud":{"Address":"10.0.0.8:91"},"Unknown":1,"Ip":"10.0.0.1","PortRange":[7000,7015]})");
     });
     BOOST_TEST(settings.node_id == "n1");
     BOOST_TEST(settings.limits.max_lease_duration.count() == 5000);
     BOOST_TEST(settings.limits.final_state_retention.count() == 60000);
     BOOST_TEST(settings.limits.job_partitions == 2);
+    BOOST_TEST(settings.limits.appends.max_record_bytes == 1000U);
+    BOOST_TEST(settings.limits.appends.max_append_bytes == 5000U);
     BOOST_TEST(settings.cores == 1.0);
     BOOST_TEST(settings.vm_address.has_value());
     BOOST_TEST(to_string(settings.admin_address.value()) == "10.0.0.1:7001");
@@ -113,6 +115,10 @@
     BOOST_TEST((platform::decode_append(answered(503, "")).outcome == refused));
     BOOST_TEST((platform::decode_append(answered(507, "")).outcome == refused));
     BOOST_TEST((platform::decode_append(answered(429, "")).outcome == refused));
+    // No repetition of such a call succeeds.
+    for (const int status : {400, 403, 404, 413}) {
+        BOOST_TEST((platform::decode_append(answered(status, "")).outcome == rejected));
+    }
     // Only a status that excludes an effect counts as refused.
     for (const int status : {408, 500, 502, 504, 599}) {
         BOOST_TEST((platform::decode_append(answered(status, "")).outcome == unknown));
--- a/tests/scheduler_answers_test.cpp
+++ b/tests/scheduler_answers_test.cpp
@@ -52,15 +52,15 @@
                                  this->now);
     }
 
-    std::string submit(step_spec step, const std::string& queue = "batch") {
+    std::string submit(step_spec step, const std::string& queue = "batch", std::int32_t partition = 0) {
         job_spec job{.id = fmt::format("{:016x}", ++this->jobs),
                      .queue = queue,
                      .pool = "pool",
                      .attempts = 2,
                      .payload = "work",
                      .steps = {step}};
-        this->schedule.on_job_record(0, {.key = job.id, .value = boost::json::serialize(to_json(job))},
-                                     this->now);
+        this->schedule.on_job_record(
+            partition, {.key = job.id, .value = boost::json::serialize(to_json(job))}, this->now);
         return job.id;
     }
 
@@ -106,7 +106,8 @@
         } else if (const auto* drop = std::get_if<drop_job_records>(&action)) {
             ++this->drops;
             if (this->drop_succeeds) {
-                this->schedule.on_records_dropped(drop->sequence, *this->drop_succeeds);
+                const bool refused = drop->partition == this->partition_without_drops;
+                this->schedule.on_records_dropped(drop->sequence, *this->drop_succeeds && !refused);
             }
         } else if (std::holds_alternative<read_vm_list>(action)) {
             this->vm_lists_requested.push_back(this->now);
@@ -177,10 +178,11 @@
     std::vector<order_maintenance> maintenance;
     std::vector<boot_time> vm_lists_requested;
     bool log_answers = true;
-    std::vector<std::int64_t> commits; ///< appends of progress without an answer
-    std::int64_t deleted_states = 0;   ///< states dropped from the states topic
-    std::int64_t drops = 0;            ///< appends that drop records of jobs
-    std::optional<bool> drop_succeeds; ///< their result; empty: not answered
+    std::vector<std::int64_t> commits;         ///< appends of progress without an answer
+    std::int64_t deleted_states = 0;           ///< states dropped from the states topic
+    std::int64_t drops = 0;                    ///< appends that drop records of jobs
+    std::optional<bool> drop_succeeds;         ///< their result; empty: not answered
+    std::int32_t partition_without_drops = -1; ///< refuses them whatever `drop_succeeds` is
 };
 
 step_spec long_running_step(std::int32_t count) {
@@ -402,6 +404,22 @@
     BOOST_TEST(site.deleted_states == 1);
 }
 
+// Guards against a partition of the jobs topic that refuses drops for good: the records and states of all
+// other jobs stayed as well.
+BOOST_AUTO_TEST_CASE(refused_drop_in_one_partition_keeps_no_record_of_another) {
+    manual_site site;
+    site.drop_succeeds = true;
+    site.partition_without_drops = 1;
+    for (const std::int32_t partition : {0, 1, 2}) {
+        const auto job = site.submit({.count = 1, .need = {.cpu_millicores = 2000}}, "batch", partition);
+        site.run(milliseconds(100));
+        site.schedule.on_job_record(partition, {.key = job + std::string(cancel_suffix), .value = "1"},
+                                    site.now);
+    }
+    site.run(site_limits().final_state_retention + milliseconds(5000));
+    BOOST_TEST(site.deleted_states == 2);
+}
+
 // Guards against a gang that is forgotten: its start was refused, its retry was not due yet when the
 // scheduler looked, and nothing else happened.
 BOOST_AUTO_TEST_CASE(gang_is_placed_again_after_a_refused_start) {
--- a/tests/scheduler_site.hpp
+++ b/tests/scheduler_site.hpp
@@ -297,16 +297,17 @@
     bool entries_repeat = false;        ///< workers write their entries again every `entry_interval`
     bool is_powered = true;             ///< false: no node runs the scheduler
     milliseconds tick_span{2};
-    milliseconds append_delay{0};    ///< added to the answer of an append
-    milliseconds answer_jitter{0};   ///< upper limit of a random delay of the answers of workers
-    bool vm_list_is_down = false;    ///< reads of the VM list fail
-    milliseconds vm_list_delay{0};   ///< added to the answer of a read of the VM list
-    boot_time late_until{};          ///< the last order that is carried out late has been by then
-    std::set<std::string> zones_out; ///< out of service
-    bool log_is_up = true;           ///< false: reads fail, and appends are repeated until it is true again
-    std::int64_t holds_sent = 0;     ///< holds that renewed a lease
-    std::size_t largest_append = 0;  ///< bytes of the values in the largest append of progress
-    std::int64_t early_drops = 0;    ///< job records dropped before the final state was stored
+    milliseconds append_delay{0};      ///< added to the answer of an append
+    milliseconds answer_jitter{0};     ///< upper limit of a random delay of the answers of workers
+    bool vm_list_is_down = false;      ///< reads of the VM list fail
+    milliseconds vm_list_delay{0};     ///< added to the answer of a read of the VM list
+    boot_time late_until{};            ///< the last order that is carried out late has been by then
+    std::set<std::string> zones_out;   ///< out of service
+    bool log_is_up = true;             ///< false: reads fail, and appends are repeated until it is true again
+    std::int64_t holds_sent = 0;       ///< holds that renewed a lease
+    std::size_t largest_append = 0;    ///< bytes of the values in the largest append of progress or states
+    std::int64_t rejected_appends = 0; ///< of progress or states
+    std::int64_t early_drops = 0;      ///< job records dropped before the final state was stored
 
     /// Runs @p function after @p delay of simulated time.
     void schedule_event(milliseconds delay, std::function<void()> function) {
@@ -509,13 +510,9 @@
 
     void execute(scheduler_action& action) {
         if (auto* commit = std::get_if<commit_progress>(&action)) {
-            this->append(
-                log_topic::progress, commit->sequence, commit->records,
-                [this](std::int64_t sequence) { this->schedule->on_committed(sequence, this->now); });
+            this->append(log_topic::progress, commit->sequence, commit->records);
         } else if (auto* states = std::get_if<publish_states>(&action)) {
-            this->append(log_topic::states, states->sequence, states->records, [this](std::int64_t sequence) {
-                this->schedule->on_published(sequence, this->now);
-            });
+            this->append(log_topic::states, states->sequence, states->records);
         } else if (auto* drop = std::get_if<drop_job_records>(&action)) {
             for (const auto& record : drop->records) {
                 const bool is_job = !record.key.ends_with(cancel_suffix);
@@ -593,12 +590,11 @@
         }
     }
 
-    template <class Done>
-    void append(log_topic topic, std::int64_t sequence, std::vector<keyed_record> records, Done done) {
+    void append(log_topic topic, std::int64_t sequence, std::vector<keyed_record> records) {
         if (!this->log_is_up) {
-            this->schedule_event(append_retry, [this, topic, sequence, records, done, term = this->term] {
+            this->schedule_event(append_retry, [this, topic, sequence, records, term = this->term] {
                 if (term == this->term) {
-                    this->append(topic, sequence, records, done);
+                    this->append(topic, sequence, records);
                 }
             });
             return;
@@ -612,15 +608,31 @@
             {.topic = topic,
              .records = std::move(records),
              .producer = append_producer{.name = "s", .epoch = this->term, .sequence = sequence}});
-        if (answer.outcome == append_outcome::appended) {
+        if (answer.outcome == append_outcome::rejected) {
+            ++this->rejected_appends;
+        }
+        if (answer.outcome == append_outcome::appended || answer.outcome == append_outcome::rejected) {
             ++this->unconfirmed_appends;
-            this->reply_after(answer_delay + this->append_delay, [this, done, sequence] {
+            this->reply_after(answer_delay + this->append_delay, [this, topic, sequence, answer] {
                 --this->unconfirmed_appends;
-                done(sequence);
+                this->on_append(topic, sequence, answer);
             });
         }
     }
 
+    void on_append(log_topic topic, std::int64_t sequence, const append_answer& answer) {
+        const bool is_stored = answer.outcome == append_outcome::appended;
+        if (topic == log_topic::progress && is_stored) {
+            this->schedule->on_committed(sequence, this->now);
+        } else if (topic == log_topic::progress) {
+            this->schedule->on_commit_rejected(sequence, answer.reason, this->now);
+        } else if (is_stored) {
+            this->schedule->on_published(sequence, this->now);
+        } else {
+            this->schedule->on_publish_rejected(sequence, answer.reason, this->now);
+        }
+    }
+
     struct listed_entry {
         worker_entry entry;
         boot_time delivered{};
--- a/tests/site_node_test.cpp
+++ b/tests/site_node_test.cpp
@@ -287,6 +287,20 @@
                401);
 }
 
+// Guards against a job whose record the log can never accept: it was refused as if the log were overloaded,
+// with the jobs of all callers whose records came with it, and so was each repetition.
+BOOST_FIXTURE_TEST_CASE(job_too_large_for_the_log_is_rejected_at_once, fixture) {
+    BOOST_REQUIRE(this->becomes_ready(0));
+    const auto body = fmt::format(R"({{"Spec":"text","Steps":[{{"Count":1,"Cpu":1000,"Requires":"{}"}}]}})",
+                                  std::string(300'000, 'l'));
+    const auto rejected = this->call(this->addresses[0], "POST", job_path, body);
+    BOOST_TEST(rejected.response.status == 413);
+    BOOST_TEST(rejected.response.headers.value_or("Retry-After", "none") == "none");
+    const std::lock_guard lock(this->shared.mutex);
+    BOOST_TEST(this->shared.log.read({.topic = log_topic::jobs, .partition = 0}).end == 0);
+    BOOST_TEST(this->shared.log.read({.topic = log_topic::jobs, .partition = 1}).end == 0);
+}
+
 BOOST_FIXTURE_TEST_CASE(node_without_the_log_is_not_ready_and_refuses_at_once, fixture) {
     BOOST_REQUIRE(this->becomes_ready(0));
     {
--- a/tests/submission_queue_test.cpp
+++ b/tests/submission_queue_test.cpp
@@ -85,6 +85,61 @@
     BOOST_TEST((this->answers["a"] == store_outcome::unknown));
 }
 
+// Guards against one record that the log does not accept, such as a job too large for it: the callers whose
+// records came with it were refused as well, and again with each repetition.
+BOOST_FIXTURE_TEST_CASE(record_that_the_log_rejects_fails_alone, fixture) {
+    this->log.set_rejected([](log_topic, const keyed_record& record) { return record.key == "c"; });
+    for (const auto* key : {"a", "b", "c", "d", "e", "f", "g"}) {
+        this->add(key, milliseconds(5000));
+    }
+    for (int round = 0; round < 20 && this->answers.size() < 7; ++round) {
+        if (const auto call = this->tick()) {
+            this->queue.on_append(this->log.append(*call), this->now);
+        }
+    }
+    BOOST_TEST((this->answers["c"] == store_outcome::rejected));
+    for (const auto* key : {"a", "b", "d", "e", "f", "g"}) {
+        BOOST_TEST((this->answers[key] == store_outcome::stored));
+    }
+    BOOST_TEST(this->log.read({.topic = log_topic::jobs}).end == 6);
+}
+
+// Guards against an append without an answer that takes effect after the log has rejected its repetition: the
+// records that follow use its sequence number.
+BOOST_FIXTURE_TEST_CASE(rejected_repetition_fences_the_earlier_attempt, fixture) {
+    this->add("a");
+    const auto first = this->tick();
+    this->queue.on_append({.outcome = append_outcome::unknown}, this->now);
+    this->tick();
+    this->queue.on_append({.outcome = append_outcome::rejected}, this->now);
+    BOOST_TEST((this->answers["a"] == store_outcome::rejected));
+    this->add("b");
+    const auto next = this->tick();
+    BOOST_REQUIRE(next.has_value());
+    BOOST_TEST(next->producer->epoch > first->producer->epoch);
+}
+
+// Guards against an append that the log refuses for its size because many callers submit large jobs at once.
+BOOST_AUTO_TEST_CASE(batch_is_within_the_limits_of_an_append) {
+    submission_queue queue(
+        {.producer = "node-1", .appends = {.max_record_bytes = 300, .max_append_bytes = 1000}});
+    boot_time now{milliseconds(1000)};
+    std::int64_t stored = 0;
+    for (int number = 0; number < 50; ++number) {
+        queue.add({.key = std::to_string(number), .value = std::string(200, 'v')}, now + milliseconds(60000),
+                  [&stored](store_outcome outcome) { stored += outcome == store_outcome::stored ? 1 : 0; });
+    }
+    fake_keyed_log log;
+    log.set_limits({.max_record_bytes = 300, .max_append_bytes = 1000});
+    for (int round = 0; round < 50; ++round) {
+        now += milliseconds(100);
+        if (const auto call = queue.tick(now)) {
+            queue.on_append(log.append(*call), now);
+        }
+    }
+    BOOST_TEST(stored == 50);
+}
+
 BOOST_FIXTURE_TEST_CASE(record_that_was_never_sent_is_not_stored, fixture) {
     this->add("a");
     this->tick();
