The stand-in of a worker takes over a waiting hold when it arrives

Cause: the simulated site carried out a hold that waits for an end when it answered it. After a restart of the worker under its id in between, the hold acknowledged ends of the new process, whose numbers its sender had never seen: a task that had ended ran again.

Change: fence, acknowledgement and lease of the hold take effect on arrival; only its answer waits. A worker forgets the ends up to the number in the order, and the order has the number that was known when it was sent.

--- a/tests/scheduler_site.hpp
+++ b/tests/scheduler_site.hpp
@@ -349,21 +349,38 @@
             }
             const auto waiting = at->second;
             at = this->holds.erase(at);
-            this->answer_hold(waiting.action);
+            this->answer_hold(waiting.action, waiting.waiting);
         }
     }
 
-    void answer_hold(const send_hold& hold) {
+    /// Carries out a hold that waits for an end. Its answer comes later, from the process that runs by then.
+    void begin_waiting(const send_hold& hold) {
+        const auto& id = hold.worker.id;
+        auto waiting = hold;
+        if (!this->cut_workers.contains(id) && !this->late_workers.contains(id)) {
+            // Taken over on arrival: ends that the worker lists later have numbers that the sender has not
+            // seen.
+            this->site.hold(hold.worker, hold.order, this->now);
+            waiting.order.acknowledged_end = 0;
+            waiting.order.lease_until.reset();
+        }
+        this->holds[id] = {.action = hold, .waiting = waiting.order, .until = this->now + hold.order.wait};
+    }
+
+    void answer_hold(const send_hold& hold) { this->answer_hold(hold, hold.order); }
+
+    /// @param order what is left to carry out of the hold
+    void answer_hold(const send_hold& hold, const hold_order& order) {
         if (this->late_workers.contains(hold.worker.id)) {
             this->carry_out_late(hold.worker.id, this->late_delay(),
-                                 [this, hold] { this->site.hold(hold.worker, hold.order, this->now); });
+                                 [this, hold, order] { this->site.hold(hold.worker, order, this->now); });
             this->reply_after(call_timeout, [this, hold] {
                 this->schedule->on_hold_report(hold.worker, hold.order, {}, this->now);
             });
             return;
         }
         const bool is_cut = this->cut_workers.contains(hold.worker.id);
-        auto report = is_cut ? hold_report{} : this->site.hold(hold.worker, hold.order, this->now);
+        auto report = is_cut ? hold_report{} : this->site.hold(hold.worker, order, this->now);
         if (is_cut || this->unanswered_workers.contains(hold.worker.id)) {
             this->schedule_event(call_timeout, [this, hold, sending_term = this->term] {
                 if (sending_term == this->term) {
@@ -550,7 +567,7 @@
             if (hold->order.wait.count() == 0) {
                 this->answer_hold(*hold);
             } else {
-                this->holds[hold->worker.id] = {.action = *hold, .until = this->now + hold->order.wait};
+                this->begin_waiting(*hold);
             }
         } else if (std::holds_alternative<read_vm_list>(action)) {
             const auto requested_at = this->now;
@@ -639,6 +656,7 @@
     };
     struct pending_hold {
         send_hold action;
+        hold_order waiting; ///< what is left to carry out when it is answered
         boot_time until{};
     };
 
