A VM does not drain for a maintenance that cannot follow

Cause: plan_wave_step chose VMs to drain without asking whether their maintenance could follow, and only the maintenance ended a drain. The class is capacity held back for an event that cannot come: the same happened with tasks that may not be ended now, with long batch tasks, with a place of the wave whose VM was lost during its maintenance, and with a worker that is avoided because other jobs failed there.

Change: a VM with a task that may never be ended does not drain (maintenance_blocked names the job). The scheduler notes since when a job that has nothing running waits for room that only excluded workers have. After 2 s (10 s in a pool that is half used, where work waits in any case) their VMs take tasks again for 4 s, or an avoided worker is used by a task that has an attempt to lose. A VM that stays down after its maintenance gives its place in the wave free.

The promise is a check of the simulated site, "held_back", and work_goes_on_beside_planned_work plays it with waves over such tasks and with large progress.

--- a/src/fakes/fake_site.cpp
+++ b/src/fakes/fake_site.cpp
@@ -398,7 +398,9 @@
 
 void fake_site::take_down(const std::string& vm, boot_time returns_at, boot_time now) {
     const auto found = this->site_vms.find(vm);
-    if (found == this->site_vms.end() || found->second.entry.condition != vm_condition::up) {
+    const bool is_present =
+        found != this->site_vms.end() && found->second.entry.condition != vm_condition::down;
+    if (!is_present || found->second.entry.condition == vm_condition::moving) {
         return;
     }
     this->end_instance(found->second.entry.worker, now);
--- a/src/fakes/fake_site.hpp
+++ b/src/fakes/fake_site.hpp
@@ -151,7 +151,7 @@
     /// @return id of the worker; nothing if the VM is not up
     std::optional<std::string> restart(const std::string& vm, const worker_restart& changes, boot_time now);
 
-    /// Ends the worker of a VM. The VM comes back with a new worker at @p returns_at.
+    /// Ends the worker of a VM, or its maintenance. The VM comes back with a new worker at @p returns_at.
     void take_down(const std::string& vm, boot_time returns_at, boot_time now);
 
     /// Ends the worker of a VM and removes the VM for good.
--- a/src/policy/vm_plan.cpp
+++ b/src/policy/vm_plan.cpp
@@ -66,7 +66,7 @@
             step.maintain.push_back(candidate.vm);
             --free_places;
             --idle_places;
-        } else {
+        } else if (candidate.may_drain) {
             later.push_back(&candidate);
         }
     }
--- a/src/policy/vm_plan.hpp
+++ b/src/policy/vm_plan.hpp
@@ -14,6 +14,7 @@
     std::string vm;
     bool draining = false;        ///< already gets no new tasks
     bool may_end_tasks = true;    ///< ending its tasks violates no availability limit
+    bool may_drain = true;        ///< its tasks may end at some time, and no other work waits for it
     std::int32_t batch_tasks = 0; ///< tasks that are not long-running; ending them loses progress
     std::int32_t long_running_tasks = 0;
     std::int64_t used_millicores = 0; ///< CPU reserved by its tasks, in thousandths of a core
--- a/src/scheduler/scheduler_dispatch.cpp
+++ b/src/scheduler/scheduler_dispatch.cpp
@@ -3,6 +3,7 @@
 #include "protocol/json_log.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace hornbeamrail {
 
@@ -59,6 +60,11 @@
     return queue == nullptr ? job.spec.pool : queue->pool;
 }
 
+std::int32_t scheduler::impl::attempts_of(const job_progress& job) const {
+    const auto* queue = this->find_queue(job.spec.queue);
+    return queue == nullptr ? job.spec.attempts : queue->attempts;
+}
+
 void scheduler::impl::open_occurrences(unix_time clock) {
     for (auto& [id, job] : this->jobs) {
         if (!job->spec.is_timed() || is_final(job->state)) {
@@ -218,6 +224,41 @@
     for (auto& [pool, pending] : this->collect_pending_occurrences(now, clock)) {
         this->dispatch_pool(std::string(pool), std::move(pending), now);
     }
+    this->update_held_back(now);
+}
+
+void scheduler::impl::update_held_back(boot_time now) {
+    for (auto& [id, worker] : this->workers) {
+        if (!std::exchange(worker.holds_back, false)) {
+            worker.holds_back_since.reset();
+        } else if (!worker.holds_back_since) {
+            worker.holds_back_since = now;
+        }
+    }
+}
+
+void scheduler::impl::note_held_back(job_progress& job, const placement_request& request,
+                                     const std::vector<worker_view>& views,
+                                     const std::vector<worker_control*>& controls, boot_time now) {
+    if (job.active_tasks() > 0) {
+        return;
+    }
+    auto unconditional = request;
+    unconditional.overdue = true;
+    unconditional.unlimited_attempts = true;
+    bool has_room = false;
+    for (std::size_t index = 0; index < views.size(); ++index) {
+        if (can_run(views[index], unconditional)) {
+            has_room = true;
+            controls[index]->holds_back = views[index].standing == worker_standing::leaving;
+        }
+    }
+    job.held_back_since = has_room ? job.held_back_since.value_or(now) : std::optional<boot_time>();
+}
+
+bool scheduler::impl::is_held_back_long(const job_progress& job, boot_time now) const {
+    return job.held_back_since && now >= *job.held_back_since + this->timings.longest_hold_back &&
+           !this->is_half_used(this->pool_of(job));
 }
 
 std::map<std::string_view, std::vector<pending_occurrence>>
@@ -302,6 +343,7 @@
                                   const std::vector<worker_control*>& controls, boot_time now) {
     const auto& step = job.spec.steps[static_cast<std::size_t>(number)];
     const bool log_late = this->log_is_late(now);
+    const auto attempts = this->attempts_of(job);
     bool placed_all = true;
     auto& tasks = occurrence.steps[static_cast<std::size_t>(number)].tasks;
     for (std::size_t index = 0; index < tasks.size(); ++index) {
@@ -318,8 +360,13 @@
                          .step = number,
                          .index = static_cast<std::int32_t>(index)};
         request.overdue = step.long_running && this->is_overdue(id, now);
+        request.unlimited_attempts =
+            step.long_running || (task.failures + 1 < attempts && this->is_held_back_long(job, now));
         const auto choice = log_late ? this->find_reserved_worker(task, views, request)
                                      : this->find_worker(task, views, request, now);
+        if (!choice && !log_late) {
+            note_held_back(job, request, views, controls, now);
+        }
         // Others may have failed elsewhere, or may use more workers because they are overdue.
         const bool others_may_fit =
             log_late || !task.worker.empty() || (step.long_running && !request.overdue);
@@ -387,7 +434,11 @@
     for (std::size_t index = 0; index < tasks.size(); ++index) {
         const auto choice = choose_worker(trial, request);
         total += step.need;
-        if (!choice || !this->is_within_upper_limit(job.spec.account, total)) {
+        if (!choice) {
+            note_held_back(job, request, trial, controls, now);
+            return false;
+        }
+        if (!this->is_within_upper_limit(job.spec.account, total)) {
             return false;
         }
         trial[*choice].available -= request.need;
@@ -413,6 +464,7 @@
 
 placement& scheduler::impl::assign(job_progress& job, const task_id& id, task_progress& task,
                                    worker_control& worker, std::int64_t run, boot_time now) {
+    job.held_back_since.reset();
     task.run = run;
     task.worker = worker.entry.id;
     task.placed_at = now;
--- a/src/scheduler/scheduler_impl.hpp
+++ b/src/scheduler/scheduler_impl.hpp
@@ -66,7 +66,16 @@
     std::chrono::milliseconds ticket_expiry_margin{300}; ///< a ticket that expires sooner is not used
     std::chrono::milliseconds move_interval{150};        ///< between two plans of VM moves
     std::chrono::milliseconds wave_interval{60};         ///< between two plans of maintenance waves
-    std::chrono::milliseconds need_window{800};          ///< a pool keeps its highest need over this window
+    /// A job that has nothing running waits for at most this time while only workers that take no new tasks
+    /// have room: then their VMs stop draining for `drain_pause`, or a worker is used where tasks failed.
+    std::chrono::milliseconds longest_hold_back{2000};
+    /// The same for VMs of a pool with at least half of its capacity in use, where work waits in any case.
+    std::chrono::milliseconds longest_hold_back_if_busy{10000};
+    std::chrono::milliseconds drain_pause{4000};
+    /// A VM that is down for this time after it should have returned from maintenance no longer counts as
+    /// being maintained.
+    std::chrono::milliseconds maintenance_overrun{5000};
+    std::chrono::milliseconds need_window{800}; ///< a pool keeps its highest need over this window
     /// Pools release no VM for this time after a term begins with jobs, or after the first job if there are
     /// none: until then nothing is known of the demand.
     std::chrono::milliseconds move_warmup{3000};
@@ -155,6 +164,9 @@
     boot_time avoid_until{};               ///< tasks failed there repeatedly; until then see `set_standings`
     std::int32_t refused_starts = 0;       ///< since the last start that it accepted
     boot_time refused_until{};             ///< no new tasks until then
+    /// Since when a job with nothing running waits for room that only draining VMs such as this one have.
+    std::optional<boot_time> holds_back_since;
+    bool holds_back = false; ///< as found by the dispatch in progress
     std::map<task_id, placement> tasks;
     resources used; ///< sum of the needs of `tasks`
     std::int32_t latency_sensitive_tasks = 0;
@@ -268,6 +280,8 @@
     wave_request request;
     std::set<std::string> ordered;  ///< VMs whose maintenance has begun or that are not of this wave
     std::set<std::string> draining; ///< VMs that receive no new tasks because their maintenance is next
+    std::map<std::string, boot_time> may_drain_from; ///< VMs that gave way to waiting jobs
+    std::set<std::string> blocked;                   ///< VMs with tasks that may never be ended
     /// VMs that are down for maintenance, with the time of the order.
     std::map<std::string, boot_time> in_maintenance;
     boot_time started_at{};
@@ -460,6 +474,14 @@
                                                                   const std::vector<worker_view>& views,
                                                                   const placement_request& request) const;
 
+    /// Notes that no worker takes a task of the job, and which draining VMs could run it.
+    static void note_held_back(job_progress& job, const placement_request& request,
+                               const std::vector<worker_view>& views,
+                               const std::vector<worker_control*>& workers, boot_time now);
+    /// @return whether the job has been held back for `longest_hold_back` in a pool that has room
+    [[nodiscard]] bool is_held_back_long(const job_progress& job, boot_time now) const;
+    /// Updates since when workers hold back jobs, from what the dispatch has found.
+    void update_held_back(boot_time now);
     /// Chooses the worker for one task, which may return to the worker where it failed if no other can run
     /// it.
     [[nodiscard]] std::optional<std::size_t> find_worker(const task_progress& task,
@@ -489,6 +511,8 @@
     /// @return what the step requires of a worker, without the rules of `apply_step_rules`
     static placement_request make_request(const step_spec& step);
     [[nodiscard]] const std::string& pool_of(const job_progress& job) const;
+    /// @return number of failed runs of one task after which the job has failed
+    [[nodiscard]] std::int32_t attempts_of(const job_progress& job) const;
     [[nodiscard]] job_rank rank_of(const job_progress& job, const occurrence_progress& occurrence,
                                    unix_time clock) const;
 
@@ -551,6 +575,17 @@
     [[nodiscard]] bool is_ready(const task_id& id, const task_progress& task) const;
     /// @return whether the availability limits of all long-running tasks on the worker permit ending them now
     [[nodiscard]] bool can_end_tasks_of(const worker_control& worker);
+    /// @return a job with a long-running task on the worker that may not be unavailable at any time; nullptr
+    /// if none
+    [[nodiscard]] const job_progress* find_job_that_never_ends(const worker_control& worker);
+    /// @return whether the VM may receive no tasks until its maintenance: it can follow, and no job waits for
+    /// it
+    [[nodiscard]] bool may_drain(wave_progress& wave, const vm_entry& vm, const worker_control& worker,
+                                 boot_time now);
+    /// @return whether at least half of the CPU of the pool's workers is in use
+    [[nodiscard]] bool is_half_used(const std::string& pool) const;
+    /// Removes the VMs whose maintenance has ended, and adds those that a previous scheduler has ordered.
+    void update_maintained_vms(wave_progress& wave, boot_time now);
     /// @return whether another worker of the pool could run the task now
     [[nodiscard]] bool has_room_elsewhere(const worker_control& worker, const step_spec& step,
                                           const task_id& task, boot_time now);
--- a/src/scheduler/scheduler_jobs.cpp
+++ b/src/scheduler/scheduler_jobs.cpp
@@ -229,11 +229,10 @@
                    {"run", ended.run},
                    {"worker", task.worker},
                    {"failures", task.failures}});
-        const auto* queue = this->find_queue(job.spec.queue);
         const auto failed_on = task.worker;
         this->requeue(job, id, task, step.long_running ? now + long_running_backoff : now);
         task.worker = failed_on; // the next placement avoids this worker
-        const auto attempts = queue == nullptr ? job.spec.attempts : queue->attempts;
+        const auto attempts = this->attempts_of(job);
         if (!step.long_running && task.failures >= attempts && !is_final(job.state)) {
             write_log(severity::info, "job_failed",
                       {{"job", id.job}, {"failures", task.failures}, {"attempts", attempts}});
--- a/src/scheduler/scheduler_vms.cpp
+++ b/src/scheduler/scheduler_vms.cpp
@@ -138,11 +138,66 @@
     }
 }
 
-void scheduler::impl::plan_wave(wave_progress& wave, boot_time now) {
+const job_progress* scheduler::impl::find_job_that_never_ends(const worker_control& worker) {
+    for (const auto& [id, placed] : worker.tasks) {
+        const auto* job = placed.long_running ? this->find_job(id.job) : nullptr;
+        if (job != nullptr && !is_final(job->state) &&
+            job->spec.steps[static_cast<std::size_t>(id.step)].max_unavailable == 0) {
+            return job;
+        }
+    }
+    return nullptr;
+}
+
+bool scheduler::impl::is_half_used(const std::string& pool) const {
+    std::int64_t used = 0;
+    std::int64_t capacity = 0;
+    for (const auto& [id, worker] : this->workers) {
+        if (worker.entry.pool == pool && worker.listed) {
+            used += worker.used.cpu_millicores;
+            capacity += worker.entry.capacity.cpu_millicores;
+        }
+    }
+    return used * 2 >= capacity;
+}
+
+bool scheduler::impl::may_drain(wave_progress& wave, const vm_entry& vm, const worker_control& worker,
+                                boot_time now) {
+    if (const auto* job = this->find_job_that_never_ends(worker)) {
+        if (wave.blocked.insert(vm.id).second) {
+            write_log(severity::warning, "maintenance_blocked",
+                      {{"vm", vm.id}, {"wave", wave.request.number}, {"job", job->spec.id}});
+        }
+        return false;
+    }
+    wave.blocked.erase(vm.id);
+    const auto pause = wave.may_drain_from.find(vm.id);
+    if (pause != wave.may_drain_from.end() && now < pause->second) {
+        return false;
+    }
+    if (!worker.holds_back_since || !wave.draining.contains(vm.id)) {
+        return true;
+    }
+    const auto longest = this->is_half_used(worker.entry.pool) ? this->timings.longest_hold_back_if_busy
+                                                               : this->timings.longest_hold_back;
+    if (now < *worker.holds_back_since + longest) {
+        return true;
+    }
+    write_log(severity::info, "drain_given_up",
+              {{"vm", vm.id}, {"wave", wave.request.number}, {"tasks", worker.tasks.size()}});
+    wave.may_drain_from[vm.id] = now + this->timings.drain_pause;
+    return false;
+}
+
+void scheduler::impl::update_maintained_vms(wave_progress& wave, boot_time now) {
+    const auto longest = this->options.limits.vm_maintenance + this->timings.maintenance_overrun;
     for (auto at = wave.in_maintenance.begin(); at != wave.in_maintenance.end();) {
         const auto vm = this->vms.find(at->first);
         const bool list_is_newer = this->vm_list_as_of > at->second + milliseconds(200);
-        const bool has_returned = vm == this->vms.end() || vm->second.condition == vm_condition::up;
+        const bool is_lost = vm != this->vms.end() && vm->second.condition == vm_condition::down &&
+                             this->vm_list_as_of > at->second + longest;
+        const bool has_returned =
+            vm == this->vms.end() || vm->second.condition == vm_condition::up || is_lost;
         const bool ended = list_is_newer && has_returned;
         this->dispatch_due = this->dispatch_due || ended; // its worker may have joined before
         at = ended ? wave.in_maintenance.erase(at) : std::next(at);
@@ -154,6 +209,10 @@
             wave.in_maintenance.emplace(name, now);
         }
     }
+}
+
+void scheduler::impl::plan_wave(wave_progress& wave, boot_time now) {
+    this->update_maintained_vms(wave, now);
     wave_status status{.max_down = wave.request.max_down,
                        .down = static_cast<std::int32_t>(wave.in_maintenance.size()),
                        .elapsed = to_millis(now - wave.started_at),
@@ -175,6 +234,7 @@
         if (worker != this->workers.end()) {
             candidate.may_end_tasks = !worker->second.entry.draining && !worker->second.is_unresponsive() &&
                                       this->can_end_tasks_of(worker->second);
+            candidate.may_drain = this->may_drain(wave, vm->second, worker->second, now);
             if (candidate.draining && !candidate.may_end_tasks) {
                 this->spread_tasks_of(worker->second, now);
             }
--- a/src/state/job_progress.hpp
+++ b/src/state/job_progress.hpp
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -111,6 +112,8 @@
     bool cancel_requested = false;
     bool beyond_share = false;  ///< its account exceeded its share; not recorded
     std::int32_t partition = 0; ///< partition of the jobs topic that holds the job's record
+    /// Since when it has nothing running while only workers that take no new tasks have room; not recorded.
+    std::optional<boot_time> held_back_since;
     std::deque<occurrence_progress> occurrences;
     std::int32_t finished_occurrences = 0; ///< occurrences below this number are done and no longer kept
     recorded_progress recorded;
--- a/tests/promise_site.hpp
+++ b/tests/promise_site.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-// Plays histories of troubles on a simulated site and checks the promise on long-running tasks by what the
-// workers run, not by what the scheduler believes.
+// Plays histories of troubles on a simulated site and checks the promises on long-running tasks and on other
+// jobs by what the workers run, not by what the scheduler believes.
 
 #include "scheduler_site.hpp"
 
@@ -66,7 +66,8 @@
 struct submission {
     milliseconds at{};
     job_spec job;
-    milliseconds cancel_after{}; ///< 0: never
+    milliseconds cancel_after{};      ///< 0: never
+    std::size_t checkpoint_bytes = 0; ///< of each task
 };
 
 /// Everything that happens in one simulated run.
@@ -83,7 +84,8 @@
 
 /// Something that must not happen.
 struct promise_violation {
-    std::string kind; ///< "waits", "duplicate", "early", "limit", "per_worker", "zone", "draining"
+    std::string
+        kind; ///< "waits", "held_back", "duplicate", "early", "limit", "per_worker", "zone", "draining"
     milliseconds at{};
     milliseconds lasted{};
     std::string text;
@@ -91,6 +93,8 @@
 
 /// Limit from the end of a run, or the submission, until a long-running task runs again.
 inline constexpr milliseconds promised_restart{6000};
+/// Limit on the time for which a job has nothing running while one of its tasks could run.
+inline constexpr milliseconds promised_start{3000};
 /// The promise holds after this time without a fault.
 inline constexpr milliseconds promised_calm{7000};
 /// A placement and its start take time, so the room must have existed for this long.
@@ -155,6 +159,11 @@
         const auto id = this->submit(item.job);
         if (item.job.steps.front().long_running) {
             this->lasting[id] = {.spec = item.job, .submitted = this->now};
+        } else {
+            this->ending.insert(id);
+        }
+        if (item.checkpoint_bytes > 0) {
+            this->site.set_checkpoint_bytes(id, item.checkpoint_bytes);
         }
         if (item.cancel_after.count() > 0) {
             this->schedule_event(item.cancel_after, [this, id] {
@@ -465,6 +474,98 @@
                 this->check_task(task, job, runs, idle_since, workers);
             }
         }
+        this->check_ending_jobs(workers);
+    }
+
+    /// @return whether under half of the CPU of the pool's workers is in use
+    [[nodiscard]] static bool pool_is_under_half_used(const std::vector<observed_worker>& workers) {
+        std::int64_t used = 0;
+        std::int64_t capacity = 0;
+        for (const auto& worker : workers) {
+            if (worker.entry.pool == "pool") {
+                capacity += worker.entry.capacity.cpu_millicores;
+                used += worker.entry.capacity.cpu_millicores - worker.available.cpu_millicores;
+            }
+        }
+        return used * 2 < capacity;
+    }
+
+    /// What the runs of a job show.
+    struct job_truth {
+        bool runs = false;
+        bool failed = false;                                  ///< a task has used up its attempts
+        std::set<std::pair<std::int32_t, std::int32_t>> done; ///< step and index
+    };
+
+    [[nodiscard]] std::map<std::string, job_truth> observe_ending_jobs() const {
+        std::map<std::string, job_truth> truth;
+        std::map<task_id, std::int32_t> failures;
+        for (const auto& run : this->site.history()) {
+            if (!this->ending.contains(run.task.job)) {
+                continue;
+            }
+            auto& job = truth[run.task.job];
+            job.runs = job.runs || run.ended_at == boot_time::max();
+            if (run.outcome == task_end::done) {
+                job.done.emplace(run.task.step, run.task.index);
+            }
+            job.failed = job.failed || (run.outcome == task_end::failed &&
+                                        ++failures[run.task] >= this->job_of(run.task.job).attempts);
+        }
+        return truth;
+    }
+
+    /// @return the first step whose turn has come and that has a task which is not done
+    [[nodiscard]] static std::optional<std::size_t> find_due_step(const job_spec& job,
+                                                                  const job_truth& truth) {
+        const auto is_done = [&](std::size_t step) {
+            const auto count = std::count_if(truth.done.begin(), truth.done.end(), [step](const auto& task) {
+                return static_cast<std::size_t>(task.first) == step;
+            });
+            return count >= job.steps[step].count;
+        };
+        for (std::size_t step = 0; step < job.steps.size(); ++step) {
+            const auto& after = job.steps[step].after;
+            const bool is_due = std::all_of(after.begin(), after.end(), [&](std::int32_t earlier) {
+                return is_done(static_cast<std::size_t>(earlier));
+            });
+            if (is_due && !is_done(step)) {
+                return step;
+            }
+        }
+        return std::nullopt;
+    }
+
+    /// Checks that no job has nothing running for long while a worker has room for its tasks.
+    void check_ending_jobs(const std::vector<observed_worker>& workers) {
+        const bool may_wait = !this->is_calm() || !pool_is_under_half_used(workers);
+        const auto truth = this->observe_ending_jobs();
+        for (const auto& id : this->ending) {
+            const auto found = truth.find(id);
+            const auto seen = found == truth.end() ? job_truth{} : found->second;
+            const auto& job = this->job_of(id);
+            const auto step = find_due_step(job, seen);
+            std::string rooms;
+            if (!may_wait && step && !seen.runs && !seen.failed &&
+                this->account_has_room(job.account, job.steps[*step].need, workers)) {
+                for (const auto& worker : workers) {
+                    rooms += this->has_room(worker, id, job.steps[*step]) ? this->describe(worker) : "";
+                }
+            }
+            if (rooms.empty()) {
+                this->held_back_since.erase(id);
+                continue;
+            }
+            const auto since = this->held_back_since.emplace(id, this->now).first->second;
+            if (this->now >= since + promised_start) {
+                this->violations.push_back(
+                    {.kind = "held_back",
+                     .at = this->elapsed(),
+                     .lasted = std::chrono::duration_cast<milliseconds>(this->now - since),
+                     .text = fmt::format("job {} has nothing running; room on{}", id, rooms)});
+                this->held_back_since[id] = boot_time::max() - promised_start; // reported once
+            }
+        }
     }
 
     void check_task(const task_id& task, const lasting_job& job, bool runs, boot_time idle_since,
@@ -551,6 +652,8 @@
     int log_outages = 0;
     std::int64_t waves_begun = 0;
     std::map<std::string, lasting_job> lasting;
+    std::set<std::string> ending;                     ///< jobs whose tasks end by themselves
+    std::map<std::string, boot_time> held_back_since; ///< jobs that have nothing running although they could
     std::map<task_id, boot_time> late_since;
     std::map<task_id, std::size_t> open_violations; ///< index in `violations`
     std::vector<promise_violation> violations;
@@ -559,7 +662,7 @@
 /// Draws histories.
 class history_generator {
 public:
-    explicit history_generator(std::uint64_t seed) : random(seed) {}
+    explicit history_generator(std::uint64_t seed) : random(seed), seed(seed) {}
 
     promise_history make() {
         promise_history made{.seed = this->random(),
@@ -592,6 +695,37 @@
         return made;
     }
 
+    /// Draws a history in which work is planned on VMs whose tasks may not end, and some jobs have large
+    /// progress.
+    promise_history make_with_planned_work() {
+        auto made = this->make();
+        this->random.seed(this->seed + 1'000'000); // does not depend on what `make` has drawn
+        for (auto& item : made.jobs) {
+            auto& step = item.job.steps.front();
+            if (step.long_running && this->chance(0.5)) {
+                step.max_unavailable = 0;
+            }
+        }
+        const int waves = this->between(1, 3);
+        for (int number = 0; number < waves; ++number) {
+            made.events.push_back({.at = milliseconds(this->between(3000, 20000)),
+                                   .kind = trouble::wave,
+                                   .duration = milliseconds(this->between(8000, 30000)),
+                                   .count = this->between(1, made.vms),
+                                   .choice = this->random()});
+        }
+        const int wide_jobs = this->between(0, 2);
+        for (int number = 0; number < wide_jobs; ++number) {
+            auto job = batch_job(this->between(200, static_cast<int>(job_limits::max_tasks)), 5);
+            job.account.clear();
+            job.steps.front().need.memory_mb = 1;
+            made.jobs.push_back({.at = milliseconds(this->between(0, 12000)),
+                                 .job = std::move(job),
+                                 .checkpoint_bytes = static_cast<std::size_t>(this->between(10, 4000))});
+        }
+        return made;
+    }
+
 private:
     bool chance(double probability) {
         return std::uniform_real_distribution<double>(0, 1)(this->random) < probability;
@@ -669,6 +803,7 @@
     }
 
     std::mt19937_64 random;
+    std::uint64_t seed;
 };
 
 } // namespace hornbeamrail::test
--- a/tests/scheduler_promise_test.cpp
+++ b/tests/scheduler_promise_test.cpp
@@ -105,14 +105,13 @@
     return seeds;
 }
 
-} // namespace
-
-// Guards against a long-running task that stays away from work although a worker has room for it.
-BOOST_AUTO_TEST_CASE(long_running_tasks_return_to_work_in_seeded_histories) {
+/// Plays the histories of the chosen seeds that @p make draws, and reports their violations.
+template <class Make>
+void play_seeds(Make make) {
     const auto seeds = chosen_seeds();
     set_log_threshold(std::getenv("HORNBEAMRAIL_PROMISE_LOG") != nullptr ? severity::info : severity::error);
     for (auto seed = seeds.first; seed < seeds.first + seeds.count; ++seed) {
-        const auto history = history_generator(seed).make();
+        const promise_history history = make(history_generator(seed));
         std::set<std::string> kinds;
         for (const auto& violation : play(history)) {
             if (kinds.insert(violation.kind).second) {
@@ -135,3 +134,17 @@
         }
     }
 }
+
+} // namespace
+
+// Guards against a long-running task that stays away from work although a worker has room for it, and against
+// a job that has nothing running although one has.
+BOOST_AUTO_TEST_CASE(work_goes_on_in_seeded_histories) {
+    play_seeds([](history_generator generator) { return generator.make(); });
+}
+
+// Guards against the same beside planned work on VMs whose tasks may not end, and beside jobs with large
+// progress.
+BOOST_AUTO_TEST_CASE(work_goes_on_beside_planned_work) {
+    play_seeds([](history_generator generator) { return generator.make_with_planned_work(); });
+}
