A pool takes no VMs for work that may not start there

Cause: all waiting tasks counted for the VMs that a pool needs, also those above the upper limit of their account and those larger than any VM of the pool. They wait for as long as the limit lasts, or for ever, and their pool kept VMs of the spare pool that others needed.

Change: compute_pool_loads counts waiting tasks up to what their account may still use, and none that is larger than a VM or whose job is set aside.

--- a/src/scheduler/scheduler_moves.cpp
+++ b/src/scheduler/scheduler_moves.cpp
@@ -16,16 +16,27 @@
 /// A move that does not show in a VM list within this time is no longer expected.
 constexpr milliseconds move_timeout{4000};
 
-/// Adds the needs of the job's tasks that are ready to start. Best-effort tasks need no VM of their own.
-void add_waiting_load(pool_load& load, const job_progress& job) {
+/// CPU that accounts may still use, in millicores, by account; those without an upper limit have no entry.
+using account_rooms = std::map<std::string_view, double>;
+
+/// Adds the needs of the job's tasks that are ready to start and could run on another VM of its pool.
+/// Best-effort tasks need no VM of their own.
+void add_waiting_load(pool_load& load, account_rooms& rooms, const job_progress& job) {
+    const auto room = rooms.find(job.spec.account);
     for (const auto& occurrence : job.occurrences) {
         for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
             const auto& spec = job.spec.steps[step];
-            if (spec.best_effort || !job.is_released(occurrence, static_cast<std::int32_t>(step))) {
+            const auto need = static_cast<double>(spec.need.cpu_millicores);
+            if (spec.best_effort || need > load.vm_millicores ||
+                !job.is_released(occurrence, static_cast<std::int32_t>(step))) {
                 continue;
             }
-            load.waiting_millicores += static_cast<double>(occurrence.steps[step].waiting) *
-                                       static_cast<double>(spec.need.cpu_millicores);
+            auto waiting = static_cast<double>(occurrence.steps[step].waiting) * need;
+            if (room != rooms.end()) {
+                waiting = std::clamp(waiting, 0.0, std::max(0.0, room->second));
+                room->second -= waiting;
+            }
+            load.waiting_millicores += waiting;
             if (spec.long_running) {
                 load.long_running_vms = std::max(load.long_running_vms, spec.count);
             }
@@ -98,9 +109,18 @@
         auto& load = loads[vm.pool];
         load.vm_millicores = std::max(load.vm_millicores, static_cast<double>(vm.capacity.cpu_millicores));
     }
+    account_rooms rooms;
+    for (const auto& account : this->config->accounts) {
+        const auto used = this->account_use.find(account.name);
+        if (account.upper_limit.cpu_millicores > 0) {
+            rooms[account.name] =
+                static_cast<double>(account.upper_limit.cpu_millicores -
+                                    (used == this->account_use.end() ? 0 : used->second.cpu_millicores));
+        }
+    }
     for (const auto& [id, job] : this->jobs) {
-        if (!is_final(job->state) && !job->beyond_share) {
-            add_waiting_load(loads[this->pool_of(*job)], *job);
+        if (!is_final(job->state) && !job->beyond_share && !this->is_set_aside(id, now)) {
+            add_waiting_load(loads[this->pool_of(*job)], rooms, *job);
         }
     }
     return loads;
--- a/tests/scheduler_test.cpp
+++ b/tests/scheduler_test.cpp
@@ -174,6 +174,28 @@
     BOOST_TEST(used.size() >= 5);
 }
 
+// Guards against VMs that a pool takes from others for work that may not start there: it is above the upper
+// limit of its account, or larger than any VM.
+BOOST_AUTO_TEST_CASE(pool_takes_no_vms_for_work_that_may_not_start) {
+    scheduler_site site(9);
+    site.add_vms(2);
+    site.add_vms(12, "spare");
+    site.site.set_duration(milliseconds(60000));
+    site.take_over();
+    site.run(milliseconds(4000));
+    for (int job = 0; job < 20; ++job) {
+        site.submit(batch_job(20)); // 800 cores, of which the account may use 60
+        auto too_large = batch_job(1, 64000);
+        too_large.account.clear();
+        site.submit(too_large);
+    }
+    site.run(milliseconds(20000)); // the forecast after the arrivals has ended
+    const auto vms = site.site.vms();
+    const auto in_pool =
+        std::count_if(vms.begin(), vms.end(), [](const auto& vm) { return vm.pool == "pool"; });
+    BOOST_TEST(in_pool <= 4);
+}
+
 // One account submits ten times its share, more than the pool can run. Jobs of another account still complete
 // on time.
 BOOST_AUTO_TEST_CASE(account_beyond_its_share_does_not_delay_others) {
