Records of final jobs are dropped although one has to wait

Cause: stores for each final job whether its state is in the log, and drops no record of a partition past one whose state is not. A job that is cancelled while a task runs has its state stored before it counts as final, so the note went nowhere, and the partition dropped nothing more until the next term. Ruled out: the size of appends (0.25 s of the link against 8 s: the same), the scheduler's own appends (the same bytes).

Change: the note is kept with the job until it is final. A job that has to wait goes behind the others of its partition, so that a state that the log does not accept keeps the records of its own job only.

The promise is a check of the simulated site, "kept": records of a final job are dropped within 5 s.

--- a/src/scheduler/scheduler_impl.hpp
+++ b/src/scheduler/scheduler_impl.hpp
@@ -384,9 +384,12 @@
     void run_effects(commit_batch& batch, boot_time now);
     /// Appends the pending job states to the states topic.
     void publish(boot_time now);
+    void note_final_state_recorded(const std::string& id);
     /// Drops the records of final jobs, and their states after `site_limits::final_state_retention`. A state
     /// is kept while the job's record may remain: without it a successor would run the job again.
     void drop_finished(boot_time now);
+    /// @return whether a successor needs no record of the final job besides its state
+    [[nodiscard]] bool may_drop(const std::string& id) const;
     /// Orders the drops of the next job records of one partition.
     void order_drop(std::int32_t partition, partition_cleanup& cleanup);
     /// Ends the drop in flight of a partition. The progress records are dropped if the job records are.
--- a/src/scheduler/scheduler_jobs.cpp
+++ b/src/scheduler/scheduler_jobs.cpp
@@ -148,7 +148,8 @@
     }
     this->cleanups[job.partition].jobs.push_back(
         {.id = job.spec.id, .finished = now, .cancelled = job.cancel_requested});
-    this->finals.emplace(job.spec.id, final_job{.partition = job.partition});
+    this->finals.emplace(job.spec.id,
+                         final_job{.partition = job.partition, .state_recorded = job.final_state_recorded});
     this->drop_advice(job.spec.id);
     // Its progress is recorded a last time, and then the job is erased.
     this->mark_dirty(job);
--- a/src/scheduler/scheduler_records.cpp
+++ b/src/scheduler/scheduler_records.cpp
@@ -244,6 +244,16 @@
                        .records = {begin, begin + static_cast<std::ptrdiff_t>(this->states_in_flight)}});
 }
 
+void scheduler::impl::note_final_state_recorded(const std::string& id) {
+    if (auto* job = this->find_job(id)) {
+        job->final_state_recorded = true; // its last run may end later
+    }
+    const auto known = this->finals.find(id);
+    if (known != this->finals.end()) {
+        known->second.state_recorded = true;
+    }
+}
+
 void scheduler::on_published(std::int64_t sequence, boot_time) {
     auto& state = *this->self;
     if (state.states_in_flight == 0 || state.publish_sequence != sequence) {
@@ -253,9 +263,8 @@
     for (; state.states_in_flight > 0; --state.states_in_flight) {
         const auto& record = state.states_to_publish.front();
         const auto published = parse_job_state(record.value);
-        const auto job = state.finals.find(record.key);
-        if (published && is_final(*published) && job != state.finals.end()) {
-            job->second.state_recorded = true;
+        if (published && is_final(*published)) {
+            state.note_final_state_recorded(record.key);
         }
         state.states_to_publish.pop_front();
     }
@@ -278,26 +287,27 @@
     }
 }
 
+bool scheduler::impl::may_drop(const std::string& id) const {
+    const auto known = this->finals.find(id);
+    // Until its final state is in the log, a successor would load the job as a new one without its record.
+    return !this->jobs.contains(id) && (known == this->finals.end() || known->second.state_recorded);
+}
+
 void scheduler::impl::order_drop(std::int32_t partition, partition_cleanup& cleanup) {
+    const auto first = cleanup.jobs.begin() + static_cast<std::ptrdiff_t>(cleanup.dropped);
+    // A job that has to wait goes behind the others, so that it keeps no record but its own.
+    const auto end = std::stable_partition(first, cleanup.jobs.end(),
+                                           [this](const auto& job) { return this->may_drop(job.id); });
+    cleanup.ordered = std::min(static_cast<std::size_t>(end - first), drop_batch);
     std::vector<keyed_record> records;
-    const auto end = std::min(cleanup.jobs.size(), cleanup.dropped + drop_batch);
-    auto index = cleanup.dropped;
-    for (; index < end; ++index) {
-        const auto& job = cleanup.jobs[index];
-        const auto known = this->finals.find(job.id);
-        // Until its final state is in the log, a successor would load the job as a new one without its
-        // record.
-        if (this->jobs.contains(job.id) || (known != this->finals.end() && !known->second.state_recorded)) {
-            break;
-        }
-        if (!job.records_dropped) {
-            records.push_back({.key = job.id});
+    for (auto job = first; job != first + static_cast<std::ptrdiff_t>(cleanup.ordered); ++job) {
+        if (!job->records_dropped) {
+            records.push_back({.key = job->id});
         }
-        if (!job.records_dropped && job.cancelled) {
-            records.push_back({.key = job.id + std::string(cancel_suffix)});
+        if (!job->records_dropped && job->cancelled) {
+            records.push_back({.key = job->id + std::string(cancel_suffix)});
         }
     }
-    cleanup.ordered = index - cleanup.dropped;
     if (records.empty()) {
         this->end_drop(cleanup, true);
         return;
--- a/src/state/job_progress.hpp
+++ b/src/state/job_progress.hpp
@@ -109,6 +109,7 @@
 
     job_spec spec;
     job_state state = job_state::pending;
+    bool final_state_recorded = false; ///< its final state is in the log; its last run may not have ended
     bool cancel_requested = false;
     bool beyond_share = false;  ///< its account exceeded its share; not recorded
     std::int32_t partition = 0; ///< partition of the jobs topic that holds the job's record
--- a/tests/promise_site.hpp
+++ b/tests/promise_site.hpp
@@ -85,7 +85,7 @@
 /// Something that must not happen.
 struct promise_violation {
     std::string
-        kind; ///< "waits", "held_back", "duplicate", "early", "limit", "per_worker", "zone", "draining"
+        kind; ///< "waits", "held_back", "duplicate", "early", "limit", "per_worker", "kept", "zone", "draining"
     milliseconds at{};
     milliseconds lasted{};
     std::string text;
@@ -100,6 +100,10 @@
 /// A placement and its start take time, so the room must have existed for this long.
 inline constexpr milliseconds reaction_time{500};
 inline constexpr milliseconds check_interval{100};
+/// Interval of checks that look at all records or workers.
+inline constexpr milliseconds slow_check_interval{1000};
+/// Limit on the time from the final state of a job, or the end of its last run, until its records are dropped.
+inline constexpr milliseconds promised_drop{5000};
 /// Upper limit of the account "team", except while it is lowered.
 inline constexpr std::int64_t usual_limit_millicores = 60000;
 
@@ -478,6 +482,46 @@
             }
         }
         this->check_ending_jobs(workers);
+        if (this->now >= this->last_slow_check + slow_check_interval) {
+            this->last_slow_check = this->now;
+            this->check_dropped_records();
+        }
+    }
+
+    /// Checks that the records of jobs whose final state is in the log are dropped: until then each node that
+    /// starts reads them.
+    void check_dropped_records() {
+        std::set<std::string> final_jobs;
+        for (const auto& record : this->log.newest({.topic = log_topic::states}).records) {
+            const auto state = parse_job_state(record.value);
+            if (state && is_final(*state)) {
+                final_jobs.insert(record.key);
+            }
+        }
+        for (const auto& run : this->site.history()) {
+            if (run.ended_at == boot_time::max()) {
+                final_jobs.erase(run.task.job); // its runs are being stopped
+            }
+        }
+        std::map<std::string, boot_time> kept;
+        for (const auto& record : this->log.newest({.topic = log_topic::jobs}).records) {
+            const auto id = record.key.substr(0, record.key.find(cancel_suffix));
+            if (!this->is_calm() || record.value.empty() || !final_jobs.contains(id)) {
+                continue;
+            }
+            const auto known = this->final_since.find(id);
+            const auto since = known == this->final_since.end() ? this->now : known->second;
+            kept[id] = since;
+            if (this->now >= since + promised_drop) {
+                this->violations.push_back(
+                    {.kind = "kept",
+                     .at = this->elapsed(),
+                     .lasted = std::chrono::duration_cast<milliseconds>(this->now - since),
+                     .text = fmt::format("records of the final job {} are kept", id)});
+                kept[id] = boot_time::max() - promised_drop; // reported once
+            }
+        }
+        this->final_since = std::move(kept);
     }
 
     /// @return whether under half of the CPU of the pool's workers is in use
@@ -657,6 +701,8 @@
     boot_time disturbed_until{};
     int log_outages = 0;
     std::int64_t waves_begun = 0;
+    boot_time last_slow_check{};
+    std::map<std::string, boot_time> final_since; ///< final jobs whose records are in the log
     std::map<std::string, lasting_job> lasting;
     std::set<std::string> ending;                     ///< jobs whose tasks end by themselves
     std::map<std::string, boot_time> held_back_since; ///< jobs that have nothing running although they could
--- a/tests/scheduler_records_test.cpp
+++ b/tests/scheduler_records_test.cpp
@@ -33,6 +33,13 @@
         return this->site.state_of(id);
     }
 
+    /// @return whether the jobs topic has the record of the job
+    [[nodiscard]] bool has_record(const std::string& id) const {
+        const auto stored = this->site.log.newest({.topic = log_topic::jobs}).records;
+        return std::any_of(stored.begin(), stored.end(),
+                           [&](const auto& record) { return record.key == id && !record.value.empty(); });
+    }
+
     scheduler_site site;
 };
 
@@ -145,3 +152,35 @@
         BOOST_REQUIRE(this->site.state_of(id) == "cancelled");
     }
 }
+
+// Guards against a job that is final before its last run has ended: its state was stored under no final job,
+// and no later job of its partition was ever dropped.
+BOOST_FIXTURE_TEST_CASE(job_that_ends_after_its_state_is_dropped, log_fixture) {
+    const auto cancelled = this->site.submit(batch_job(4));
+    this->site.run(milliseconds(300));
+    BOOST_REQUIRE(this->site.running_tasks(cancelled) == 4);
+    this->site.cut_workers = {"w-1", "w-2", "w-3", "w-4"};
+    this->site.cancel(cancelled);
+    this->site.run(milliseconds(300));
+    BOOST_REQUIRE(this->site.state_of(cancelled) == "cancelled");
+    this->site.cut_workers.clear();
+    const auto later = this->site.submit(batch_job(1));
+    this->site.run(milliseconds(5000));
+    BOOST_REQUIRE(this->site.state_of(later) == "completed");
+    BOOST_TEST(!this->has_record(cancelled));
+    BOOST_TEST(!this->has_record(later));
+}
+
+// Guards against a job whose final state the log does not accept: it must keep its own records only.
+BOOST_FIXTURE_TEST_CASE(rejected_final_state_keeps_no_record_of_another, log_fixture) {
+    const auto hidden = this->site.submit(batch_job(1));
+    this->site.log.set_rejected([&](log_topic topic, const keyed_record& record) {
+        return topic == log_topic::states && record.key == hidden;
+    });
+    this->site.run(milliseconds(2000));
+    const auto later = this->site.submit(batch_job(1));
+    this->site.run(milliseconds(4000));
+    BOOST_REQUIRE(this->site.state_of(later) == "completed");
+    BOOST_TEST(this->has_record(hidden));
+    BOOST_TEST(!this->has_record(later));
+}
