A busy scheduler keeps its lease

Cause: an instrumented copy spent 94% of its time in dispatch, and its timer, reads and renewals of the lease were up to 2.5 s late. Each answer ran a cycle if 4 ms had passed since the begin of the previous one, so cycles of 23 ms followed each other without a pause; dispatch ranked and sorted all waiting jobs of the site each time, also for pools without room. Successors loaded a longer list and lost the lease 1.4 s later. Ruled out: one long cycle (71 ms at most), a long load (0.3 s), the answers of workers (86 to 180 ms a second).

Change: the next cycle is due twice the time of the previous one after its end. Dispatch looks only at pools whose workers have room, keeps what a rank depends on, takes the first jobs from a heap and does not search again for what no worker had room for. At most 256 starts are in flight, and pools take turns. A node that is behind its timers waits longer between two holds. loop_delayed, loop_delay_ms and occurrences_ranked show it. The choice of workers moves to scheduler_placement.cpp.

--- a/src/scheduler/scheduler.cpp
+++ b/src/scheduler/scheduler.cpp
@@ -126,8 +126,8 @@
                     task.placed_at = now;
                     auto* placed = state.add_placement(worker, *job, name, task.run, now);
                     placed->pace.reset(); // ordered by a predecessor
-                    placed->stage =
-                        start_stage::unacknowledged; // its fence is 0, so any hold of this term resolves it
+                    // Its fence is 0, so any hold of this term resolves it.
+                    state.set_stage(*placed, start_stage::unacknowledged, now);
                     ++adopted;
                 }
             }
@@ -215,6 +215,10 @@
     this->self->term_confirmed = std::max(this->self->term_confirmed, confirmed);
 }
 
+void scheduler::set_loop_delay(std::chrono::milliseconds delay) {
+    this->self->loop_delay = delay;
+}
+
 void scheduler::set_lease_renewed(boot_time renewed) {
     this->self->lease_renewed = std::max(this->self->lease_renewed, renewed);
 }
@@ -248,6 +252,7 @@
         workers.push_back(boost::json::object{{"worker", id},
                                               {"pool", worker.entry.pool},
                                               {"tasks", worker.tasks.size()},
+                                              {"starting", worker.count_starting()},
                                               {"used_cpu_millis", worker.used.cpu_millicores},
                                               {"confirmed", worker.confirmed},
                                               {"unanswered", worker.unanswered_holds},
@@ -261,8 +266,10 @@
                                            {"state", to_string(job->state)},
                                            {"active_tasks", job->active_tasks()}});
     }
-    return boost::json::object{
-        {"term", state.term}, {"workers", std::move(workers)}, {"jobs", std::move(jobs)}};
+    return boost::json::object{{"term", state.term},
+                               {"starts_in_flight", state.starts_in_flight},
+                               {"workers", std::move(workers)},
+                               {"jobs", std::move(jobs)}};
 }
 
 } // namespace hornbeamrail
--- a/src/scheduler/scheduler.hpp
+++ b/src/scheduler/scheduler.hpp
@@ -107,6 +107,8 @@
 /// Figures for the metrics of the process.
 struct scheduler_statistics {
     std::int64_t overdue_tasks = 0; ///< long-running tasks that have waited too long for a worker
+    std::int64_t ranked_occurrences =
+        0; ///< number of ranks computed in this term, the work of all dispatches
     std::vector<blocked_workers> blocked;
 };
 
@@ -190,6 +192,9 @@
     /// @param renewed when the last successful renewal of the scheduler's lease was sent
     void set_lease_renewed(boot_time renewed);
 
+    /// Sets by how much the driver runs behind its timers. Work that is not urgent becomes rarer with it.
+    void set_loop_delay(std::chrono::milliseconds delay);
+
     /// Results of actions. Results that no longer match the current state are ignored.
     /// @{
     void on_committed(std::int64_t sequence, boot_time now);
--- a/src/scheduler/scheduler_impl.hpp
+++ b/src/scheduler/scheduler_impl.hpp
@@ -24,12 +24,20 @@
 
 /// Intervals, timeouts and retry delays of the scheduler.
 struct scheduler_timings {
-    std::chrono::milliseconds hold_wait{900};      ///< long-poll timeout of a hold while no task ends
-    std::chrono::milliseconds hold_pause{20};      ///< between the answer to a hold and the next hold
-    std::chrono::milliseconds hold_retry{250};     ///< backoff unit after a hold without an answer
+    std::chrono::milliseconds hold_wait{900};          ///< long-poll timeout of a hold while no task ends
+    std::chrono::milliseconds hold_pause{20};          ///< between the answer to a hold and the next hold
+    std::chrono::milliseconds longest_hold_pause{400}; ///< the same on a node that runs far behind its timers
+    std::chrono::milliseconds hold_retry{250};         ///< backoff unit after a hold without an answer
     std::chrono::milliseconds start_lease{1500};   ///< the worker rejects a start order that arrives later
     std::chrono::milliseconds commit_interval{10}; ///< least time between two progress appends
     std::chrono::milliseconds dispatch_interval{15};
+    /// Starts that are being recorded or in flight at once. More would wait longer for their turn to be sent
+    /// than workers accept them.
+    std::int32_t max_starts_in_flight = 256;
+    /// Longest time for which the summary of an occurrence is used although learned durations change.
+    std::chrono::milliseconds summary_lifetime{1000};
+    /// Between two checks of the workers that do not answer.
+    std::chrono::milliseconds worker_check_interval{20};
     /// Longest time between two searches for workers: the end of a backoff or of a reservation triggers none.
     std::chrono::milliseconds dispatch_recheck{200};
     std::chrono::milliseconds stop_retry{300};
@@ -119,6 +127,11 @@
     std::optional<std::int32_t> pace = 100; ///< percentage of full speed; empty: not known
     std::int64_t latest_load = 0; ///< tail latency in ms of a latency-sensitive task, else millicores in use
     boot_time pace_sent{};
+
+    /// @return whether its start is being recorded or in flight
+    [[nodiscard]] bool is_starting() const noexcept {
+        return this->stage == start_stage::recording || this->stage == start_stage::sent;
+    }
 };
 
 /// Why a worker receives no new tasks.
@@ -175,6 +188,12 @@
 
     [[nodiscard]] bool is_unresponsive() const noexcept { return this->unanswered_holds > 0; }
 
+    /// @return number of its tasks whose start is being recorded or in flight
+    [[nodiscard]] std::int64_t count_starting() const {
+        return std::count_if(this->tasks.begin(), this->tasks.end(),
+                             [](const auto& item) { return item.second.is_starting(); });
+    }
+
     /// @return number of the last end up to which all are in the log
     [[nodiscard]] std::int64_t recorded_end() const noexcept {
         return this->unrecorded_ends.empty() ? this->applied_end : *this->unrecorded_ends.begin() - 1;
@@ -296,6 +315,10 @@
 struct accepting_workers {
     std::vector<worker_view> views;
     std::vector<worker_control*> controls;
+    std::vector<failing_worker> failing; ///< those that are avoided, until their standing is set
+    /// Need of a task that any worker may run, for which none had room. Room only gets smaller while tasks
+    /// are placed, so tasks with the same need or more have none either.
+    std::optional<resources> too_large;
 };
 
 /// A long-running task that has waited for a worker longer than `overdue_after`.
@@ -310,6 +333,14 @@
     job_rank rank;
     job_progress* job = nullptr;
     std::int32_t occurrence = 0;
+    std::int64_t least_millicores = 0; ///< see `occurrence_summary`
+};
+
+/// The waiting tasks of a pool and the workers for them.
+struct pool_dispatch {
+    accepting_workers candidates;
+    std::int64_t largest_millicores = 0; ///< largest CPU that a worker has free
+    std::vector<pending_occurrence> pending;
 };
 
 struct scheduler::impl {
@@ -407,6 +438,9 @@
                       boot_time now);
     /// @return whether new leases end before a successor may rely on their expiry
     [[nodiscard]] bool may_extend_leases(boot_time now) const;
+    /// @return time between the answer to a hold and the next hold: longer on a node that is behind, so that
+    /// one answer lists the ends of more tasks
+    [[nodiscard]] std::chrono::milliseconds hold_pause() const;
     /// Sends the holds that are due.
     void hold_workers(boot_time now);
     void accept_report(worker_control& worker, const hold_order& order, const hold_report& report,
@@ -433,6 +467,8 @@
     void request_vm_list(boot_time now);
     placement* add_placement(worker_control& worker, const job_progress& job, const task_id& id,
                              std::int64_t run, boot_time now);
+    /// Changes the stage of the placement and counts the starts in flight.
+    void set_stage(placement& placed, start_stage stage, boot_time now);
     void remove_placement(worker_control& worker, const task_id& id, std::string_view account);
     /// Counts a failed run; the worker is avoided for a while after repeated failures.
     void count_failure(worker_control& worker, boot_time now);
@@ -443,20 +479,32 @@
     void apply_config(std::shared_ptr<const site_config> updated_config);
     /// @return the queue, or null if the configuration has none of that name
     [[nodiscard]] const queue_config* find_queue(const std::string& name) const;
-    [[nodiscard]] std::map<std::string_view, std::vector<pending_occurrence>>
-    collect_pending_occurrences(boot_time now, unix_time clock);
+    /// @return the pools that have workers for new tasks, with the occurrences for which one has CPU
+    [[nodiscard]] std::map<std::string_view, pool_dispatch> collect_pending_occurrences(boot_time now,
+                                                                                        unix_time clock);
+    /// @return the summary of the occurrence, computed if it is absent or old
+    const occurrence_summary& summarize(const job_progress& job, occurrence_progress& occurrence,
+                                        boot_time now) const;
     /// Opens the occurrences of timed jobs that are due.
     void open_occurrences(unix_time clock);
     void dispatch(boot_time now, unix_time clock);
-    void dispatch_pool(const std::string& pool, std::vector<pending_occurrence> pending, boot_time now);
+    /// Places tasks of the pool's occurrences in the order of their ranks.
+    void dispatch_pool(pool_dispatch& pool, boot_time now);
+    void dispatch_occurrence(const pending_occurrence& item, pool_dispatch& pool, boot_time now);
+    /// @return whether as many starts as allowed are being recorded or in flight. Starts that need no record
+    /// are not limited.
+    [[nodiscard]] bool has_enough_starts() const noexcept {
+        return this->starts_in_flight >= this->timings.max_starts_in_flight;
+    }
     /// @return false if the account or the workers have no capacity for one of the tasks
     bool place_step(job_progress& job, occurrence_progress& occurrence, std::int32_t step,
                     accepting_workers& candidates, boot_time now);
     /// Places the waiting tasks of the step; while the log is late, only where they are reserved.
+    /// @param any_worker_may every worker that has room may run the tasks
     /// @return false if the account or the workers have no capacity for one of the tasks
     bool place_tasks(job_progress& job, occurrence_progress& occurrence, std::int32_t step,
-                     placement_request request, std::vector<worker_view>& views,
-                     const std::vector<worker_control*>& workers, boot_time now);
+                     placement_request request, accepting_workers& candidates, bool any_worker_may,
+                     boot_time now);
 
     // scheduler_reservations.cpp: starts while the log is late
     /// @return whether the log has not answered the append of progress in flight in time
@@ -508,6 +556,10 @@
     /// @return the first reason for which the worker receives no new tasks, in the order of `worker_block`
     [[nodiscard]] worker_block find_block(const worker_control& worker, boot_time now) const;
     [[nodiscard]] accepting_workers find_accepting_workers(const std::string& pool, boot_time now);
+    /// Adds the worker unless it receives no new tasks.
+    void add_accepting_worker(accepting_workers& accepting, worker_control& worker, boot_time now);
+    /// @return the pools that have workers for new tasks, without occurrences
+    [[nodiscard]] std::map<std::string_view, pool_dispatch> find_pools_with_workers(boot_time now);
     /// Sets for each worker how many tasks of the step it has and whether its labels permit the step.
     static void apply_step_rules(accepting_workers& candidates, const step_spec& step,
                                  const task_id& step_id);
@@ -516,8 +568,8 @@
     [[nodiscard]] const std::string& pool_of(const job_progress& job) const;
     /// @return number of failed runs of one task after which the job has failed
     [[nodiscard]] std::int32_t attempts_of(const job_progress& job) const;
-    [[nodiscard]] job_rank rank_of(const job_progress& job, const occurrence_progress& occurrence,
-                                   unix_time clock) const;
+    [[nodiscard]] job_rank rank_of(const job_progress& job, std::int32_t occurrence,
+                                   const occurrence_summary& summary, unix_time clock) const;
 
     // scheduler_orders.cpp: orders for single tasks
     void send_start_order(worker_control& worker, const task_id& id, placement& placed, boot_time now);
@@ -667,6 +719,12 @@
 
     bool dispatch_due = false; ///< something changed that may let a task start
     boot_time last_dispatch{};
+    std::int64_t ranked_occurrences = 0;
+    std::string first_dispatched_pool; ///< of the latest dispatch
+    std::int32_t starts_in_flight = 0; ///< placements in stage `recording` or `sent`
+    std::set<std::string> timed_jobs;  ///< ids of the jobs with occurrences
+    boot_time last_worker_check{};
+    std::chrono::milliseconds loop_delay{0}; ///< see `set_loop_delay`
 
     std::map<std::string, vm_entry> vms; ///< latest list, by id
     std::map<std::string, std::string> vm_of_worker;
--- a/src/scheduler/scheduler_jobs.cpp
+++ b/src/scheduler/scheduler_jobs.cpp
@@ -74,7 +74,9 @@
     }
     auto job = std::make_unique<job_progress>(std::move(*spec));
     job->partition = partition;
-    if (!job->spec.is_timed()) {
+    if (job->spec.is_timed()) {
+        this->timed_jobs.insert(record.key);
+    } else {
         job->occurrence(0);
     }
     auto& added = *this->jobs.emplace(record.key, std::move(job)).first->second;
--- a/src/scheduler/scheduler_orders.cpp
+++ b/src/scheduler/scheduler_orders.cpp
@@ -28,9 +28,8 @@
         }
         return;
     }
-    placed.stage = start_stage::sent;
+    this->set_stage(placed, start_stage::sent, now);
     placed.fence = this->fence_of(worker);
-    placed.stage_entered = now;
     this->extend_lease_bound(worker, this->timings.start_lease, now);
     this->add_action(send_start{.worker = {.id = worker.entry.id, .address = worker.entry.address},
                                 .order = {.task = id,
@@ -57,8 +56,7 @@
     auto* job = state.find_job(order.task.job);
     auto* task = job == nullptr ? nullptr : job->find_task(order.task);
     if (answer.outcome == order_outcome::done) {
-        placed->second.stage = start_stage::confirmed;
-        placed->second.stage_entered = now;
+        state.set_stage(placed->second, start_stage::confirmed, now);
         worker.refused_starts = 0;
         if (task != nullptr && task->phase == run_phase::placed) {
             job->set_phase(order.task, *task, run_phase::running);
@@ -83,7 +81,7 @@
                {"reason", answer.reason}});
     if (answer.outcome == order_outcome::unknown) {
         state.count_refusal(worker, now);
-        placed->second.stage = start_stage::unacknowledged;
+        state.set_stage(placed->second, start_stage::unacknowledged, now);
         state.raise_fence(worker, now);
         return;
     }
--- /dev/null
+++ b/src/scheduler/scheduler_placement.cpp
@@ -0,0 +1,295 @@
+#include "scheduler/scheduler_impl.hpp"
+
+#include <algorithm>
+
+// Choice of workers for the tasks of one step.
+
+namespace hornbeamrail {
+
+namespace {
+
+bool fits_upper_limit(std::int64_t used, std::int64_t need, std::int64_t upper_limit) {
+    return upper_limit <= 0 || used + need <= upper_limit;
+}
+
+std::int32_t tasks_of_step(const worker_control& worker, const task_id& step) {
+    const task_id first{.job = step.job, .occurrence = step.occurrence, .step = step.step, .index = 0};
+    std::int32_t count = 0;
+    for (auto at = worker.tasks.lower_bound(first); at != worker.tasks.end(); ++at) {
+        if (at->first.job != step.job || at->first.occurrence != step.occurrence ||
+            at->first.step != step.step) {
+            break;
+        }
+        ++count;
+    }
+    return count;
+}
+
+} // namespace
+
+bool scheduler::impl::is_within_upper_limit(const std::string& account, const resources& need) const {
+    const auto* config_entry = account.empty() ? nullptr : this->config->find_account(account);
+    if (config_entry == nullptr) {
+        return true;
+    }
+    const auto found = this->account_use.find(account);
+    const auto used = found == this->account_use.end() ? resources{} : found->second;
+    return fits_upper_limit(used.cpu_millicores, need.cpu_millicores,
+                            config_entry->upper_limit.cpu_millicores) &&
+           fits_upper_limit(used.memory_mb, need.memory_mb, config_entry->upper_limit.memory_mb) &&
+           fits_upper_limit(used.accelerators, need.accelerators, config_entry->upper_limit.accelerators);
+}
+
+void scheduler::impl::apply_step_rules(accepting_workers& candidates, const step_spec& step,
+                                       const task_id& step_id) {
+    for (std::size_t index = 0; index < candidates.views.size(); ++index) {
+        auto& view = candidates.views[index];
+        const auto& worker = *candidates.controls[index];
+        view.same_step_tasks =
+            step.max_per_worker > 0 || step.long_running ? tasks_of_step(worker, step_id) : 0;
+        view.allowed = step.required_label.empty() || worker.entry.has_label(step.required_label);
+    }
+}
+
+placement_request scheduler::impl::make_request(const step_spec& step) {
+    placement_request request{.need = step.need,
+                              .data_rack = step.data_rack,
+                              .max_per_worker = step.max_per_worker,
+                              .best_effort = step.best_effort,
+                              .latency_sensitive = step.latency_target.count() > 0,
+                              .unlimited_attempts = step.long_running,
+                              .spread = step.long_running};
+    if (step.best_effort) {
+        request.need.cpu_millicores = 0;
+    }
+    return request;
+}
+
+void scheduler::impl::note_held_back(job_progress& job, const placement_request& request,
+                                     const std::vector<worker_view>& views,
+                                     const std::vector<worker_control*>& controls, boot_time now) {
+    if (job.active_tasks() > 0) {
+        return;
+    }
+    auto unconditional = request;
+    unconditional.overdue = true;
+    unconditional.unlimited_attempts = true;
+    bool has_room = false;
+    for (std::size_t index = 0; index < views.size(); ++index) {
+        if (can_run(views[index], unconditional)) {
+            has_room = true;
+            controls[index]->holds_back =
+                controls[index]->holds_back || views[index].standing == worker_standing::leaving;
+        }
+    }
+    job.held_back_since = has_room ? job.held_back_since.value_or(now) : std::optional<boot_time>();
+}
+
+bool scheduler::impl::is_held_back_long(const job_progress& job, boot_time now) const {
+    return job.held_back_since && now >= *job.held_back_since + this->timings.longest_hold_back &&
+           !this->is_half_used(this->pool_of(job));
+}
+
+bool scheduler::impl::place_step(job_progress& job, occurrence_progress& occurrence, std::int32_t number,
+                                 accepting_workers& candidates, boot_time now) {
+    const auto& step = job.spec.steps[static_cast<std::size_t>(number)];
+    const task_id step_id{.job = job.spec.id, .occurrence = occurrence.number, .step = number};
+    auto& views = candidates.views;
+    const auto& controls = candidates.controls;
+    apply_step_rules(candidates, step, step_id);
+    const auto* queue = this->find_queue(job.spec.queue);
+    const bool needs_advice = queue != nullptr && queue->advice;
+    if (needs_advice) {
+        const auto& granted_advice = this->get_advice(step_id, controls, now);
+        for (auto& view : views) {
+            view.allowed = view.allowed && granted_advice.tickets.contains(std::string(view.id));
+        }
+    }
+    const bool log_late = this->log_is_late(now);
+    bool placed_all = false;
+    if (step.gang) {
+        placed_all = !log_late && this->place_gang(job, occurrence, number, views, controls, now);
+    } else {
+        auto request = make_request(step);
+        if (step.rack_sensitive) {
+            request.preferred_rack = choose_rack(views, request.need, step.count);
+        }
+        const bool any_worker_may = !needs_advice && step.required_label.empty() && step.max_per_worker == 0;
+        placed_all = this->place_tasks(job, occurrence, number, request, candidates, any_worker_may, now);
+    }
+    if (!placed_all && needs_advice) {
+        this->request_more_advice(step_id, controls, now);
+    }
+    if (!log_late && !step.gang) {
+        this->reserve_later_steps(job, occurrence, number);
+    }
+    return placed_all;
+}
+
+bool scheduler::impl::place_tasks(job_progress& job, occurrence_progress& occurrence, std::int32_t number,
+                                  placement_request request, accepting_workers& candidates,
+                                  bool any_worker_may, boot_time now) {
+    auto& [views, controls, failing, too_large] = candidates;
+    const auto& step = job.spec.steps[static_cast<std::size_t>(number)];
+    const bool log_late = this->log_is_late(now);
+    const auto attempts = this->attempts_of(job);
+    bool placed_all = true;
+    auto& tasks = occurrence.steps[static_cast<std::size_t>(number)].tasks;
+    for (std::size_t index = 0; index < tasks.size(); ++index) {
+        auto& task = tasks[index];
+        if (task.phase != run_phase::waiting || now < task.retry_at) {
+            this->dispatch_due = this->dispatch_due || now < task.retry_at;
+            continue;
+        }
+        if (!this->is_within_upper_limit(job.spec.account, step.need)) {
+            return false;
+        }
+        if (!log_late && this->has_enough_starts()) {
+            return true; // the next dispatch goes on
+        }
+        const task_id id{.job = job.spec.id,
+                         .occurrence = occurrence.number,
+                         .step = number,
+                         .index = static_cast<std::int32_t>(index)};
+        request.overdue = step.long_running && this->is_overdue(id, now);
+        request.unlimited_attempts =
+            step.long_running || (task.failures + 1 < attempts && this->is_held_back_long(job, now));
+        const bool is_plain =
+            any_worker_may && !log_late && task.worker.empty() && !request.unlimited_attempts;
+        const bool cannot_fit = is_plain && too_large && fits(*too_large, request.need);
+        const auto choice = cannot_fit ? std::nullopt
+                            : log_late ? this->find_reserved_worker(task, views, request)
+                                       : this->find_worker(task, views, request, now);
+        if (!choice && is_plain) {
+            too_large = cannot_fit ? too_large : request.need;
+        }
+        if (!choice && !log_late) {
+            note_held_back(job, request, views, controls, now);
+        }
+        // Others may have failed elsewhere, or may use more workers because they are overdue.
+        const bool others_may_fit =
+            log_late || !task.worker.empty() || (step.long_running && !request.overdue);
+        if (!choice && others_may_fit) {
+            placed_all = placed_all && log_late;
+            continue;
+        }
+        if (!choice) {
+            return false;
+        }
+        auto& view = views[*choice];
+        view.available -= request.need;
+        ++view.same_step_tasks;
+        view.latency_sensitive_tasks += request.latency_sensitive ? 1 : 0;
+        view.best_effort_tasks += request.best_effort ? 1 : 0;
+        view.long_running_tasks += step.long_running ? 1 : 0;
+        if (log_late) {
+            this->place_reserved(job, id, task, *controls[*choice], now);
+        } else {
+            this->place(job, id, task, *controls[*choice], task.run + 1, now);
+        }
+    }
+    return placed_all;
+}
+
+std::optional<std::size_t> scheduler::impl::find_worker(const task_progress& task,
+                                                        const std::vector<worker_view>& views,
+                                                        placement_request request, boot_time now) const {
+    request.avoided_worker = task.worker; // where its last run failed or was not answered, else empty
+    auto choice = choose_worker(views, request);
+    const bool may_return =
+        request.unlimited_attempts || now >= task.retry_at + this->timings.return_after_failure;
+    if (!choice && !task.worker.empty() && may_return) {
+        request.avoided_worker = {};
+        choice = choose_worker(views, request);
+    }
+    return choice;
+}
+
+bool scheduler::impl::place_gang(job_progress& job, occurrence_progress& occurrence, std::int32_t number,
+                                 std::vector<worker_view>& views,
+                                 const std::vector<worker_control*>& controls, boot_time now) {
+    const auto& step = job.spec.steps[static_cast<std::size_t>(number)];
+    auto& tasks = occurrence.steps[static_cast<std::size_t>(number)].tasks;
+    std::int64_t run = 0;
+    for (const auto& task : tasks) {
+        if (task.phase != run_phase::waiting) {
+            return false; // an earlier run still has members
+        }
+        if (now < task.retry_at) {
+            this->dispatch_due = true;
+            return false;
+        }
+        run = std::max(run, task.run);
+    }
+    auto trial = views;
+    std::vector<std::size_t> assignment; // index of the worker of each member
+    resources total;
+    placement_request request{.need = step.need,
+                              .data_rack = step.data_rack,
+                              .max_per_worker = step.max_per_worker,
+                              .preferred_rack = step.rack_sensitive
+                                                    ? choose_rack(views, step.need, step.count)
+                                                    : std::string_view()};
+    for (std::size_t index = 0; index < tasks.size(); ++index) {
+        const auto choice = choose_worker(trial, request);
+        total += step.need;
+        if (!choice) {
+            note_held_back(job, request, trial, controls, now);
+            return false;
+        }
+        if (!this->is_within_upper_limit(job.spec.account, total)) {
+            return false;
+        }
+        trial[*choice].available -= request.need;
+        ++trial[*choice].same_step_tasks;
+        assignment.push_back(*choice);
+    }
+    views = std::move(trial);
+    // All members resume from the same checkpoint: the one of the last member that has any.
+    std::string checkpoint;
+    for (const auto& task : tasks) {
+        checkpoint = task.checkpoint.empty() ? checkpoint : task.checkpoint;
+    }
+    for (std::size_t index = 0; index < tasks.size(); ++index) {
+        const task_id id{.job = job.spec.id,
+                         .occurrence = occurrence.number,
+                         .step = number,
+                         .index = static_cast<std::int32_t>(index)};
+        tasks[index].checkpoint = checkpoint;
+        this->place(job, id, tasks[index], *controls[assignment[index]], run + 1, now);
+    }
+    return true;
+}
+
+placement& scheduler::impl::assign(job_progress& job, const task_id& id, task_progress& task,
+                                   worker_control& worker, std::int64_t run, boot_time now) {
+    job.held_back_since.reset();
+    task.run = run;
+    task.worker = worker.entry.id;
+    task.placed_at = now;
+    task.stop_sent = {};
+    job.set_phase(id, task, run_phase::placed);
+    this->mark_dirty(job);
+    return *this->add_placement(worker, job, id, run, now);
+}
+
+void scheduler::impl::place(job_progress& job, const task_id& id, task_progress& task, worker_control& worker,
+                            std::int64_t run, boot_time now) {
+    auto& placed = this->assign(job, id, task, worker, run, now);
+    task_id step_id = id;
+    step_id.index = 0;
+    if (const auto found = this->advice.find(step_id); found != this->advice.end()) {
+        const auto ticket = found->second.tickets.find(worker.entry.id);
+        placed.ticket = ticket == found->second.tickets.end() ? std::string() : ticket->second.ticket;
+    }
+    this->next_batch.starts.push_back({.worker = worker.entry.id, .task = id, .run = run});
+}
+
+void scheduler::impl::place_reserved(job_progress& job, const task_id& id, task_progress& task,
+                                     worker_control& worker, boot_time now) {
+    task.reserved_worker.clear();
+    auto& placed = this->assign(job, id, task, worker, task.run + 1, now);
+    this->send_start_order(worker, id, placed, now);
+}
+
+} // namespace hornbeamrail
--- a/src/scheduler/scheduler_waiting.cpp
+++ b/src/scheduler/scheduler_waiting.cpp
@@ -156,7 +156,8 @@
     for (const auto& [id, worker] : state.workers) {
         ++counts[static_cast<std::size_t>(state.find_block(worker, now))];
     }
-    scheduler_statistics figures{.overdue_tasks = state.overdue_tasks};
+    scheduler_statistics figures{.overdue_tasks = state.overdue_tasks,
+                                 .ranked_occurrences = state.ranked_occurrences};
     for (std::size_t block = 1; block < counts.size(); ++block) {
         figures.blocked.push_back(
             {.reason = to_string(static_cast<worker_block>(block)), .workers = counts[block]});
--- a/src/scheduler/scheduler_workers.cpp
+++ b/src/scheduler/scheduler_workers.cpp
@@ -56,6 +56,12 @@
     return now <= this->term_confirmed + this->timings.hold_without_log;
 }
 
+milliseconds scheduler::impl::hold_pause() const {
+    constexpr int pauses_per_delay = 2;
+    return std::min(this->timings.hold_pause + pauses_per_delay * this->loop_delay,
+                    this->timings.longest_hold_pause);
+}
+
 void scheduler::impl::hold_workers(boot_time now) {
     if (!this->may_extend_leases(now)) {
         return;
@@ -126,12 +132,22 @@
     worker.latency_sensitive_tasks += added.latency_sensitive ? 1 : 0;
     worker.best_effort_tasks += added.best_effort ? 1 : 0;
     worker.long_running_tasks += added.long_running ? 1 : 0;
+    this->starts_in_flight += added.is_starting() ? 1 : 0;
     if (!job.spec.account.empty()) {
         this->account_use[job.spec.account] += step.need;
     }
     return &(worker.tasks[id] = added);
 }
 
+void scheduler::impl::set_stage(placement& placed, start_stage stage, boot_time now) {
+    this->starts_in_flight -= placed.is_starting() ? 1 : 0;
+    placed.stage = stage;
+    this->starts_in_flight += placed.is_starting() ? 1 : 0;
+    if (stage != start_stage::unacknowledged) {
+        placed.stage_entered = now;
+    }
+}
+
 void scheduler::impl::remove_placement(worker_control& worker, const task_id& id, std::string_view account) {
     const auto found = worker.tasks.find(id);
     if (found == worker.tasks.end()) {
@@ -141,6 +157,7 @@
     worker.latency_sensitive_tasks -= found->second.latency_sensitive ? 1 : 0;
     worker.best_effort_tasks -= found->second.best_effort ? 1 : 0;
     worker.long_running_tasks -= found->second.long_running ? 1 : 0;
+    this->starts_in_flight -= found->second.is_starting() ? 1 : 0;
     if (!account.empty()) {
         if (const auto* job = this->find_job(id.job)) {
             this->account_use[std::string(account)] -=
@@ -201,7 +218,7 @@
     this->reconcile(worker, order, report, now);
     // A hold that was sent before the worker's clock was known renews no lease. Its report carries the clock,
     // so the next hold follows at once.
-    worker.next_hold = order.lease_until ? now + this->timings.hold_pause : now;
+    worker.next_hold = order.lease_until ? now + this->hold_pause() : now;
 }
 
 void scheduler::impl::reconcile(worker_control& worker, const hold_order& order, const hold_report& report,
@@ -221,8 +238,7 @@
             continue;
         }
         if (placed->second.stage != start_stage::confirmed) {
-            placed->second.stage = start_stage::confirmed;
-            placed->second.stage_entered = now;
+            this->set_stage(placed->second, start_stage::confirmed, now);
         }
         const bool was_ready = placed->second.ready;
         placed->second.ready = running.percent >= startup_complete_percent;
@@ -322,7 +338,7 @@
     for (auto& [id, placed] : worker.tasks) {
         placed.ready = false;
         if (placed.stage != start_stage::recording) {
-            placed.stage = start_stage::unacknowledged;
+            this->set_stage(placed, start_stage::unacknowledged, now);
             placed.fence = this->fence_of(worker);
         }
     }
@@ -353,6 +369,10 @@
 }
 
 void scheduler::impl::check_unresponsive_workers(boot_time now) {
+    if (now < this->last_worker_check + this->timings.worker_check_interval) {
+        return;
+    }
+    this->last_worker_check = now;
     std::vector<std::pair<std::string, std::string_view>> lost;
     for (const auto& [id, worker] : this->workers) {
         const bool missed_two_holds = worker.unanswered_holds >= 2;
--- a/src/site/site_node.hpp
+++ b/src/site/site_node.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "protocol/durations.hpp"
 #include "protocol/json_log.hpp"
 #include "scheduler/scheduler.hpp"
 #include "scheduler/scheduler_lease.hpp"
@@ -59,8 +60,13 @@
     void start_timer();
 
     // Cycles: each ticks the tails, the lease, the scheduler and the submissions, then sends their calls.
-    /// @param forced runs the cycle even if the previous one was less than `min_cycle_interval` ago
+    // Cycles take at most a part of the time, so that answers are handled however long one takes.
+    /// @param forced runs the cycle even if the next one is not due
     void run_cycle(bool forced);
+    /// Sets when the next cycle is due, after one that began at @p begin.
+    void pace_cycles(boot_time begin);
+    /// Handles the timer of cycles. Its delay shows how far the node is behind.
+    void on_timer();
     void tick_tails(boot_time now, outbox& out);
     void tick_lease(boot_time now, outbox& out);
     void tick_term(boot_time now);
@@ -147,7 +153,10 @@
     std::vector<keyed_record> loaded_progress;
     std::set<std::string> listed_workers; ///< workers in the topic since its latest reload
     bool appending = false;
-    boot_time last_cycle{};
+    boot_time next_cycle{};
+    boot_time last_timer{};
+    std::chrono::milliseconds loop_delay{0}; ///< by how much the timer was late, on average over some runs
+    std::chrono::milliseconds reported_loop_delay{0};
     /// When the latest request was sent whose answer showed that this node is the scheduler: a fenced append,
     /// or a read of the leader topic.
     boot_time term_confirmed{};
--- a/src/site/site_node_impl.hpp
+++ b/src/site/site_node_impl.hpp
@@ -191,6 +191,7 @@
     this->counters.counter_of("scheduler_term").set(this->schedule.term());
     const auto figures = this->schedule.statistics(now);
     this->counters.counter_of("tasks_overdue").set(figures.overdue_tasks);
+    this->counters.counter_of("occurrences_ranked").set(figures.ranked_occurrences);
     for (const auto& blocked : figures.blocked) {
         this->counters.counter_of("workers_blocked", {{"reason", std::string(blocked.reason)}})
             .set(blocked.workers);
@@ -202,6 +203,7 @@
     this->counters.counter_of("config_age_ms").set(age_ms(this->operators_tail->confirmed()));
     this->counters.counter_of("states_age_ms").set(age_ms(this->states_tail->complete_until()));
     this->counters.counter_of("ready").set(this->is_ready(now) ? 1 : 0);
+    this->counters.counter_of("loop_delay_ms").set(this->loop_delay.count());
 }
 
 template <class Port, class Codec>
@@ -210,7 +212,7 @@
     this->threads.repeat(this->options.timings.tick, [weak] {
         const auto self = weak.lock();
         if (self) {
-            self->run_cycle(true);
+            self->on_timer();
         }
         return self != nullptr;
     });
@@ -223,15 +225,50 @@
     }
 }
 
+template <class Port, class Codec>
+void site_node<Port, Codec>::on_timer() {
+    using std::chrono::milliseconds;
+    constexpr int averaged_runs = 4;
+    constexpr milliseconds reported_change{200};
+    constexpr milliseconds longest_counted{1000}; // a suspended process was not busy
+    {
+        const std::lock_guard lock(this->mutex);
+        const auto now = clock::now();
+        const auto since_last =
+            this->last_timer == boot_time{} ? this->options.timings.tick : to_millis(now - this->last_timer);
+        const auto late =
+            std::clamp(since_last - this->options.timings.tick, milliseconds(0), longest_counted);
+        this->last_timer = now;
+        this->loop_delay = (this->loop_delay * (averaged_runs - 1) + late) / averaged_runs;
+        this->schedule.set_loop_delay(this->loop_delay);
+        if (std::chrono::abs(this->loop_delay - this->reported_loop_delay) >= reported_change) {
+            this->reported_loop_delay = this->loop_delay;
+            write_log(severity::warning, "loop_delayed",
+                      {{"delay_ms", this->loop_delay.count()}, {"scheduler", this->lease.is_held()}});
+        }
+    }
+    this->run_cycle(false);
+}
+
+template <class Port, class Codec>
+void site_node<Port, Codec>::pace_cycles(boot_time begin) {
+    const std::lock_guard lock(this->mutex);
+    const auto end = clock::now();
+    const auto pause = this->options.timings.cycle_pause_factor * (end - begin);
+    this->next_cycle = end + std::max<boot_clock::duration>(pause, this->options.timings.min_cycle_interval);
+}
+
 template <class Port, class Codec>
 void site_node<Port, Codec>::run_cycle(bool forced) {
     outbox out;
+    const auto begin = clock::now();
+    bool is_due = false;
     {
         const std::lock_guard lock(this->mutex);
         const auto now = clock::now();
         out.swap(this->replies);
-        if (forced || now >= this->last_cycle + this->options.timings.min_cycle_interval) {
-            this->last_cycle = now;
+        is_due = forced || now >= this->next_cycle;
+        if (is_due) {
             this->tick_lease(now, out);
             this->tick_term(now);
             this->tick_tails(now, out);
@@ -251,6 +288,9 @@
         }
     }
     this->flush(out);
+    if (is_due) {
+        this->pace_cycles(begin);
+    }
 }
 
 template <class Port, class Codec>
--- a/src/site/site_node_options.hpp
+++ b/src/site/site_node_options.hpp
@@ -10,8 +10,10 @@
 struct site_node_timings {
     /// Interval of the timer that runs a cycle.
     std::chrono::milliseconds tick{20};
-    /// Minimum time between a cycle and the next one that an answer or a request causes.
+    /// Minimum time between the end of a cycle and the next one.
     std::chrono::milliseconds min_cycle_interval{4};
+    /// The next cycle is not due before this many times the duration of the previous one has passed.
+    int cycle_pause_factor = 2;
     /// How long reads of jobs and states wait for a record.
     std::chrono::milliseconds follower_wait{1200};
     /// Pause between reads of jobs on a node that is not the scheduler.
--- a/src/state/job_progress.cpp
+++ b/src/state/job_progress.cpp
@@ -41,7 +41,9 @@
 }
 
 void job_progress::set_phase(const task_id& id, task_progress& task, run_phase phase) {
-    auto& step = this->occurrence(id.occurrence).steps[static_cast<std::size_t>(id.step)];
+    auto& occurrence = this->occurrence(id.occurrence);
+    occurrence.summary.reset();
+    auto& step = occurrence.steps[static_cast<std::size_t>(id.step)];
     const auto adjust_counts = [&step](run_phase counted, std::int32_t change) {
         step.done += counted == run_phase::done ? change : 0;
         step.waiting += counted == run_phase::waiting ? change : 0;
--- a/src/state/job_progress.hpp
+++ b/src/state/job_progress.hpp
@@ -56,10 +56,21 @@
     }
 };
 
+/// What the order of occurrences depends on. Kept until a task of the occurrence changes its phase.
+struct occurrence_summary {
+    boot_time computed_at{};
+    bool has_released_tasks = false;   ///< a task waits in a released step
+    bool started = false;              ///< a task is placed, running or done
+    std::int64_t least_millicores = 0; ///< smallest CPU that a waiting task of a released step reserves
+    std::chrono::milliseconds critical_path{0};           ///< of all steps
+    std::chrono::milliseconds remaining_critical_path{0}; ///< of the steps that are not done
+};
+
 /// Progress of one occurrence of a job.
 struct occurrence_progress {
     std::int32_t number = 0;
     std::vector<step_progress> steps;
+    std::optional<occurrence_summary> summary; ///< not recorded
 
     [[nodiscard]] bool is_done() const noexcept;
 };
--- a/tests/promise_site.hpp
+++ b/tests/promise_site.hpp
@@ -84,8 +84,8 @@
 
 /// Something that must not happen.
 struct promise_violation {
-    std::string
-        kind; ///< "waits", "held_back", "duplicate", "early", "limit", "per_worker", "kept", "zone", "draining"
+    std::string kind; ///< "waits", "held_back", "duplicate", "early", "limit", "per_worker", "starts",
+                      ///< "kept"
     milliseconds at{};
     milliseconds lasted{};
     std::string text;
@@ -102,7 +102,8 @@
 inline constexpr milliseconds check_interval{100};
 /// Interval of checks that look at all records or workers.
 inline constexpr milliseconds slow_check_interval{1000};
-/// Limit on the time from the final state of a job, or the end of its last run, until its records are dropped.
+/// Limit on the time from the final state of a job, or the end of its last run, until its records are
+/// dropped.
 inline constexpr milliseconds promised_drop{5000};
 /// Upper limit of the account "team", except while it is lowered.
 inline constexpr std::int64_t usual_limit_millicores = 60000;
@@ -484,6 +485,7 @@
         this->check_ending_jobs(workers);
         if (this->now >= this->last_slow_check + slow_check_interval) {
             this->last_slow_check = this->now;
+            this->check_starts_in_flight();
             this->check_dropped_records();
         }
     }
@@ -524,6 +526,23 @@
         this->final_since = std::move(kept);
     }
 
+    /// Checks that no start counts as in flight that is not: each would keep another one from being sent, for
+    /// ever.
+    void check_starts_in_flight() {
+        const auto dumped = this->schedule->dump(this->now);
+        std::int64_t starting = 0;
+        for (const auto& worker : dumped.at("workers").as_array()) {
+            starting += worker.at("starting").to_number<std::int64_t>();
+        }
+        const auto counted = dumped.at("starts_in_flight").to_number<std::int64_t>();
+        if (counted != starting) {
+            this->violations.push_back(
+                {.kind = "starts",
+                 .at = this->elapsed(),
+                 .text = fmt::format("{} starts are in flight, {} are counted", starting, counted)});
+        }
+    }
+
     /// @return whether under half of the CPU of the pool's workers is in use
     [[nodiscard]] static bool pool_is_under_half_used(const std::vector<observed_worker>& workers) {
         std::int64_t used = 0;
--- a/tests/scheduler_test.cpp
+++ b/tests/scheduler_test.cpp
@@ -359,3 +359,46 @@
     site.run(milliseconds(8000));
     BOOST_TEST(site.moves > 0);
 }
+
+// Guards against a scheduler that is too busy to renew its lease: each end of a task in a full pool ranked
+// and sorted all jobs that waited for it, thousands after a surge.
+BOOST_AUTO_TEST_CASE(full_pool_ranks_no_waiting_jobs) {
+    scheduler_site site(21);
+    site.add_vms(4);
+    site.site.set_duration(milliseconds(2000));
+    site.take_over();
+    constexpr int jobs = 3000;
+    for (int job = 0; job < jobs; ++job) {
+        auto spec = batch_job(1, 1000);
+        spec.account.clear();
+        site.submit(spec);
+    }
+    site.run(milliseconds(1500));
+    const auto before = site.schedule->statistics(site.now).ranked_occurrences;
+    const auto runs = site.site.history().size();
+    BOOST_REQUIRE(runs > 100);   // the pool is full
+    site.run(milliseconds(300)); // no task ends
+    BOOST_TEST(site.schedule->statistics(site.now).ranked_occurrences == before);
+}
+
+// Guards against thousands of starts that are sent at once: the last ones would reach their workers too late,
+// and the answers to them would delay everything else.
+BOOST_AUTO_TEST_CASE(starts_in_flight_are_limited) {
+    scheduler_site site(22);
+    site.add_vms(40);
+    site.take_over();
+    site.run(milliseconds(500));
+    for (int job = 0; job < 40; ++job) {
+        auto spec = batch_job(50, 500);
+        spec.account.clear();
+        spec.steps.front().need.memory_mb = 100;
+        site.submit(spec);
+    }
+    std::int64_t most = 0;
+    for (int round = 0; round < 200; ++round) {
+        site.run(milliseconds(2));
+        most = std::max(most, site.schedule->dump(site.now).at("starts_in_flight").as_int64());
+    }
+    BOOST_TEST(most <= 256);
+    BOOST_TEST(site.starts == 40 * 50);
+}
--- a/tests/site_node_test.cpp
+++ b/tests/site_node_test.cpp
@@ -24,6 +24,8 @@
     bool first_scheduler_cannot_load = false;             ///< its reads of the newest progress fail
     std::string first_scheduler;                          ///< id of the node that began the first term
     milliseconds shortest_job_wait = milliseconds::max(); ///< shortest wait of a read of the jobs topic
+    milliseconds time_of_a_hold{0};                       ///< that a node spends to send a hold
+    std::chrono::nanoseconds time_of_holds{0};            ///< that nodes have spent in all
 };
 
 shared_site* current_site = nullptr;
@@ -88,6 +90,7 @@
     }
     void hold(const worker_target& worker, const hold_order& order, milliseconds,
               std::function<void(hold_report)> done) {
+        this->spend_time_of_a_hold();
         this->answer<hold_report>(std::move(done), milliseconds(30), [worker, order] {
             return current_site->site.hold(worker, order, boot_clock::now());
         });
@@ -110,6 +113,20 @@
     }
 
 private:
+    /// Keeps the thread of the node busy.
+    static void spend_time_of_a_hold() {
+        const auto begin = std::chrono::steady_clock::now();
+        milliseconds span{0};
+        {
+            const std::lock_guard lock(current_site->mutex);
+            span = current_site->time_of_a_hold;
+        }
+        while (std::chrono::steady_clock::now() < begin + span) {
+        }
+        const std::lock_guard lock(current_site->mutex);
+        current_site->time_of_holds += std::chrono::steady_clock::now() - begin;
+    }
+
     io_threads& threads;
     std::string node;
 };
@@ -374,3 +391,25 @@
     }));
     BOOST_TEST(this->nodes[0]->dump().at("scheduler").as_string() == first);
 }
+
+// Guards against a node whose cycles take all of its time, because each answer starts the next one: timers,
+// callers and the renewals of its lease waited for seconds, and the lease changed hands again and again.
+BOOST_FIXTURE_TEST_CASE(cycles_leave_time_for_everything_else, fixture) {
+    BOOST_REQUIRE(this->becomes_ready(0) && this->becomes_ready(1));
+    BOOST_REQUIRE(this->call(this->addresses[0], "POST", job_path, std::string(job_body)).response.status ==
+                  200);
+    BOOST_REQUIRE(this->eventually([&] {
+        return this->call(this->addresses[0], "GET", job_path).response.body.find("completed") !=
+               std::string::npos;
+    }));
+    const auto begin = std::chrono::steady_clock::now();
+    {
+        const std::lock_guard lock(this->shared.mutex);
+        this->shared.time_of_a_hold = milliseconds(60); // two workers, held again 50 ms after each hold
+        this->shared.time_of_holds = {};
+    }
+    constexpr milliseconds span{3000};
+    BOOST_TEST(this->eventually([&] { return std::chrono::steady_clock::now() >= begin + span; }));
+    const std::lock_guard lock(this->shared.mutex);
+    BOOST_TEST(this->shared.time_of_holds < span / 2);
+}
