A reader of the log that stands still stops no node

The write blocked under the lock of the output, and every thread of the node waited there with its next line. A reader that had ended killed the node by SIGPIPE.

Change: a line is written only if the descriptor takes it at once, and the next line tells how many were dropped (lines_dropped). Lines have at most PIPE_BUF bytes, which a ready pipe takes whole; a longer one is replaced by its head and its length. SIGPIPE is ignored.

--- a/src/protocol/json_log.cpp
+++ b/src/protocol/json_log.cpp
@@ -4,10 +4,13 @@
 #include <fmt/chrono.h>
 #include <fmt/format.h>
 
+#include <limits.h>
+#include <poll.h>
 #include <unistd.h>
 
 #include <atomic>
 #include <chrono>
+#include <csignal>
 #include <map>
 #include <mutex>
 #include <string>
@@ -60,6 +63,33 @@
     return instance;
 }
 
+/// Writes whole lines to a descriptor of which the reader may be slow, stopped or gone.
+class line_output {
+public:
+    /// Writes the line unless that would block.
+    /// @param text at most `PIPE_BUF` bytes
+    /// @return whether it was written
+    bool write(int target, std::string_view text) {
+        const std::lock_guard lock(this->mutex);
+        pollfd state{.fd = target, .events = POLLOUT, .revents = 0};
+        // A descriptor that is ready takes `PIPE_BUF` bytes at once. Non-blocking mode is no choice: it would
+        // hold for all processes that share the descriptor.
+        const bool is_ready = ::poll(&state, 1, 0) == 1 && (state.revents & POLLOUT) != 0;
+        return is_ready && ::write(target, text.data(), text.size()) == static_cast<ssize_t>(text.size());
+    }
+
+private:
+    std::mutex mutex; ///< leaf lock: no other lock is taken while it is held
+};
+
+line_output& output() {
+    static line_output instance;
+    return instance;
+}
+
+/// Lines that could not be written since the last one that was.
+std::atomic<std::int64_t> unwritten_lines{0};
+
 std::string_view name_of(severity level) {
     switch (level) {
     case severity::debug:
@@ -82,6 +112,7 @@
 
 void log_to_standard_output() noexcept {
     to_standard_output.store(true);
+    std::signal(SIGPIPE, SIG_IGN); // a process goes on when the reader of its log has ended
 }
 
 void write_log(severity level, std::string_view event, boost::json::object fields) {
@@ -99,12 +130,20 @@
     if (suppressed > 0) {
         line["lines_left_out"] = suppressed;
     }
-    // One write per line, so that lines of several threads do not interleave. A failed write is ignored: a
-    // slow reader loses lines and does not block the process.
-    const auto text = boost::json::serialize(line) + "\n";
-    const int target = to_standard_output.load() ? STDOUT_FILENO : STDERR_FILENO;
-    if (::write(target, text.data(), text.size()) < 0) {
-        return;
+    const auto unwritten = unwritten_lines.exchange(0);
+    if (unwritten > 0) {
+        line["lines_dropped"] = unwritten;
+    }
+    auto text = boost::json::serialize(line) + "\n";
+    if (text.size() > PIPE_BUF) {
+        const boost::json::object head{{"time", line["time"]},
+                                       {"severity", line["severity"]},
+                                       {"event", line["event"]},
+                                       {"line_bytes", text.size()}};
+        text = boost::json::serialize(head) + "\n";
+    }
+    if (!output().write(to_standard_output.load() ? STDOUT_FILENO : STDERR_FILENO, text)) {
+        unwritten_lines += unwritten + 1;
     }
 }
 
--- a/src/protocol/json_log.hpp
+++ b/src/protocol/json_log.hpp
@@ -18,10 +18,12 @@
 inline constexpr std::int64_t max_lines_per_second = 60;
 
 /// Writes log lines to standard output instead of standard error. The default keeps standard output for the
-/// results of commands.
+/// results of commands. From then on the process ignores SIGPIPE: the end of the reader does not end it.
 void log_to_standard_output() noexcept;
 
-/// Writes one JSON line with time, severity, event and @p fields. Thread-safe.
+/// Writes one JSON line with time, severity, event and @p fields. Never blocks: a line that the reader does
+/// not take at once is dropped, and the next line that is written has their number in `lines_dropped`. Of a
+/// line longer than `PIPE_BUF` only its head is written. Thread-safe.
 /// @param level severity of the event
 /// @param event short, stable event name, for example "lease_lapsed"
 /// @param fields additional members; must not contain API keys or request bodies
