A worker is found at its new address in spite of a late answer

Cause: the entry of a worker whose clock is behind is kept aside until an answer decides which process lives. An answer of the ended process to a hold of before the restart, delivered late, dropped the entry. It is written once, so all holds went to the former address, and the worker's tasks waited for good although it had room. Ruled out: the stand-in (the late answer is one that the worker gave before).

Change: only an answer to a hold that was sent after the entry arrived drops the entry.

--- a/src/scheduler/scheduler_impl.hpp
+++ b/src/scheduler/scheduler_impl.hpp
@@ -159,8 +159,9 @@
     /// Entry of a process with an earlier start than the known one: it was written late, or the clock has
     /// been set back. The next answer to a hold decides; without an answer the entry is adopted.
     std::optional<worker_entry> earlier_entry;
-    boot_time listed_since{}; ///< when `listed` last changed
-    bool confirmed = false;   ///< has answered a hold with the current fence
+    boot_time earlier_entry_at{}; ///< when `earlier_entry` arrived
+    boot_time listed_since{};     ///< when `listed` last changed
+    bool confirmed = false;       ///< has answered a hold with the current fence
     bool hold_in_flight = false;
     boot_time hold_sent{};
     std::int64_t hold_number = 0; ///< of the hold in flight
--- a/src/scheduler/scheduler_workers.cpp
+++ b/src/scheduler/scheduler_workers.cpp
@@ -441,6 +441,7 @@
         // an answer, the entry may as well be of a later instance whose clock has been set back.
         write_log(severity::info, "worker_entry_outdated", {{"worker", entry.id}});
         found->second.earlier_entry = entry;
+        found->second.earlier_entry_at = now;
         return;
     }
     if (is_other_instance) {
@@ -519,7 +520,9 @@
             state.restart_worker(worker, entry, now);
             return;
         }
-        worker.earlier_entry.reset();
+        if (worker.hold_sent > worker.earlier_entry_at) {
+            worker.earlier_entry.reset(); // an answer to an earlier hold may be of a process that has ended
+        }
         worker.fenced_since.reset();
         state.accept_report(worker, order, report, now);
         return;
--- a/tests/scheduler_restart_test.cpp
+++ b/tests/scheduler_restart_test.cpp
@@ -52,6 +52,29 @@
     BOOST_TEST(site.running_tasks(id) == 1);
 }
 
+// Guards against the same with an answer of the ended process that arrives after the entry of the new one,
+// which is written once: the entry was dropped, and the new address never asked.
+BOOST_AUTO_TEST_CASE(late_answer_of_the_ended_process_does_not_hide_the_new_address) {
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        scheduler_site site(seed);
+        site.add_vms(1);
+        site.take_over();
+        site.run(milliseconds(1000));
+        const auto id = site.submit(long_running_job(1, 1));
+        site.run(milliseconds(2000));
+        BOOST_REQUIRE(site.running_tasks(id) == 1);
+        site.answer_jitter = milliseconds(1500);
+        site.run(milliseconds(1200));
+        const worker_restart changes{.clock_stepped_back = true, .new_address = true};
+        BOOST_REQUIRE(site.site.restart("m-pool-0", changes, site.now).has_value());
+        site.break_hold("w-1");
+        site.run(milliseconds(1500));
+        site.answer_jitter = milliseconds(0);
+        site.run(restart_limit + milliseconds(1000));
+        BOOST_TEST(site.running_tasks(id) == 1, "seed " << seed);
+    }
+}
+
 // Guards against a worker that stays unlisted: its only entry came before its hold showed that its clock had
 // stepped back.
 BOOST_AUTO_TEST_CASE(entry_before_the_first_answer_of_a_restarted_worker_lists_it) {
