What a task reserves, and which start is withdrawn, stand once

Cause: four places said by themselves that best-effort tasks reserve no CPU, and two that a start which was not ordered still counts. read_progress lay in the header of the scheduler although only the load of a term calls it, and a class of its own held one mutex.

Change: step_spec::reserved and scheduler::impl::remove_unsent_start; read_progress moves to scheduler.cpp, write_line is a function. Behaviour is the same.

--- a/src/protocol/job.hpp
+++ b/src/protocol/job.hpp
@@ -59,6 +59,13 @@
     std::string image;
     std::chrono::milliseconds latency_target{0}; ///< for requests to long-running tasks; 0: none
     std::int32_t max_unavailable = 0;            ///< tasks of a long-running step that may be down at once
+
+    /// @return what a task reserves on its worker: `need`, for best-effort tasks without CPU
+    [[nodiscard]] resources reserved() const noexcept {
+        auto reserved = this->need;
+        reserved.cpu_millicores = this->best_effort ? 0 : reserved.cpu_millicores;
+        return reserved;
+    }
 };
 
 /// A job as submitted.
--- a/src/protocol/json_log.cpp
+++ b/src/protocol/json_log.cpp
@@ -63,28 +63,17 @@
     return instance;
 }
 
-/// Writes whole lines to a descriptor of which the reader may be slow, stopped or gone.
-class line_output {
-public:
-    /// Writes the line unless that would block.
-    /// @param text at most `PIPE_BUF` bytes
-    /// @return whether it was written
-    bool write(int target, std::string_view text) {
-        const std::lock_guard lock(this->mutex);
-        pollfd state{.fd = target, .events = POLLOUT, .revents = 0};
-        // A descriptor that is ready takes `PIPE_BUF` bytes at once. Non-blocking mode is no choice: it would
-        // hold for all processes that share the descriptor.
-        const bool is_ready = ::poll(&state, 1, 0) == 1 && (state.revents & POLLOUT) != 0;
-        return is_ready && ::write(target, text.data(), text.size()) == static_cast<ssize_t>(text.size());
-    }
-
-private:
-    std::mutex mutex; ///< leaf lock: no other lock is taken while it is held
-};
-
-line_output& output() {
-    static line_output instance;
-    return instance;
+/// Writes a line unless that would block because its reader is slow or stopped.
+/// @param text at most `PIPE_BUF` bytes
+/// @return whether it was written
+bool write_line(int target, std::string_view text) {
+    static std::mutex mutex; // leaf lock: no other lock is taken while it is held
+    const std::lock_guard lock(mutex);
+    pollfd state{.fd = target, .events = POLLOUT, .revents = 0};
+    // A descriptor that is ready takes `PIPE_BUF` bytes at once. Non-blocking mode is no choice: it would
+    // hold for all processes that share the descriptor.
+    const bool is_ready = ::poll(&state, 1, 0) == 1 && (state.revents & POLLOUT) != 0;
+    return is_ready && ::write(target, text.data(), text.size()) == static_cast<ssize_t>(text.size());
 }
 
 /// Lines that could not be written since the last one that was.
@@ -142,7 +131,7 @@
                                        {"line_bytes", text.size()}};
         text = boost::json::serialize(head) + "\n";
     }
-    if (!output().write(to_standard_output.load() ? STDOUT_FILENO : STDERR_FILENO, text)) {
+    if (!write_line(to_standard_output.load() ? STDOUT_FILENO : STDERR_FILENO, text)) {
         unwritten_lines += unwritten + 1;
     }
 }
--- a/src/scheduler/scheduler.cpp
+++ b/src/scheduler/scheduler.cpp
@@ -9,6 +9,25 @@
 
 namespace hornbeamrail {
 
+namespace {
+
+/// Runs @p decode and logs its failure.
+template <class Decode>
+void read_progress(const std::string& key, Decode decode) {
+    error problem;
+    const auto read = value_or_error(
+        [&]() -> result<bool> {
+            BOOST_LEAF_CHECK(decode());
+            return true;
+        },
+        problem);
+    if (!read) {
+        write_log(severity::error, "progress_unreadable", {{"key", key}, {"reason", problem.message}});
+    }
+}
+
+} // namespace
+
 scheduler::scheduler(scheduler_options options) : self(std::make_unique<impl>(std::move(options))) {}
 
 scheduler::~scheduler() = default;
@@ -63,7 +82,7 @@
         return;
     }
     if (auto* job = state.find_job(record.key)) {
-        impl::read_progress(record.key, [&] { return decode_progress(*job, record.value); });
+        read_progress(record.key, [&] { return decode_progress(*job, record.value); });
     }
 }
 
--- a/src/scheduler/scheduler_dispatch.cpp
+++ b/src/scheduler/scheduler_dispatch.cpp
@@ -159,8 +159,7 @@
             summary.started || progress.waiting < static_cast<std::int32_t>(progress.tasks.size());
         if (progress.waiting > 0 && job.is_released(occurrence, static_cast<std::int32_t>(step))) {
             summary.has_released_tasks = true;
-            summary.least_millicores =
-                std::min(summary.least_millicores, spec.best_effort ? 0 : spec.need.cpu_millicores);
+            summary.least_millicores = std::min(summary.least_millicores, spec.reserved().cpu_millicores);
         }
     }
     const auto learned = this->durations.find(job.spec.queue);
@@ -289,7 +288,7 @@
         const auto& spec = item.job->spec.steps[static_cast<std::size_t>(step)];
         if (occurrence.steps[static_cast<std::size_t>(step)].waiting == 0 ||
             !item.job->is_released(occurrence, step) ||
-            (!spec.best_effort && spec.need.cpu_millicores > pool.largest_millicores)) {
+            spec.reserved().cpu_millicores > pool.largest_millicores) {
             continue;
         }
         if (!this->place_step(*item.job, occurrence, step, pool.candidates, now)) {
--- a/src/scheduler/scheduler_impl.hpp
+++ b/src/scheduler/scheduler_impl.hpp
@@ -8,7 +8,6 @@
 #include "policy/vm_plan.hpp"
 #include "policy/worker_choice.hpp"
 #include "protocol/append_window.hpp"
-#include "protocol/json_log.hpp"
 #include "scheduler/scheduler.hpp"
 #include "state/progress_records.hpp"
 
@@ -357,20 +356,6 @@
     }
 
     // scheduler.cpp: the records of the log at the begin of a term
-    /// Runs @p decode and logs its failure.
-    template <class Decode>
-    static void read_progress(const std::string& key, Decode decode) {
-        error problem;
-        const auto read = value_or_error(
-            [&]() -> result<bool> {
-                BOOST_LEAF_CHECK(decode());
-                return true;
-            },
-            problem);
-        if (!read) {
-            write_log(severity::error, "progress_unreadable", {{"key", key}, {"reason", problem.message}});
-        }
-    }
     /// Applies the parts of progress that the main records count; others are dropped.
     void apply_loaded_parts();
 
@@ -409,6 +394,9 @@
     void withhold_effects(commit_batch& batch, boot_time now);
     /// Adds jobs whose progress is to be appended again, with their effects, to the batch.
     void retry_unrecorded_jobs(commit_batch& batch, boot_time now);
+    /// Removes the placement of a start that was not ordered.
+    /// @return its task, still placed; nullptr if the start no longer counts
+    task_progress* remove_unsent_start(const recorded_start& start);
     /// Withdraws a start that was not ordered; the task is placed again after @p retry_at.
     void withdraw_start(const recorded_start& start, boot_time retry_at);
     /// Sends the start orders of the batch, releases its ends for acknowledgement and its job states for
--- a/src/scheduler/scheduler_placement.cpp
+++ b/src/scheduler/scheduler_placement.cpp
@@ -52,17 +52,13 @@
 }
 
 placement_request scheduler::impl::make_request(const step_spec& step) {
-    placement_request request{.need = step.need,
-                              .data_rack = step.data_rack,
-                              .max_per_worker = step.max_per_worker,
-                              .best_effort = step.best_effort,
-                              .latency_sensitive = step.latency_target.count() > 0,
-                              .unlimited_attempts = step.long_running,
-                              .spread = step.long_running};
-    if (step.best_effort) {
-        request.need.cpu_millicores = 0;
-    }
-    return request;
+    return {.need = step.reserved(),
+            .data_rack = step.data_rack,
+            .max_per_worker = step.max_per_worker,
+            .best_effort = step.best_effort,
+            .latency_sensitive = step.latency_target.count() > 0,
+            .unlimited_attempts = step.long_running,
+            .spread = step.long_running};
 }
 
 void scheduler::impl::note_held_back(job_progress& job, const placement_request& request,
--- a/src/scheduler/scheduler_records.cpp
+++ b/src/scheduler/scheduler_records.cpp
@@ -27,16 +27,22 @@
     return found != this->unrecorded_jobs.end() && now < found->second.retry_at;
 }
 
-void scheduler::impl::withdraw_start(const recorded_start& start, boot_time retry_at) {
+task_progress* scheduler::impl::remove_unsent_start(const recorded_start& start) {
     const auto worker = this->workers.find(start.worker);
     auto* job = this->find_job(start.task.job);
     auto* task = job == nullptr ? nullptr : job->find_task(start.task);
     if (worker == this->workers.end() || task == nullptr || task->phase != run_phase::placed ||
         task->worker != start.worker || task->run != start.run) {
-        return;
+        return nullptr;
     }
     this->remove_placement(worker->second, start.task, job->spec.account);
-    this->requeue(*job, start.task, *task, retry_at);
+    return task;
+}
+
+void scheduler::impl::withdraw_start(const recorded_start& start, boot_time retry_at) {
+    if (auto* task = this->remove_unsent_start(start)) {
+        this->requeue(*this->find_job(start.task.job), start.task, *task, retry_at);
+    }
 }
 
 void scheduler::impl::withhold_effects(commit_batch& batch, boot_time now) {
--- a/src/scheduler/scheduler_reservations.cpp
+++ b/src/scheduler/scheduler_reservations.cpp
@@ -16,15 +16,11 @@
 
 void scheduler::impl::withdraw_unrecorded_starts() {
     for (const auto& start : this->next_batch.starts) {
-        const auto worker = this->workers.find(start.worker);
-        auto* job = this->find_job(start.task.job);
-        auto* task = job == nullptr ? nullptr : job->find_task(start.task);
-        if (worker == this->workers.end() || task == nullptr || task->phase != run_phase::placed ||
-            task->worker != start.worker || task->run != start.run) {
+        auto* task = this->remove_unsent_start(start);
+        if (task == nullptr) {
             continue;
         }
-        this->remove_placement(worker->second, start.task, job->spec.account);
-        job->set_phase(start.task, *task, run_phase::waiting);
+        this->find_job(start.task.job)->set_phase(start.task, *task, run_phase::waiting);
         task->worker.clear();
         --task->run; // no record and no order has this number
     }
--- a/src/scheduler/scheduler_workers.cpp
+++ b/src/scheduler/scheduler_workers.cpp
@@ -118,16 +118,13 @@
 placement* scheduler::impl::add_placement(worker_control& worker, const job_progress& job, const task_id& id,
                                           std::int64_t run, boot_time now) {
     const auto& step = job.spec.steps[static_cast<std::size_t>(id.step)];
-    placement added{.run = run,
-                    .stage_entered = now,
-                    .need = step.need,
-                    .best_effort = step.best_effort,
-                    .latency_sensitive = step.latency_target.count() > 0,
-                    .long_running = step.long_running,
-                    .beyond_share = job.beyond_share};
-    if (added.best_effort) {
-        added.need.cpu_millicores = 0;
-    }
+    const placement added{.run = run,
+                          .stage_entered = now,
+                          .need = step.reserved(),
+                          .best_effort = step.best_effort,
+                          .latency_sensitive = step.latency_target.count() > 0,
+                          .long_running = step.long_running,
+                          .beyond_share = job.beyond_share};
     worker.used += added.need;
     worker.latency_sensitive_tasks += added.latency_sensitive ? 1 : 0;
     worker.best_effort_tasks += added.best_effort ? 1 : 0;
