review: case 7, two runs of a task after a late start on a restarted executor

Cause, as far as known: a start order is protected against being carried out late by a time on the executor's clock only. An executor that restarts under its id has a new clock, accepts the order, and gives it a lease of the whole HoldMaxMs, while the scheduler counts 1.5 s for it and declares the executor lost 6.4 s after its last renewing hold.

--- a/review/site_2.hpp
+++ b/review/site_2.hpp
@@ -94,6 +94,7 @@
         std::string id;
         std::string machine;
         int port = free_port();
+        int advertised = port; ///< that of a proxy, if there is one
         std::unique_ptr<child_process> process;
     };
 
@@ -112,7 +113,7 @@
         }
         this->cloud = std::make_unique<http_server>(
             this->cloud_port, [this](const http_request& request) { return this->serve_cloud(request); });
-        this->write_config(1);
+        this->write_config(1, this->options.tenants);
     }
     site(const site&) = delete;
     site& operator=(const site&) = delete;
@@ -139,14 +140,15 @@
         this->notes.push_back(std::move(line));
     }
 
-    void write_config(int version) {
+    /// Writes a version of the operator's configuration; the store's answer is its acknowledgement.
+    void write_config(int version, const std::string& tenants) {
         this->log.write(
             "keyed.op", "config",
             R"({"Version":)" + std::to_string(version) +
                 R"(,"Routes":[{"Name":"q","Host":"shop.example","PathPrefix":"/q/","Service":"p",)"
                 R"("Attempts":2,"Stretch":1.6,"TargetDurationMs":600}],)"
                 R"("Services":[{"Name":"p","RejectsOverload":true}],"Tenants":)" +
-                this->options.tenants + "}");
+                tenants + "}");
     }
 
     /// Starts all processes.
@@ -170,8 +172,8 @@
         target.process.reset();
         target.process = std::make_unique<child_process>(
             std::vector<std::string>{"target/review-2/worker", target.id, target.machine,
-                                     std::to_string(target.port), std::to_string(this->worker_store->number),
-                                     this->events_file},
+                                     std::to_string(target.port), std::to_string(target.advertised),
+                                     std::to_string(this->worker_store->number), this->events_file},
             this->directory + "/worker.log");
         const std::lock_guard lock(this->cloud_mutex);
         this->down.erase(target.machine);
@@ -183,7 +185,10 @@
             const std::lock_guard lock(this->cloud_mutex);
             this->down.insert(target.machine);
         }
-        this->note("worker_killed", {{"worker", target.id}});
+        std::ofstream(this->events_file, std::ios::app)
+            << boost::json::serialize(boost::json::object{
+                   {"ms", now_ms()}, {"worker", target.id}, {"born", 0}, {"event", "worker_killed"}})
+            << std::endl;
         target.process.reset();
     }
 
@@ -346,7 +351,8 @@
     void write_record(const std::string& path) {
         auto lines = this->events();
         std::erase_if(lines, [](const boost::json::object& line) {
-            return line.at("event").as_string() == "hold" && line.at("ended").to_number<int>() == 0;
+            return std::getenv("REVIEW_LOGS") == nullptr && line.at("event").as_string() == "hold" &&
+                   line.at("ended").to_number<int>() == 0;
         });
         {
             const std::lock_guard lock(this->notes_mutex);
--- a/review/wire_2.hpp
+++ b/review/wire_2.hpp
@@ -139,9 +139,11 @@
 
 /// @return a loopback port that is free now and that the system gives to no outgoing connection
 inline int free_port() {
-    static std::atomic<int> next{20000 + static_cast<int>(::getpid()) % 10000};
+    constexpr unsigned first = 10000;
+    constexpr unsigned count = 20000;
+    static std::atomic<unsigned> next{static_cast<unsigned>(::getpid()) * 257U}; // cases may run side by side
     while (true) {
-        const int port = 10000 + next++ % 20000;
+        const int port = static_cast<int>(first + next++ % count);
         const int probe = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
         const auto address = loopback(port);
         const bool is_free = ::bind(probe, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0;
--- a/review/worker_2.cpp
+++ b/review/worker_2.cpp
@@ -1,6 +1,6 @@
 // Stand-in of one executor, as PROTOCOL.md describes it: fences, leases, runs, ends and their
 // acknowledgement. A process is one life of the executor; it knows nothing of an earlier one.
-// Arguments: ID MACHINE PORT STORE_PORT EVENTS_FILE
+// Arguments: ID MACHINE PORT ADVERTISED_PORT STORE_PORT EVENTS_FILE
 
 #include "wire_2.hpp"
 
@@ -30,12 +30,13 @@
                    .count()),
           record(::open(events.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644)) {}
 
-    void run(int port, const std::string& machine) {
+    /// @param advertised port in the executor's entry: its own, or that of a proxy before it
+    void run(int port, int advertised, const std::string& machine) {
         const http_server server(port, [this](const http_request& request) { return this->serve(request); });
         this->write_event("up", {{"machine", machine}});
         std::thread([this] { this->end_tasks(); }).detach();
         for (std::int64_t sequence = 1;; ++sequence) {
-            this->send_entry(port, sequence);
+            this->send_entry(advertised, sequence);
             pause(milliseconds(heartbeat_ms));
         }
     }
@@ -196,6 +197,8 @@
         }
         const bool has_waited = wait != nullptr;
         this->write_event("hold", {{"cursor", cursor},
+                                   {"lease", this->lease_end - this->clock()},
+                                   {"lease_named", body.contains("UntilMs")},
                                    {"waited", has_waited},
                                    {"running", rows.size()},
                                    {"ended", ends_listed.size()}});
@@ -241,9 +244,9 @@
 } // namespace review
 
 int main(int argc, char** argv) {
-    if (argc != 6) {
+    if (argc != 7) {
         return 2;
     }
-    review::worker executor(argv[1], std::atoi(argv[4]), argv[5]);
-    executor.run(std::atoi(argv[3]), argv[2]);
+    review::worker executor(argv[1], std::atoi(argv[5]), argv[6]);
+    executor.run(std::atoi(argv[3]), std::atoi(argv[4]), argv[2]);
 }
