review: case 7 crashes the executor 0.15 s after the start order

Cause: at 0.3 s the case was near the end of the times at which it breaks the rule, as the start order counts as unanswered after 0.6 s and a renewing hold follows; a slower machine could have missed it.

--- a/review/7/case.cpp
+++ b/review/7/case.cpp
@@ -101,7 +101,7 @@
         deployment.submit(job, R"({"Spec":"{\"0.0\":5000}","Steps":[{"Count":1,"Cpu":1000,"MemMb":100,)"
                                R"("EstimateMs":5000}]})");
     if (trouble) {
-        pause(milliseconds(300));
+        pause(milliseconds(150));
         deployment.crash_worker(used);
         pause(milliseconds(200));
         deployment.start_worker(used);
