--- a/review/site_2.hpp
+++ b/review/site_2.hpp
@@ -99,8 +99,11 @@
     };
 
     explicit site(site_options initial) : options(std::move(initial)) {
-        char name[] = "/tmp/review-XXXXXX";
-        this->directory = ::mkdtemp(name);
+        const char* scratch = std::getenv("REVIEW_SCRATCH"); // of run.sh, which removes it
+        if (scratch == nullptr) {
+            throw std::runtime_error("REVIEW_SCRATCH names no folder");
+        }
+        this->directory = scratch;
         this->events_file = this->directory + "/events";
         this->worker_store = this->log.open_port();
         for (int number = 0; number < this->options.nodes; ++number) {
