The check of double runs knows that a lapsed lease voids an acknowledgement

Cause: a run after the acknowledged end of another counted as a violation although the rule excepts an end whose worker's lease lapsed between the end and its acknowledgement. The stand-in of the workers did not look at the lease. Change: the stand-in notes when a lease lapses, and an end acknowledged after that does not count. Two runs at the same time count as before. A test of the stand-in has the acknowledgement 0.1 s before and 0.1 s after the lapse.

--- a/src/fakes/fake_site.hpp
+++ b/src/fakes/fake_site.hpp
@@ -65,8 +65,9 @@
     boot_time started_at{};
     boot_time ended_at = boot_time::max(); ///< the maximum while the task runs
     std::optional<task_end> outcome;       ///< absent while the task runs, or when its worker instance ended
-    bool acknowledged = false;             ///< a hold has acknowledged its end
-    bool resumed = false;                  ///< its start order had a checkpoint
+    /// A hold has acknowledged its end, and the lease of the worker had not lapsed between the two.
+    bool acknowledged = false;
+    bool resumed = false; ///< its start order had a checkpoint
 };
 
 /// How a worker treats the starts that it is ordered.
@@ -202,6 +203,7 @@
         std::string vm;
         boot_time instance_started{}; ///< zero of the worker clock
         boot_time lease_end{};
+        boot_time last_lapse{}; ///< when the latest lease that was not renewed in time had expired
         std::int64_t fence = 0;
         std::map<task_id, active_task> tasks;
         std::map<task_id, std::int64_t> closed_runs; ///< highest run that was stopped or has ended
@@ -222,6 +224,10 @@
     /// Sets when and how a task that starts now ends by itself.
     void plan_end(active_task& task, const instance& worker, const task_id& id, boot_time now);
     void finish(instance& worker, const task_id& task, task_end outcome, boot_time now);
+    /// @param until end of the lease on the worker's clock
+    void extend_lease(instance& worker, std::chrono::milliseconds until, boot_time now) const;
+    /// Discards the ends of @p worker up to number @p last.
+    void acknowledge_ends(const std::string& id, instance& worker, std::int64_t last, boot_time now);
     /// @return the time since the start of the worker instance
     [[nodiscard]] std::chrono::milliseconds instance_clock(const instance& worker, boot_time now) const;
 
--- a/tests/fakes_test.cpp
+++ b/tests/fakes_test.cpp
@@ -1,8 +1,10 @@
 #include "fakes/fake_executor.hpp"
 #include "fakes/fake_link.hpp"
 #include "fakes/fake_log.hpp"
+#include "fakes/fake_site.hpp"
 #include "fakes/fake_vm_list.hpp"
 #include "fakes/fake_worker.hpp"
+#include "run_checks.hpp"
 
 #include <boost/test/unit_test.hpp>
 
@@ -17,6 +19,20 @@
     return {.vm = {.id = std::move(id), .pool = "spare"}};
 }
 
+/// Runs a task of 1 s on a worker with a lease of 2 s, acknowledges its end, and runs the task again.
+/// @param acknowledged when, after the first start
+/// @return what the check of duplicate runs finds
+std::vector<std::string> repeat_acknowledged_run(std::chrono::milliseconds acknowledged) {
+    hr::fake_site site({});
+    site.add_vm("m", "pool", "z", "r", {.cpu_millicores = 1000, .memory_mb = 1000}, start);
+    const hr::worker_target worker{.id = "w-1"};
+    const hr::task_id task{.job = "a"};
+    site.start(worker, {.task = task, .run = 1, .lease_until = 2s}, {}, start);
+    site.hold(worker, {.acknowledged_end = 1}, start + acknowledged);
+    site.start(worker, {.task = task, .run = 2, .lease_until = 20s}, {}, start + 10s);
+    return hr::test::duplicate_runs(site.history());
+}
+
 } // namespace
 
 // Guards against a stand-in whose lost answer also drops the records; no test would then reach the retry
@@ -143,3 +159,10 @@
     link.restore("a", "b");
     BOOST_TEST(link.send(start, "a", "b").has_value());
 }
+
+// Guards against a check that overlooks a run after an acknowledged end, and against one that counts an end
+// which nobody could read before the lease of its worker had lapsed.
+BOOST_AUTO_TEST_CASE(acknowledgement_counts_unless_the_lease_lapsed_before) {
+    BOOST_TEST(repeat_acknowledged_run(1900ms).size() == 1);
+    BOOST_TEST(repeat_acknowledged_run(2100ms).empty());
+}
