Ends are acknowledged only to the process that has listed them

The worker had restarted under its id between two holds while the log was silent, had run the task and forgotten its end before anyone had read it. Cause: each hold named the last recorded end, and a hold reaches whichever process runs under the id. Numbers of ends start at 1 in each process. That another process had answered showed only afterwards. The same way is open to a hold that is executed late, and to a start that was in flight. Change: what is learned from one process is one struct, replaced at a restart. Ends are acknowledged in a hold of their own, only numbers not acknowledged before, and only while all starts sent are known to be in the known process; answers to starts show that by the worker's clock. Starts beside or after an acknowledgement without an answer have a higher fence, so a process that executes them refuses it. Answers that don't name a process no longer set the clock. Why it works: whatever process executes an acknowledgement, it has no end that would be lost.

--- a/src/scheduler/scheduler_dispatch.cpp
+++ b/src/scheduler/scheduler_dispatch.cpp
@@ -74,7 +74,7 @@
     if (worker.is_unresponsive()) {
         return worker_block::unresponsive;
     }
-    if (!worker.confirmed || !worker.clock) {
+    if (!worker.confirmed || !worker.process.clock) {
         return worker_block::unconfirmed;
     }
     if (worker.entry.draining) {
@@ -88,13 +88,16 @@
     if (has_vm && this->has_pending_vm_order(vm->second)) {
         return worker_block::vm_ordered;
     }
-    if (now < worker.refused_until) {
+    if (now < worker.process.refused_until) {
         return worker_block::refusing;
     }
+    if (worker.ends_held_up) {
+        return worker_block::ends_pending;
+    }
     if (has_vm && this->is_next_in_wave(vm->second)) {
         return worker_block::leaving;
     }
-    return now < worker.avoid_until ? worker_block::avoided : worker_block::none;
+    return now < worker.process.avoid_until ? worker_block::avoided : worker_block::none;
 }
 
 void scheduler::impl::add_accepting_worker(accepting_workers& accepting, worker_control& worker,
@@ -117,7 +120,7 @@
     accepting.controls.push_back(&worker);
     if (block == worker_block::avoided) {
         accepting.failing.push_back(
-            {.index = accepting.views.size() - 1, .recent_failures = worker.recent_failures});
+            {.index = accepting.views.size() - 1, .recent_failures = worker.process.recent_failures});
     }
 }
 
--- a/src/scheduler/scheduler_impl.hpp
+++ b/src/scheduler/scheduler_impl.hpp
@@ -116,8 +116,11 @@
     start_stage stage = start_stage::recording;
     std::int64_t fence = 0;    ///< of the latest start order
     boot_time stage_entered{}; ///< when `stage` last changed; not set for `unacknowledged`
-    std::string ticket;        ///< from the placement advice; empty if the queue needs none
-    resources need;            ///< CPU is 0 for a best-effort task
+    /// The order was sent, and it is not certain that the known process of the worker has executed it:
+    /// another process may have done so, or may do so later.
+    bool may_be_elsewhere = false;
+    std::string ticket; ///< from the placement advice; empty if the queue needs none
+    resources need;     ///< CPU is 0 for a best-effort task
     bool best_effort = false;
     bool latency_sensitive = false;
     bool long_running = false;
@@ -131,6 +134,11 @@
     [[nodiscard]] bool is_starting() const noexcept {
         return this->stage == start_stage::recording || this->stage == start_stage::sent;
     }
+
+    /// @return whether a process that the scheduler does not know may run it
+    [[nodiscard]] bool is_unresolved() const noexcept {
+        return this->may_be_elsewhere || this->stage == start_stage::unacknowledged;
+    }
 };
 
 /// Why a worker receives no new tasks.
@@ -140,18 +148,52 @@
     unresponsive, ///< the latest hold was not answered
     unconfirmed,  ///< it has not answered a hold with the current fence
     draining,
-    zone_out,   ///< its availability zone is out of service
-    vm_ordered, ///< its VM has a pending order
-    refusing,   ///< it refused a start a moment ago
-    leaving,    ///< its VM is next in a wave; used only for long-running tasks that are overdue
-    avoided,    ///< tasks failed there repeatedly; see `worker_standing`
+    zone_out,     ///< its availability zone is out of service
+    vm_ordered,   ///< its VM has a pending order
+    refusing,     ///< it refused a start a moment ago
+    ends_pending, ///< its ends cannot be acknowledged while starts are in flight
+    leaving,      ///< its VM is next in a wave; used only for long-running tasks that are overdue
+    avoided,      ///< tasks failed there repeatedly; see `worker_standing`
 };
-inline constexpr std::size_t worker_block_count = 10;
+inline constexpr std::size_t worker_block_count = 11;
 
 /// @return the name of the enumerator
 std::string_view to_string(worker_block block) noexcept;
 
-/// The scheduler's view of one worker instance.
+/// What the scheduler has learned from one process of a worker. None of it holds for another process of the
+/// same worker, so a restart replaces the whole.
+struct worker_process {
+    std::int64_t applied_end = 0;           ///< number of the last end that was applied in memory
+    std::set<std::int64_t> unrecorded_ends; ///< numbers of the applied ends that are not in the log
+    std::int64_t acknowledged_end = 0;      ///< number of the last end that it has been told to discard
+    std::optional<std::chrono::milliseconds> clock; ///< its own clock as of `clock_at`
+    boot_time clock_at{};                           ///< when the report with `clock` arrived
+    boot_time clock_requested{};                    ///< when the hold was sent that was answered with `clock`
+    std::int32_t recent_failures = 0;               ///< failed runs since the last one that succeeded
+    boot_time avoid_until{};         ///< tasks failed there repeatedly; until then see `set_standings`
+    std::int32_t refused_starts = 0; ///< since the last start that it accepted
+    boot_time refused_until{};       ///< no new tasks until then
+
+    /// @return number of the last end up to which all are in the log
+    [[nodiscard]] std::int64_t recorded_end() const noexcept {
+        return this->unrecorded_ends.empty() ? this->applied_end : *this->unrecorded_ends.begin() - 1;
+    }
+
+    /// @return whether it lists ends that are in the log
+    [[nodiscard]] bool has_recorded_ends() const noexcept {
+        return this->recorded_end() > this->acknowledged_end;
+    }
+
+    /// Tells it from a later process of the worker, whose clock started at 0 after `clock_requested`.
+    /// @param answered clock in an answer that has just arrived
+    /// @return whether the answer is certainly its own
+    [[nodiscard]] bool has_answered(const std::optional<std::chrono::milliseconds>& answered,
+                                    boot_time now) const {
+        return this->clock && answered && *answered > now - this->clock_requested;
+    }
+};
+
+/// The scheduler's view of one worker.
 struct worker_control {
     worker_entry entry;
     bool listed = false; ///< its entry is in the workers topic
@@ -161,22 +203,17 @@
     boot_time earlier_entry_at{}; ///< when `earlier_entry` arrived
     boot_time listed_since{};     ///< when `listed` last changed
     bool confirmed = false;       ///< has answered a hold with the current fence
+    worker_process process;       ///< the process that has answered last
     bool hold_in_flight = false;
+    bool hold_acknowledges = false; ///< the hold in flight acknowledges ends
+    bool ends_held_up = false;      ///< a hold could not acknowledge ends because of starts in flight
     boot_time hold_sent{};
     std::int64_t hold_number = 0; ///< of the hold in flight
     boot_time next_hold{};
-    std::int64_t applied_end = 0;                   ///< number of the last end that was applied in memory
-    std::set<std::int64_t> unrecorded_ends;         ///< numbers of the applied ends that are not in the log
-    std::optional<std::chrono::milliseconds> clock; ///< the worker's own clock as of `clock_at`
-    boot_time clock_at{};
     boot_time lease_bound{};           ///< every lease granted to the worker has expired by then
     std::int32_t unanswered_holds = 0; ///< consecutive holds without an answer
     boot_time unanswered_since{};
     std::optional<boot_time> fenced_since; ///< when it first refused the current fence
-    std::int32_t recent_failures = 0;      ///< failed runs since the last one that succeeded
-    boot_time avoid_until{};               ///< tasks failed there repeatedly; until then see `set_standings`
-    std::int32_t refused_starts = 0;       ///< since the last start that it accepted
-    boot_time refused_until{};             ///< no new tasks until then
     /// Since when a job with nothing running waits for room that only draining VMs such as this one have.
     std::optional<boot_time> holds_back_since;
     bool holds_back = false; ///< as found by the dispatch in progress
@@ -194,9 +231,10 @@
                              [](const auto& item) { return item.second.is_starting(); });
     }
 
-    /// @return number of the last end up to which all are in the log
-    [[nodiscard]] std::int64_t recorded_end() const noexcept {
-        return this->unrecorded_ends.empty() ? this->applied_end : *this->unrecorded_ends.begin() - 1;
+    /// @return whether a process that the scheduler does not know may run one of its tasks
+    [[nodiscard]] bool has_unresolved_starts() const {
+        return std::any_of(this->tasks.begin(), this->tasks.end(),
+                           [](const auto& item) { return item.second.is_unresolved(); });
     }
 };
 
@@ -423,15 +461,19 @@
     lease_end(const worker_control& worker, std::chrono::milliseconds length, boot_time now) const;
     /// Extends `lease_bound` for a lease of @p length that is granted now.
     void extend_lease_bound(worker_control& worker, std::chrono::milliseconds length, boot_time now);
-    void update_clock(worker_control& worker, const std::optional<std::chrono::milliseconds>& clock,
-                      boot_time now);
     /// @return whether new leases end before a successor may rely on their expiry
     [[nodiscard]] bool may_extend_leases(boot_time now) const;
     /// @return time between the answer to a hold and the next hold: longer on a node that is behind, so that
     /// one answer lists the ends of more tasks
     [[nodiscard]] std::chrono::milliseconds hold_pause() const;
+    /// @return end to acknowledge with the next hold; 0: none. A process that is not known yet may execute
+    /// the hold, and it numbers its ends from 1 as well, so it must not have run any task by then.
+    [[nodiscard]] static std::int64_t end_to_acknowledge(const worker_control& worker);
+    /// @return when the next hold is due
+    [[nodiscard]] boot_time next_hold_at(const worker_control& worker, boot_time now) const;
     /// Sends the holds that are due.
     void hold_workers(boot_time now);
+    void send_hold_order(worker_control& worker, boot_time now);
     void accept_report(worker_control& worker, const hold_order& order, const hold_report& report,
                        boot_time now);
     /// Compares the runs in the report with the placements: stops unknown runs, requeues missing ones.
@@ -450,6 +492,8 @@
     void declare_worker_lost(const std::string& id, std::string_view reason, boot_time now);
     /// Raises the worker's fence, so that the next hold resolves its unacknowledged orders.
     void raise_fence(worker_control& worker, boot_time now);
+    /// Raises the fence of the orders that follow.
+    void increment_fence(const worker_control& worker);
     void send_stop_order(worker_control& worker, const task_id& task, std::int64_t run);
     /// Declares unresponsive workers lost once the VM list or the end of their leases proves it.
     void check_unresponsive_workers(boot_time now);
--- a/src/scheduler/scheduler_jobs.cpp
+++ b/src/scheduler/scheduler_jobs.cpp
@@ -214,7 +214,7 @@
     const auto found = this->workers.find(task.worker);
     if (ended.outcome == task_end::done && !step.long_running) {
         if (found != this->workers.end()) {
-            found->second.recent_failures = 0;
+            found->second.process.recent_failures = 0;
         }
         job.set_phase(id, task, run_phase::done);
         if (step.gang) {
--- a/src/scheduler/scheduler_orders.cpp
+++ b/src/scheduler/scheduler_orders.cpp
@@ -28,7 +28,13 @@
         }
         return;
     }
+    if (worker.hold_in_flight && worker.hold_acknowledges) {
+        // A process that executes this start must not execute the acknowledgement later: it would discard the
+        // end of this run.
+        this->increment_fence(worker);
+    }
     this->set_stage(placed, start_stage::sent, now);
+    placed.may_be_elsewhere = true;
     placed.fence = this->fence_of(worker);
     this->extend_lease_bound(worker, this->timings.start_lease, now);
     this->add_action(send_start{.worker = {.id = worker.entry.id, .address = worker.entry.address},
@@ -52,12 +58,12 @@
         return;
     }
     auto& worker = found->second;
-    state.update_clock(worker, answer.worker_clock, now);
     auto* job = state.find_job(order.task.job);
     auto* task = job == nullptr ? nullptr : job->find_task(order.task);
     if (answer.outcome == order_outcome::done) {
         state.set_stage(placed->second, start_stage::confirmed, now);
-        worker.refused_starts = 0;
+        placed->second.may_be_elsewhere = !worker.process.has_answered(answer.worker_clock, now);
+        worker.process.refused_starts = 0;
         if (task != nullptr && task->phase == run_phase::placed) {
             job->set_phase(order.task, *task, run_phase::running);
             task->placed_at = now;
@@ -110,13 +116,12 @@
 }
 
 void scheduler::on_stop_answer(const worker_target& target, const stop_order& order,
-                               const order_answer& answer, boot_time now) {
+                               const order_answer& answer, boot_time) {
     auto& state = *this->self;
     const auto found = state.workers.find(target.id);
     if (found == state.workers.end()) {
         return;
     }
-    state.update_clock(found->second, answer.worker_clock, now);
     if (answer.outcome != order_outcome::done) {
         write_log(severity::info, "stop_not_done",
                   {{"job", order.task.job},
@@ -179,13 +184,12 @@
 }
 
 void scheduler::on_pace_answer(const worker_target& target, const pace_order& order,
-                               const order_answer& answer, boot_time now) {
+                               const order_answer& answer, boot_time) {
     auto& state = *this->self;
     const auto found = state.workers.find(target.id);
     if (found == state.workers.end()) {
         return;
     }
-    state.update_clock(found->second, answer.worker_clock, now);
     const auto placed = found->second.tasks.find(order.task);
     if (placed == found->second.tasks.end() || placed->second.run != order.run) {
         return;
--- a/src/scheduler/scheduler_records.cpp
+++ b/src/scheduler/scheduler_records.cpp
@@ -214,7 +214,7 @@
     for (const auto& end : batch.ends) {
         const auto worker = this->workers.find(end.worker);
         if (worker != this->workers.end()) {
-            worker->second.unrecorded_ends.erase(end.number);
+            worker->second.process.unrecorded_ends.erase(end.number);
         }
     }
     for (const auto& [id, state] : batch.states) {
--- a/src/scheduler/scheduler_waiting.cpp
+++ b/src/scheduler/scheduler_waiting.cpp
@@ -40,6 +40,8 @@
         return "leaving";
     case worker_block::refusing:
         return "refusing";
+    case worker_block::ends_pending:
+        return "ends_pending";
     case worker_block::avoided:
         break;
     }
--- a/src/scheduler/scheduler_workers.cpp
+++ b/src/scheduler/scheduler_workers.cpp
@@ -31,10 +31,10 @@
 
 std::optional<milliseconds> scheduler::impl::lease_end(const worker_control& worker, milliseconds length,
                                                        boot_time now) const {
-    if (!worker.clock) {
+    if (!worker.process.clock) {
         return std::nullopt;
     }
-    return *worker.clock + to_millis(now - worker.clock_at) + length;
+    return *worker.process.clock + to_millis(now - worker.process.clock_at) + length;
 }
 
 void scheduler::impl::extend_lease_bound(worker_control& worker, milliseconds length, boot_time now) {
@@ -44,14 +44,6 @@
     worker.lease_bound = std::max(worker.lease_bound, now + longest);
 }
 
-void scheduler::impl::update_clock(worker_control& worker, const std::optional<milliseconds>& clock,
-                                   boot_time now) {
-    if (clock) {
-        worker.clock = clock;
-        worker.clock_at = now;
-    }
-}
-
 bool scheduler::impl::may_extend_leases(boot_time now) const {
     return now <= this->term_confirmed + this->timings.hold_without_log;
 }
@@ -62,53 +54,76 @@
                     this->timings.longest_hold_pause);
 }
 
+std::int64_t scheduler::impl::end_to_acknowledge(const worker_control& worker) {
+    const bool is_known_process = worker.confirmed && !worker.is_unresponsive();
+    const bool may_acknowledge = is_known_process && !worker.has_unresolved_starts();
+    return worker.process.has_recorded_ends() && may_acknowledge ? worker.process.recorded_end() : 0;
+}
+
+boot_time scheduler::impl::next_hold_at(const worker_control& worker, boot_time now) const {
+    // While the worker has ends to list it answers at once, with the same list again. The leases must be
+    // renewed nevertheless.
+    if (!worker.process.unrecorded_ends.empty()) {
+        const auto renewal_interval = this->options.limits.max_lease_duration / renewals_per_lease;
+        // A log that rejects the progress of one job takes that of others, whose ends must not wait long.
+        const bool log_takes_others = !this->unrecorded_jobs.empty() && !this->log_is_late(now);
+        const auto interval = log_takes_others ? this->timings.hold_retry : renewal_interval;
+        return std::max(worker.next_hold, worker.hold_sent + interval);
+    }
+    const bool waits_for_starts =
+        worker.process.has_recorded_ends() && worker.confirmed && worker.has_unresolved_starts();
+    return waits_for_starts ? std::max(worker.next_hold, worker.hold_sent + this->timings.hold_retry)
+                            : worker.next_hold;
+}
+
 void scheduler::impl::hold_workers(boot_time now) {
     if (!this->may_extend_leases(now)) {
         return;
     }
-    const auto renewal_interval = this->options.limits.max_lease_duration / renewals_per_lease;
-    // A log that rejects the progress of one job takes that of others, whose ends must not wait long.
-    const bool log_takes_others = !this->unrecorded_jobs.empty() && !this->log_is_late(now);
-    const auto unrecorded_interval = log_takes_others ? this->timings.hold_retry : renewal_interval;
     for (auto& [id, worker] : this->workers) {
-        // Ends that are not recorded yet cannot be acknowledged, so the worker would answer at once with the
-        // same list. While the log is down this lasts long, and the leases must be renewed nevertheless.
-        const bool has_unrecorded_ends = !worker.unrecorded_ends.empty();
-        const auto due = has_unrecorded_ends
-                             ? std::max(worker.next_hold, worker.hold_sent + unrecorded_interval)
-                             : worker.next_hold;
-        if (worker.hold_in_flight || now < due) {
-            continue;
-        }
-        // After silence another process may answer under the id. It numbers its ends from 1 as well, so
-        // nothing is acknowledged.
-        const auto acknowledged_end = worker.is_unresponsive() ? 0 : worker.recorded_end();
-        hold_order order{.number = ++this->latest_hold,
-                         .fence = this->fence_of(worker),
-                         .acknowledged_end = acknowledged_end};
-        // A worker that stays silent may be cut off for good. Renewals that may not reach it would keep its
-        // tasks from running elsewhere.
-        const bool is_silent = worker.is_unresponsive() &&
-                               now > worker.unanswered_since + this->options.limits.max_lease_duration;
-        if (worker.clock && !is_silent) {
-            order.lease_until = this->lease_end(worker, this->options.limits.max_lease_duration, now);
-            this->extend_lease_bound(worker, this->options.limits.max_lease_duration, now);
-        }
-        if (worker.confirmed && !worker.is_unresponsive() && !has_unrecorded_ends) {
-            order.wait = this->timings.hold_wait;
+        if (!worker.hold_in_flight && now >= this->next_hold_at(worker, now)) {
+            this->send_hold_order(worker, now);
         }
-        worker.hold_in_flight = true;
-        worker.hold_sent = now;
-        worker.hold_number = order.number;
-        this->add_action(send_hold{.worker = {.id = id, .address = worker.entry.address}, .order = order});
     }
 }
 
-void scheduler::impl::raise_fence(worker_control& worker, boot_time now) {
+void scheduler::impl::send_hold_order(worker_control& worker, boot_time now) {
+    hold_order order{.number = ++this->latest_hold,
+                     .fence = this->fence_of(worker),
+                     .acknowledged_end = end_to_acknowledge(worker)};
+    // A worker that stays silent may be cut off for good. Renewals that may not reach it would keep its
+    // tasks from running elsewhere.
+    const bool is_silent =
+        worker.is_unresponsive() && now > worker.unanswered_since + this->options.limits.max_lease_duration;
+    if (worker.process.clock && !is_silent) {
+        order.lease_until = this->lease_end(worker, this->options.limits.max_lease_duration, now);
+        this->extend_lease_bound(worker, this->options.limits.max_lease_duration, now);
+    }
+    const bool has_ends = worker.process.has_recorded_ends() || !worker.process.unrecorded_ends.empty();
+    if (worker.confirmed && !worker.is_unresponsive() && !has_ends) {
+        order.wait = this->timings.hold_wait;
+    }
+    worker.hold_in_flight = true;
+    worker.hold_acknowledges = order.acknowledged_end > 0;
+    const bool is_held_up =
+        worker.confirmed && worker.process.has_recorded_ends() && !worker.hold_acknowledges;
+    this->dispatch_due = this->dispatch_due || (worker.ends_held_up && !is_held_up);
+    worker.ends_held_up = is_held_up;
+    worker.hold_sent = now;
+    worker.hold_number = order.number;
+    this->add_action(
+        send_hold{.worker = {.id = worker.entry.id, .address = worker.entry.address}, .order = order});
+}
+
+void scheduler::impl::increment_fence(const worker_control& worker) {
     auto& increments = this->fence_increments[worker.entry.id];
     if (increments + 1 < fences_per_term) {
         ++increments;
     }
+}
+
+void scheduler::impl::raise_fence(worker_control& worker, boot_time now) {
+    this->increment_fence(worker);
     worker.confirmed = false;
     // A long-polling hold carries the old fence and resolves no order, so its answer is ignored.
     worker.hold_in_flight = false;
@@ -166,22 +181,24 @@
 }
 
 void scheduler::impl::count_failure(worker_control& worker, boot_time now) {
-    ++worker.recent_failures;
-    if (worker.recent_failures >= 2) {
-        worker.avoid_until =
-            now + this->timings.avoid_after_failure * std::min(worker.recent_failures - 1, 4);
+    auto& process = worker.process;
+    ++process.recent_failures;
+    if (process.recent_failures >= 2) {
+        process.avoid_until =
+            now + this->timings.avoid_after_failure * std::min(process.recent_failures - 1, 4);
         write_log(severity::info, "worker_avoided",
-                  {{"worker", worker.entry.id}, {"recent_failures", worker.recent_failures}});
+                  {{"worker", worker.entry.id}, {"recent_failures", process.recent_failures}});
     }
 }
 
 void scheduler::impl::count_refusal(worker_control& worker, boot_time now) {
+    auto& process = worker.process;
     auto backoff = this->timings.retry_after_refusal;
-    for (int refusal = 0; refusal < worker.refused_starts; ++refusal) {
+    for (int refusal = 0; refusal < process.refused_starts; ++refusal) {
         backoff = std::min(backoff * 2, this->timings.longest_refusal_backoff);
     }
-    ++worker.refused_starts;
-    worker.refused_until = now + backoff;
+    ++process.refused_starts;
+    process.refused_until = now + backoff;
 }
 
 void scheduler::impl::send_stop_order(worker_control& worker, const task_id& task, std::int64_t run) {
@@ -196,7 +213,13 @@
     if (!report.complete) {
         write_log(severity::warning, "worker_report_unreadable", {{"worker", worker.entry.id}});
     }
-    this->update_clock(worker, report.worker_clock, now);
+    auto& process = worker.process;
+    if (report.worker_clock) {
+        process.clock = report.worker_clock;
+        process.clock_at = now;
+        process.clock_requested = worker.hold_sent;
+    }
+    process.acknowledged_end = std::max(process.acknowledged_end, order.acknowledged_end);
     if (order.fence == this->fence_of(worker)) {
         if (!worker.confirmed) {
             this->dispatch_due = true;
@@ -204,9 +227,9 @@
         worker.confirmed = true;
     }
     for (const auto& ended : report.ended) {
-        if (ended.number > worker.applied_end) {
-            worker.applied_end = ended.number;
-            worker.unrecorded_ends.insert(ended.number);
+        if (ended.number > process.applied_end) {
+            process.applied_end = ended.number;
+            process.unrecorded_ends.insert(ended.number);
             this->next_batch.ends.push_back(
                 {.worker = worker.entry.id, .number = ended.number, .job = ended.task.job});
             this->apply_end(worker, ended, now);
@@ -237,10 +260,11 @@
         if (placed->second.stage != start_stage::confirmed) {
             this->set_stage(placed->second, start_stage::confirmed, now);
         }
+        placed->second.may_be_elsewhere = false;
         const bool was_ready = placed->second.ready;
         placed->second.ready = running.percent >= startup_complete_percent;
         if (placed->second.long_running && placed->second.ready && !was_ready) {
-            worker.recent_failures = 0; // long-running tasks have no other sign of success
+            worker.process.recent_failures = 0; // long-running tasks have no other sign of success
         }
         placed->second.latest_load = running.latest_load;
         if (task->phase == run_phase::placed) {
@@ -325,13 +349,7 @@
     this->drop_acknowledgements(entry.id);
     worker.entry = entry;
     worker.earlier_entry.reset();
-    worker.applied_end = 0;
-    worker.unrecorded_ends.clear();
-    worker.clock.reset();
-    worker.recent_failures = 0;
-    worker.avoid_until = {};
-    worker.refused_starts = 0;
-    worker.refused_until = {};
+    worker.process = {};
     for (auto& [id, placed] : worker.tasks) {
         placed.ready = false;
         if (placed.stage != start_stage::recording) {
@@ -475,6 +493,9 @@
     found->second.earlier_entry.reset();
     if (found->second.tasks.empty()) {
         state.drop_acknowledgements(id);
+        if (found->second.hold_in_flight) {
+            state.raise_fence(found->second, now); // nobody will know whether the hold was answered
+        }
         state.workers.erase(found);
     }
 }
@@ -541,6 +562,10 @@
         }
         return;
     default:
+        if (order.acknowledged_end > 0) {
+            state.raise_fence(worker,
+                              now); // a process that executes a later start refuses the acknowledgement
+        }
         if (worker.unanswered_holds++ == 0) {
             worker.unanswered_since = now;
             write_log(
