An id that was only cancelled is no job

Cause: a cancellation is stored although the job is unknown, because it may overtake the job's record, and the index of jobs answered queries from any entry, also one that only the cancellation had made. Such records, and those of jobs that had ended before their cancellation, were kept in the log for ever. Change: an entry counts as a job once the record of the job or a state of it is read. The scheduler drops a cancellation that no job follows after final_state_retention, that of a final job at once; nodes forget it with the record or when they load the topic again. A job known to be cancelled or final is not cancelled by another record. Why it works: only the record of an accepted job makes one visible, and the cancellation still applies when that record comes.

--- a/src/scheduler/scheduler.cpp
+++ b/src/scheduler/scheduler.cpp
@@ -111,6 +111,10 @@
                           .parts = job == nullptr ? 0 : job->recorded.parts,
                           .state_recorded = true};
     this->self->finals.emplace(record.key, known);
+    if (const auto cancellation = this->self->open_cancellations.find(record.key);
+        cancellation != this->self->open_cancellations.end()) {
+        cancellation->second.drop_at = this->self->term_begin;
+    }
     this->self->cleanups[known.partition].jobs.push_back({.id = record.key,
                                                           .finished = this->self->term_begin,
                                                           .records_dropped = job == nullptr,
@@ -196,27 +200,28 @@
     auto& state = *this->self;
     const std::string_view key = record.key;
     if (key.ends_with(cancel_suffix)) {
-        if (!record.value.empty()) {
-            const auto id = std::string(key.substr(0, key.size() - cancel_suffix.size()));
-            if (state.loaded) {
-                state.cancel_job(id, now);
-            } else if (auto* job = state.find_job(id)) {
-                job->cancel_requested = true;
-            } else {
-                state.cancelled_early.insert(id);
-            }
+        const auto id = std::string(key.substr(0, key.size() - cancel_suffix.size()));
+        auto* job = state.find_job(id);
+        if (record.value.empty()) {
+            state.open_cancellations.erase(id);
+        } else if (state.loaded) {
+            state.cancel_job(id, partition, now);
+        } else if (job != nullptr) {
+            job->cancel_requested = true;
+        } else {
+            state.note_open_cancellation(id, partition, now);
         }
         return;
     }
     state.add_job(partition, record, now);
-    if (state.cancelled_early.erase(record.key) > 0) {
-        if (auto* job = state.find_job(record.key)) {
-            if (state.loaded) {
-                state.cancel_job(record.key, now);
-            } else {
-                job->cancel_requested = true;
-            }
-        }
+    auto* job = state.find_job(record.key);
+    if (job == nullptr || state.open_cancellations.erase(record.key) == 0) {
+        return;
+    }
+    if (state.loaded) {
+        state.cancel_job(record.key, partition, now);
+    } else {
+        job->cancel_requested = true;
     }
 }
 
--- a/src/scheduler/scheduler_impl.hpp
+++ b/src/scheduler/scheduler_impl.hpp
@@ -297,6 +297,13 @@
     std::int64_t sequence = 0; ///< of the drop in flight
 };
 
+/// A cancellation in the log without a job that it can cancel: the job is final, its record follows, or there
+/// is none. It applies to a job that follows within `site_limits::final_state_retention`.
+struct open_cancellation {
+    std::int32_t partition = 0; ///< of the jobs topic
+    boot_time drop_at{};        ///< when its record is to be dropped
+};
+
 /// Learned task durations of one queue, with the estimates that were stated for the same tasks.
 struct learned_duration {
     double mean_ms = 0;
@@ -399,7 +406,8 @@
 
     // scheduler_jobs.cpp: jobs and ended tasks
     void add_job(std::int32_t partition, const keyed_record& record, boot_time now);
-    void cancel_job(const std::string& id, boot_time now);
+    /// @param partition of the jobs topic that holds the cancellation
+    void cancel_job(const std::string& id, std::int32_t partition, boot_time now);
     /// Makes the job final. Its records are kept until its last run has ended.
     void finish_job(job_progress& job, job_state state, boot_time now);
     void stop_all_runs(job_progress& job, boot_time now);
@@ -448,6 +456,9 @@
     void drop_finished(boot_time now);
     /// @return whether a successor needs no record of the final job besides its state
     [[nodiscard]] bool may_drop(const std::string& id) const;
+    void note_open_cancellation(const std::string& id, std::int32_t partition, boot_time now);
+    /// Drops the records of cancellations that no job has followed.
+    void drop_open_cancellations(boot_time now);
     /// Orders the drops of the next job records of one partition.
     void order_drop(std::int32_t partition, partition_cleanup& cleanup);
     /// Ends the drop in flight of a partition. The progress records are dropped if the job records are.
@@ -713,7 +724,7 @@
     /// Jobs that are not final or still have runs, by id.
     std::unordered_map<std::string, std::unique_ptr<job_progress>> jobs;
     std::unordered_map<std::string, final_job> finals; ///< final jobs whose state is still kept, by id
-    std::unordered_set<std::string> cancelled_early;   ///< jobs whose cancellation was read before the job
+    std::unordered_map<std::string, open_cancellation> open_cancellations; ///< by job id
     std::unordered_map<std::string, resources> account_use; ///< needs of placed tasks, by account
     std::map<std::string, learned_duration> durations;      ///< by queue
 
--- a/src/scheduler/scheduler_jobs.cpp
+++ b/src/scheduler/scheduler_jobs.cpp
@@ -95,13 +95,10 @@
     this->next_batch.states.emplace_back(job.spec.id, state);
 }
 
-void scheduler::impl::cancel_job(const std::string& id, boot_time now) {
-    if (this->finals.contains(id)) {
-        return;
-    }
-    auto* job = this->find_job(id);
+void scheduler::impl::cancel_job(const std::string& id, std::int32_t partition, boot_time now) {
+    auto* job = this->finals.contains(id) ? nullptr : this->find_job(id);
     if (job == nullptr) {
-        this->cancelled_early.insert(id);
+        this->note_open_cancellation(id, partition, now);
         return;
     }
     if (job->cancel_requested) {
--- a/src/scheduler/scheduler_records.cpp
+++ b/src/scheduler/scheduler_records.cpp
@@ -344,11 +344,36 @@
     }
 }
 
+void scheduler::impl::note_open_cancellation(const std::string& id, std::int32_t partition, boot_time now) {
+    const bool is_final_job = this->finals.contains(id);
+    const auto drop_at = is_final_job ? now : now + this->options.limits.final_state_retention;
+    this->open_cancellations.emplace(id, open_cancellation{.partition = partition, .drop_at = drop_at});
+}
+
+void scheduler::impl::drop_open_cancellations(boot_time now) {
+    std::map<std::int32_t, std::vector<keyed_record>> drops;
+    for (auto& [id, cancellation] : this->open_cancellations) {
+        auto& records = drops[cancellation.partition];
+        if (now >= cancellation.drop_at && records.size() < drop_batch) {
+            records.push_back({.key = id + std::string(cancel_suffix)});
+            // Repeated unless the drop is read from the log.
+            cancellation.drop_at = now + this->timings.longest_rejection_backoff;
+        }
+    }
+    for (auto& [partition, records] : drops) {
+        if (!records.empty()) {
+            this->add_action(drop_job_records{
+                .sequence = ++this->drop_sequence, .partition = partition, .records = std::move(records)});
+        }
+    }
+}
+
 void scheduler::impl::drop_finished(boot_time now) {
     if (now < this->last_cleanup + this->timings.state_cleanup_interval) {
         return;
     }
     this->last_cleanup = now;
+    this->drop_open_cancellations(now);
     for (auto& [partition, cleanup] : this->cleanups) {
         if (cleanup.ordered > 0) {
             continue; // the log has not answered the previous drop
--- a/src/site/site_node_callers.hpp
+++ b/src/site/site_node_callers.hpp
@@ -149,6 +149,11 @@
             200, Codec::state(cancelled ? job_state::cancelled : known_job->state));
     }
     if (call.method == method::cancel) {
+        const bool has_ended =
+            known_job != nullptr && (known_job->cancel_requested || is_final(known_job->state));
+        if (has_ended) {
+            return site_node_detail::json_answer(200, "{}");
+        }
         is_deferred = true;
         // Stored even if the job is unknown here: its record may not have been read yet.
         this->store(id, {.key = id + std::string(cancel_suffix), .value = "1"}, call, reply,
@@ -156,9 +161,7 @@
         return {};
     }
     // A final job has no record in the jobs topic any more, so its queue may be unknown.
-    const bool is_accepted =
-        known_job != nullptr && (!known_job->queue.empty() || is_final(known_job->state));
-    if (is_accepted) {
+    if (known_job != nullptr && (!known_job->queue.empty() || is_final(known_job->state))) {
         return site_node_detail::json_answer(200, "{}");
     }
     error problem;
--- a/src/site/site_node_log.hpp
+++ b/src/site/site_node_log.hpp
@@ -32,6 +32,9 @@
         if (newest->after_key.empty() && &tail == this->workers_tail) {
             this->listed_workers.clear();
         }
+        if (newest->after_key.empty() && tail.settings().topic == log_topic::jobs) {
+            this->index.begin_reload(tail.settings().partition, this->options.settings.limits.job_partitions);
+        }
         out.push_back([self, &tail, ticket, call = *newest] {
             self->port.newest(
                 call, self->options.timings.newest_timeout, [self, &tail, ticket](newest_answer answer) {
--- a/src/state/job_index.cpp
+++ b/src/state/job_index.cpp
@@ -21,9 +21,8 @@
 void job_index::apply_job(const keyed_record& record) {
     const std::string_view key = record.key;
     if (key.ends_with(cancel_suffix)) {
-        if (!record.value.empty()) {
-            this->note_cancelled(key.substr(0, key.size() - cancel_suffix.size()));
-        }
+        const auto id = key.substr(0, key.size() - cancel_suffix.size());
+        record.value.empty() ? this->drop_cancellation(id) : this->note_cancelled(id);
         return;
     }
     if (record.value.empty()) {
@@ -66,6 +65,19 @@
     this->adjust_pending_count(entry, 1);
 }
 
+void job_index::begin_reload(std::int32_t partition, std::int32_t partitions) {
+    std::erase_if(this->jobs, [=](const auto& item) {
+        return !item.second.is_accepted() && partition_of_job(item.first, partitions) == partition;
+    });
+}
+
+void job_index::drop_cancellation(std::string_view id) {
+    const auto found = this->jobs.find(id);
+    if (found != this->jobs.end() && !found->second.is_accepted()) {
+        this->jobs.erase(found);
+    }
+}
+
 void job_index::apply_state(const keyed_record& record) {
     if (record.value.empty()) {
         const auto found = this->jobs.find(record.key);
@@ -81,6 +93,7 @@
         return;
     }
     auto& entry = this->jobs[record.key];
+    entry.has_state_record = true;
     if (!is_final(entry.state)) {
         this->set_state(entry, *state);
     }
@@ -88,7 +101,7 @@
 
 const indexed_job* job_index::find(std::string_view id) const {
     const auto found = this->jobs.find(id);
-    return found == this->jobs.end() ? nullptr : &found->second;
+    return found == this->jobs.end() || !found->second.is_accepted() ? nullptr : &found->second;
 }
 
 std::int64_t job_index::pending_jobs(std::string_view queue) const {
--- a/tests/job_state_test.cpp
+++ b/tests/job_state_test.cpp
@@ -101,3 +101,34 @@
     BOOST_TEST(index.find(job.id)->cancel_requested);
     BOOST_TEST(index.pending_jobs("q") == 0);
 }
+
+// Guards against a job that is shown although nobody has handed it in: only its cancellation is known.
+BOOST_AUTO_TEST_CASE(index_shows_no_job_that_was_only_cancelled) {
+    job_index index;
+    index.note_cancelled(sample_job().id);
+    BOOST_TEST(index.find(sample_job().id) == nullptr);
+    index.apply_job({.key = sample_job().id + std::string(cancel_suffix), .value = "1"});
+    BOOST_TEST(index.find(sample_job().id) == nullptr);
+    index.apply_job({.key = sample_job().id + std::string(cancel_suffix)});
+    BOOST_TEST(index.size() == 0);
+}
+
+// Guards against a cancellation that stays in force although its record was dropped while the node missed it.
+BOOST_AUTO_TEST_CASE(index_forgets_cancellations_when_it_is_loaded_again) {
+    job_index index;
+    const auto id = sample_job().id;
+    const auto partition = partition_of_job(id, 4);
+    index.note_cancelled(id);
+    index.begin_reload((partition + 1) % 4, 4);
+    BOOST_TEST(index.size() == 1);
+    index.begin_reload(partition, 4);
+    BOOST_TEST(index.size() == 0);
+}
+
+// Guards against a final job without a record of its own that is taken for one that was never handed in.
+BOOST_AUTO_TEST_CASE(index_shows_a_job_whose_state_alone_is_known) {
+    job_index index;
+    index.apply_state({.key = sample_job().id, .value = "completed"});
+    BOOST_REQUIRE(index.find(sample_job().id) != nullptr);
+    BOOST_TEST((index.find(sample_job().id)->state == job_state::completed));
+}
--- a/tests/scheduler_records_test.cpp
+++ b/tests/scheduler_records_test.cpp
@@ -40,9 +40,18 @@
                            [&](const auto& record) { return record.key == id && !record.value.empty(); });
     }
 
+    /// Goes on until the records of jobs that ended before have been dropped.
+    void run_past_the_retention() {
+        this->site.tick_span = milliseconds(20);
+        this->site.run(site_limits().final_state_retention + milliseconds(5000));
+    }
+
     scheduler_site site;
 };
 
+/// Id of a job that is not handed in by `scheduler_site::submit` at first.
+const std::string first_job = fmt::format("{:016x}", 1);
+
 } // namespace
 
 // Guards against a job whose checkpoints do not fit into one record of the log: its record was refused and
@@ -184,3 +193,37 @@
     BOOST_TEST(this->has_record(hidden));
     BOOST_TEST(!this->has_record(later));
 }
+
+// Guards against a cancellation that is lost because it overtakes the record of its job.
+BOOST_FIXTURE_TEST_CASE(cancellation_before_its_job_stops_it, log_fixture) {
+    for (const bool with_takeover : {false, true}) {
+        log_fixture fresh;
+        fresh.site.cancel(first_job);
+        fresh.site.run(milliseconds(3000));
+        if (with_takeover) {
+            fresh.site.take_over();
+        }
+        BOOST_REQUIRE(fresh.site.submit(batch_job(2)) == first_job);
+        fresh.site.run(milliseconds(3000));
+        BOOST_TEST(fresh.site.state_of(first_job) == "cancelled");
+        BOOST_TEST(fresh.site.site.history().empty());
+    }
+}
+
+// Guards against records that are kept for ever: cancellations of ids for which there is no job, and of jobs
+// that have ended.
+BOOST_FIXTURE_TEST_CASE(cancellations_without_a_job_are_dropped, log_fixture) {
+    const auto ended = this->site.submit(batch_job(1));
+    this->site.run(milliseconds(3000));
+    BOOST_REQUIRE(this->site.state_of(ended) == "completed");
+    const std::string suffix(cancel_suffix);
+    this->site.cancel(ended);
+    this->site.cancel("unknown-1");
+    this->site.run(milliseconds(3000));
+    BOOST_TEST(!this->has_record(ended + suffix));
+    BOOST_TEST(this->has_record("unknown-1" + suffix));
+    this->site.cancel("unknown-2");
+    this->site.take_over(); // the successor drops what its predecessor has read
+    this->run_past_the_retention();
+    BOOST_TEST(this->site.log.newest({.topic = log_topic::jobs}).records.empty());
+}
--- a/tests/site_node_test.cpp
+++ b/tests/site_node_test.cpp
@@ -294,6 +294,55 @@
     BOOST_TEST(started_runs() == before + 3);
 }
 
+// Guards against a job that is shown although nobody has handed it in: its id was cancelled, to be sure. A
+// job of that id that follows is cancelled all the same.
+BOOST_FIXTURE_TEST_CASE(cancellation_alone_shows_no_job, fixture) {
+    BOOST_REQUIRE(this->becomes_ready(0) && this->becomes_ready(1));
+    const auto shows = [this](const endpoint& node, const std::string& path, std::string_view state) {
+        return this->call(node, "GET", path).response.body.find(state) != std::string::npos;
+    };
+    BOOST_TEST(this->call(this->addresses[0], "DELETE", job_path).response.status == 410);
+    // A later job of the same partition shows how far a node has read.
+    int digit = 0;
+    const auto later_id = [&digit] {
+        return fmt::format("00000000000000c{}", digit);
+    };
+    while (partition_of_job(later_id(), 2) != partition_of_job(job_path.substr(3), 2)) {
+        ++digit;
+    }
+    this->call(this->addresses[0], "POST", "/q/" + later_id(), std::string(job_body));
+    for (const auto& address : this->addresses) {
+        BOOST_REQUIRE(this->eventually([&] { return shows(address, "/q/" + later_id(), "completed"); }));
+        BOOST_TEST(this->call(address, "GET", job_path).response.status == 410);
+    }
+    BOOST_TEST(this->call(this->addresses[1], "POST", job_path, std::string(job_body)).response.status ==
+               200);
+    for (const auto& address : this->addresses) {
+        BOOST_TEST(this->eventually([&] { return shows(address, job_path, "cancelled"); }));
+    }
+    const std::lock_guard lock(this->shared.mutex);
+    BOOST_TEST(this->shared.site.history().size() == 3); // those of the later job
+}
+
+// Guards against a record that is never dropped: the cancellation of a job that has ended.
+BOOST_FIXTURE_TEST_CASE(cancellation_of_an_ended_job_is_not_stored, fixture) {
+    BOOST_REQUIRE(this->becomes_ready(0) && this->becomes_ready(1));
+    this->call(this->addresses[0], "POST", job_path, std::string(job_body));
+    BOOST_REQUIRE(this->eventually([&] {
+        return this->call(this->addresses[0], "GET", job_path).response.body.find("completed") !=
+               std::string::npos;
+    }));
+    BOOST_TEST(this->call(this->addresses[0], "DELETE", job_path).response.status == 200);
+    const auto key = job_path.substr(3) + std::string(cancel_suffix);
+    const std::lock_guard lock(this->shared.mutex);
+    for (std::int32_t partition = 0; partition < 2; ++partition) {
+        for (const auto& record :
+             this->shared.log.read({.topic = log_topic::jobs, .partition = partition}).records) {
+            BOOST_TEST(record.key != key);
+        }
+    }
+}
+
 BOOST_FIXTURE_TEST_CASE(calls_outside_the_configuration_are_refused, fixture) {
     BOOST_REQUIRE(this->becomes_ready(0));
     BOOST_TEST(this->call(this->addresses[0], "POST", "/other/00000000000000aa").response.status == 404);
--- a/tests/site_soak.hpp
+++ b/tests/site_soak.hpp
@@ -271,10 +271,12 @@
     /// Does not wait for the answer, so that calls overlap.
     void submit_one() {
         const bool cancels = this->load_random_below(10) == 0;
-        this->submit({.id = this->new_id(),
-                      .path_prefix = "/q/",
-                      .body = std::string(job_body),
-                      .cancels_at_once = cancels});
+        const auto id = this->new_id();
+        if (cancels) {
+            this->cancel_unsubmitted("f" + id.substr(1));
+        }
+        this->submit(
+            {.id = id, .path_prefix = "/q/", .body = std::string(job_body), .cancels_at_once = cancels});
     }
 
     /// Submits a job whose tasks run until it is cancelled. A quarter of these jobs is cancelled in the run.
@@ -394,6 +396,21 @@
                           });
     }
 
+    /// Cancels an id that no job has, as a caller does who does not know whether his request arrived.
+    void cancel_unsubmitted(const std::string& id) {
+        {
+            const std::lock_guard lock(this->mutex);
+            this->outcome.states_of_unsubmitted[id] = reported_state::unknown;
+        }
+        http_request request{.method = "DELETE", .target = "/q/" + id};
+        request.headers.add("X-Api-Key", "key");
+        ++this->open_calls;
+        this->client.call({.target = this->nodes[this->next_job % this->nodes.size()].caller_address,
+                           .request = std::move(request),
+                           .timeout = call_timeout},
+                          [this](const http_call_result&) { --this->open_calls; });
+    }
+
     /// Sends a cancellation and does not wait. The final cancellation in `check` repeats it if it was lost.
     void cancel_long_running(const std::string& id) {
         {
@@ -799,6 +816,9 @@
             // The checks use this second answer, because a final state must not change.
             state = this->query_state(id);
         }
+        for (auto& [id, state] : this->outcome.states_of_unsubmitted) {
+            state = this->query_state(id);
+        }
         this->outcome.history =
             this->standin->with_state([](fake_keyed_log&, fake_site& site) { return site.history(); });
         this->report.runs = this->outcome.history.size();
--- a/tests/soak_checks.hpp
+++ b/tests/soak_checks.hpp
@@ -90,6 +90,8 @@
 struct soak_outcome {
     std::map<std::string, submitted_job> jobs;    ///< by job id
     std::map<std::string, reported_state> states; ///< of accepted jobs, by job id
+    /// What is reported of ids that were cancelled and never submitted.
+    std::map<std::string, reported_state> states_of_unsubmitted;
     std::vector<observed_run> history;
     std::size_t tasks_per_job = 0;
     std::int64_t attempts = 1; ///< failed runs of one task after which its job may fail
@@ -320,6 +322,11 @@
             violations.push_back(std::move(violation));
         }
     }
+    for (const auto& [id, state] : outcome.states_of_unsubmitted) {
+        if (state != reported_state::unknown) {
+            violations.push_back(fmt::format("{} is reported although it was never submitted", id));
+        }
+    }
     for (auto& violation : restart_check(outcome).find_violations()) {
         violations.push_back(std::move(violation));
     }
--- a/tests/soak_checks_test.cpp
+++ b/tests/soak_checks_test.cpp
@@ -91,6 +91,12 @@
     check_one_violation(outcome, "a was reported as completed with 1 tasks done");
 }
 
+BOOST_AUTO_TEST_CASE(shown_job_that_was_never_submitted_is_reported) {
+    auto outcome = make_correct_outcome();
+    outcome.states_of_unsubmitted = {{"u", reported_state::unknown}, {"v", reported_state::cancelled}};
+    check_one_violation(outcome, "v is reported although it was never submitted");
+}
+
 BOOST_AUTO_TEST_CASE(overlapping_runs_of_a_task_are_reported) {
     auto outcome = make_correct_outcome();
     outcome.history.front().acknowledged = false;
