A start without an answer outlives the leases of the known process

Its start order was executed 4 s late, by the process that the worker had become after a restart under its id. Cause: the end of a lease is a time on the clock of one process. On the clock of a later one, which starts at 0, it lies far ahead, so the late start got a lease of 6 s from its execution. The scheduler counted 1.5 s from its sending and declared the worker lost. Change: a start counts as possibly executed elsewhere until an answer is certainly of the known process. Such a start ends with the last order that carried a lease plus the longest delay of an order and the longest lease; if the VM is down, after the longest delay (long-running tasks at once); if the VM runs another worker, at once. The first report of a process extends the lease bound. No start is sent to a worker that does not answer, and a task waits while a run of it is listed that is being stopped. Why it works: until then the task is started nowhere else, whatever process executes the order; a hold that is answered with a higher fence ends the wait, as that process refuses the order from then on.

--- a/src/scheduler/scheduler_impl.hpp
+++ b/src/scheduler/scheduler_impl.hpp
@@ -27,7 +27,10 @@
     std::chrono::milliseconds hold_pause{20};          ///< between the answer to a hold and the next hold
     std::chrono::milliseconds longest_hold_pause{400}; ///< the same on a node that runs far behind its timers
     std::chrono::milliseconds hold_retry{250};         ///< backoff unit after a hold without an answer
-    std::chrono::milliseconds start_lease{1500};   ///< the worker rejects a start order that arrives later
+    std::chrono::milliseconds start_lease{1500}; ///< the worker rejects a start order that arrives later
+    /// An order without an answer may be executed this much later, by whichever process runs under the id
+    /// then.
+    std::chrono::milliseconds longest_order_delay{12000};
     std::chrono::milliseconds commit_interval{10}; ///< least time between two progress appends
     std::chrono::milliseconds dispatch_interval{15};
     /// Starts that are being recorded or in flight at once. More would wait longer for their turn to be sent
@@ -193,9 +196,17 @@
     }
 };
 
+/// What shows that the runs of a worker which does not answer have ended.
+enum class loss_evidence : std::uint8_t {
+    leases_expired, ///< no order has renewed the leases for long enough
+    vm_not_up,      ///< the VM is down or runs no worker; the worker may come back under its id
+    replaced,       ///< the VM runs another worker or is gone; the worker does not come back
+};
+
 /// The scheduler's view of one worker.
 struct worker_control {
     worker_entry entry;
+    std::string vm;      ///< that the latest list with the worker names; empty: none
     bool listed = false; ///< its entry is in the workers topic
     /// Entry of a process with an earlier start than the known one: it was written late, or the clock has
     /// been set back. The next answer to a hold decides; without an answer the entry is adopted.
@@ -210,7 +221,10 @@
     boot_time hold_sent{};
     std::int64_t hold_number = 0; ///< of the hold in flight
     boot_time next_hold{};
-    boot_time lease_bound{};           ///< every lease granted to the worker has expired by then
+    boot_time lease_bound{}; ///< every lease that the known process has granted has expired by then
+    /// The same for any process that executes an order which was sent. A clock starts at 0 in each process,
+    /// so a lease that is meant for an earlier one may last as long as leases can.
+    boot_time late_lease_bound{};
     std::int32_t unanswered_holds = 0; ///< consecutive holds without an answer
     boot_time unanswered_since{};
     std::optional<boot_time> fenced_since; ///< when it first refused the current fence
@@ -470,8 +484,10 @@
     /// @return end of a lease of @p length on the worker's clock; nullopt while its clock is unknown
     [[nodiscard]] std::optional<std::chrono::milliseconds>
     lease_end(const worker_control& worker, std::chrono::milliseconds length, boot_time now) const;
-    /// Extends `lease_bound` for a lease of @p length that is granted now.
+    /// Extends `lease_bound` for a lease of @p length that the known process grants now.
     void extend_lease_bound(worker_control& worker, std::chrono::milliseconds length, boot_time now);
+    /// Extends the bounds for an order with a lease of @p length that is sent now.
+    void note_lease_sent(worker_control& worker, std::chrono::milliseconds length, boot_time now);
     /// @return whether new leases end before a successor may rely on their expiry
     [[nodiscard]] bool may_extend_leases(boot_time now) const;
     /// @return time between the answer to a hold and the next hold: longer on a node that is behind, so that
@@ -499,8 +515,18 @@
     void accept_earlier_entry(worker_control& worker, boot_time now);
     /// Forgets which ends are to be acknowledged to the worker: the numbers belong to one process.
     void drop_acknowledgements(const std::string& worker);
-    /// Removes the worker and requeues its tasks. Its runs must have ended.
-    void declare_worker_lost(const std::string& id, std::string_view reason, boot_time now);
+    /// @return what shows that the runs of the worker have ended, with a description for the log; absent if
+    /// nothing
+    [[nodiscard]] std::optional<std::pair<loss_evidence, std::string_view>>
+    find_loss(const std::string& id, const worker_control& worker, boot_time now) const;
+    /// @return whether a run of the task may exist in spite of the evidence, or may begin later
+    [[nodiscard]] bool may_run_despite(const worker_control& worker, const placement& placed,
+                                       loss_evidence evidence, boot_time now) const;
+    /// Requeues the tasks of the worker, except those that may run in spite of the evidence, and removes the
+    /// worker if no task is left.
+    /// @return whether it was removed
+    bool declare_worker_lost(const std::string& id, loss_evidence evidence, std::string_view reason,
+                             boot_time now);
     /// Raises the worker's fence, so that the next hold resolves its unacknowledged orders.
     void raise_fence(worker_control& worker, boot_time now);
     /// Raises the fence of the orders that follow.
--- a/src/scheduler/scheduler_orders.cpp
+++ b/src/scheduler/scheduler_orders.cpp
@@ -16,7 +16,7 @@
     auto* task = job == nullptr ? nullptr : job->find_task(id);
     // The record may have been confirmed long after it was appended, if the process was paused meanwhile.
     const bool valid = task != nullptr && task->run == placed.run && task->phase == run_phase::placed &&
-                       !is_final(job->state) && !worker.entry.draining &&
+                       !is_final(job->state) && !worker.is_unresponsive() && !worker.entry.draining &&
                        !this->zones_out.contains(worker.entry.zone) && this->may_extend_leases(now);
     const auto until = this->lease_end(worker, this->timings.start_lease, now);
     if (!valid || !until) {
@@ -36,7 +36,7 @@
     this->set_stage(placed, start_stage::sent, now);
     placed.may_be_elsewhere = true;
     placed.fence = this->fence_of(worker);
-    this->extend_lease_bound(worker, this->timings.start_lease, now);
+    this->note_lease_sent(worker, this->timings.start_lease, now);
     this->add_action(send_start{.worker = {.id = worker.entry.id, .address = worker.entry.address},
                                 .order = {.task = id,
                                           .run = placed.run,
--- a/src/scheduler/scheduler_workers.cpp
+++ b/src/scheduler/scheduler_workers.cpp
@@ -37,11 +37,24 @@
     return *worker.process.clock + to_millis(now - worker.process.clock_at) + length;
 }
 
+namespace {
+
+/// @return longest time by the clock of this node that a lease of @p length may last
+milliseconds longest_lease(milliseconds length) {
+    const auto on_slow_clock = static_cast<double>(length.count()) * slow_clock_factor;
+    return milliseconds(static_cast<std::int64_t>(on_slow_clock)) + lease_margin;
+}
+
+} // namespace
+
 void scheduler::impl::extend_lease_bound(worker_control& worker, milliseconds length, boot_time now) {
-    const auto longest =
-        milliseconds(static_cast<std::int64_t>(static_cast<double>(length.count()) * slow_clock_factor)) +
-        lease_margin;
-    worker.lease_bound = std::max(worker.lease_bound, now + longest);
+    worker.lease_bound = std::max(worker.lease_bound, now + longest_lease(length));
+}
+
+void scheduler::impl::note_lease_sent(worker_control& worker, milliseconds length, boot_time now) {
+    this->extend_lease_bound(worker, length, now);
+    worker.late_lease_bound =
+        now + this->timings.longest_order_delay + longest_lease(this->options.limits.max_lease_duration);
 }
 
 bool scheduler::impl::may_extend_leases(boot_time now) const {
@@ -97,7 +110,7 @@
         worker.is_unresponsive() && now > worker.unanswered_since + this->options.limits.max_lease_duration;
     if (worker.process.clock && !is_silent) {
         order.lease_until = this->lease_end(worker, this->options.limits.max_lease_duration, now);
-        this->extend_lease_bound(worker, this->options.limits.max_lease_duration, now);
+        this->note_lease_sent(worker, this->options.limits.max_lease_duration, now);
     }
     const bool has_ends = worker.process.has_recorded_ends() || !worker.process.unrecorded_ends.empty();
     if (worker.confirmed && !worker.is_unresponsive() && !has_ends) {
@@ -214,6 +227,10 @@
         write_log(severity::warning, "worker_report_unreadable", {{"worker", worker.entry.id}});
     }
     auto& process = worker.process;
+    if (!process.clock) {
+        // Before it refused them, a process that is new here may have executed orders of before.
+        this->extend_lease_bound(worker, this->options.limits.max_lease_duration, now);
+    }
     if (report.worker_clock) {
         process.clock = report.worker_clock;
         process.clock_at = now;
@@ -255,6 +272,9 @@
             write_log(severity::info, "unknown_run_stopped",
                       {{"job", running.task.job}, {"run", running.run}, {"worker", worker.entry.id}});
             this->send_stop_order(worker, running.task, running.run);
+            if (task != nullptr && task->phase == run_phase::waiting) {
+                task->retry_at = std::max(task->retry_at, now + this->timings.stop_retry); // it still runs
+            }
             continue;
         }
         if (placed->second.stage != start_stage::confirmed) {
@@ -360,16 +380,37 @@
     this->raise_fence(worker, now);
 }
 
-void scheduler::impl::declare_worker_lost(const std::string& id, std::string_view reason, boot_time now) {
+bool scheduler::impl::may_run_despite(const worker_control& worker, const placement& placed,
+                                      loss_evidence evidence, boot_time now) const {
+    if (!placed.may_be_elsewhere || evidence == loss_evidence::replaced) {
+        return false;
+    }
+    if (evidence == loss_evidence::leases_expired) {
+        return now <= worker.late_lease_bound;
+    }
+    // A long-running task must not be away for that long if the worker never comes back.
+    const bool was_executed = placed.stage == start_stage::confirmed;
+    return !was_executed && !placed.long_running &&
+           now <= placed.stage_entered + this->timings.longest_order_delay;
+}
+
+bool scheduler::impl::declare_worker_lost(const std::string& id, loss_evidence evidence,
+                                          std::string_view reason, boot_time now) {
     const auto found = this->workers.find(id);
     if (found == this->workers.end()) {
-        return;
+        return false;
     }
     auto& worker = found->second;
+    auto ended = worker.tasks;
+    std::erase_if(
+        ended, [&](const auto& item) { return this->may_run_despite(worker, item.second, evidence, now); });
+    const auto kept = worker.tasks.size() - ended.size();
+    if (ended.empty() && kept > 0) {
+        return false;
+    }
     write_log(severity::warning, "worker_lost",
-              {{"worker", id}, {"reason", reason}, {"tasks", worker.tasks.size()}});
-    const auto tasks = worker.tasks;
-    for (const auto& [task_name, placed] : tasks) {
+              {{"worker", id}, {"reason", reason}, {"tasks", ended.size()}, {"tasks_kept", kept}});
+    for (const auto& [task_name, placed] : ended) {
         auto* job = this->find_job(task_name.job);
         auto* task = job == nullptr ? nullptr : job->find_task(task_name);
         this->remove_placement(worker, task_name, job == nullptr ? "" : job->spec.account);
@@ -380,7 +421,36 @@
     }
     this->drop_acknowledgements(id);
     this->raise_fence(worker, now); // an order in flight may reach the worker if it lives and comes back
+    if (kept > 0) {
+        return false;
+    }
     this->workers.erase(found);
+    return true;
+}
+
+std::optional<std::pair<loss_evidence, std::string_view>>
+scheduler::impl::find_loss(const std::string& id, const worker_control& worker, boot_time now) const {
+    using evidence = std::pair<loss_evidence, std::string_view>;
+    if (this->vm_list_as_of > worker.unanswered_since) {
+        const auto vm = this->vms.find(worker.vm);
+        const bool is_known = vm != this->vms.end();
+        if (!worker.vm.empty() && !is_known) {
+            return evidence(loss_evidence::replaced, "the VM is gone");
+        }
+        if (is_known && !vm->second.worker.empty() && vm->second.worker != id) {
+            return evidence(loss_evidence::replaced, "the VM runs another worker");
+        }
+        if (!this->vm_of_worker.contains(id)) {
+            return evidence(loss_evidence::vm_not_up, "no VM runs the worker");
+        }
+        if (is_known && vm->second.condition != vm_condition::up) {
+            return evidence(loss_evidence::vm_not_up, "the VM is not up");
+        }
+    }
+    if (now > worker.lease_bound) {
+        return evidence(loss_evidence::leases_expired, "all leases have expired");
+    }
+    return std::nullopt;
 }
 
 void scheduler::impl::check_unresponsive_workers(boot_time now) {
@@ -388,39 +458,30 @@
         return;
     }
     this->last_worker_check = now;
-    std::vector<std::pair<std::string, std::string_view>> lost;
+    std::vector<std::string> unresponsive;
     for (const auto& [id, worker] : this->workers) {
         const bool missed_two_holds = worker.unanswered_holds >= 2;
-        if (!missed_two_holds) {
+        if (missed_two_holds && !(worker.listed && worker.tasks.empty())) {
+            unresponsive.push_back(id);
+        }
+    }
+    for (const auto& id : unresponsive) {
+        const auto& worker = this->workers.at(id);
+        const auto loss = this->find_loss(id, worker, now);
+        if (!loss) {
             continue;
         }
-        const auto vm = this->vm_of_worker.find(id);
-        const bool list_is_newer = this->vm_list_as_of > worker.unanswered_since;
-        if (list_is_newer && vm == this->vm_of_worker.end()) {
-            lost.emplace_back(id, "no VM runs the worker");
-        } else if (list_is_newer && this->vms[vm->second].condition != vm_condition::up) {
-            lost.emplace_back(id, "the VM is not up");
-        } else if (now > worker.lease_bound) {
-            lost.emplace_back(id, "all leases have expired");
-        }
-    }
-    for (const auto& [id, reason] : lost) {
-        const auto worker = this->workers.find(id);
-        const bool keep = worker->second.listed && worker->second.tasks.empty();
-        if (!keep) {
-            auto entry = worker->second.entry;
-            const bool listed = worker->second.listed;
-            this->declare_worker_lost(id, reason, now);
-            if (listed) { // its holds continue, because it may recover
-                auto& relisted = this->workers[id];
-                relisted.entry = std::move(entry);
-                relisted.listed = true;
-                relisted.listed_since = now;
-                relisted.unanswered_holds = 2;
-                relisted.unanswered_since = now;
-                relisted.next_hold = now + this->timings.hold_retry * 2;
-                relisted.lease_bound = now;
-            }
+        const bool listed = worker.listed;
+        auto entry = worker.entry;
+        if (this->declare_worker_lost(id, loss->first, loss->second, now) && listed) {
+            auto& relisted = this->workers[id]; // its holds continue, because it may recover
+            relisted.entry = std::move(entry);
+            relisted.listed = true;
+            relisted.listed_since = now;
+            relisted.unanswered_holds = 2;
+            relisted.unanswered_since = now;
+            relisted.next_hold = now + this->timings.hold_retry * 2;
+            relisted.lease_bound = now;
         }
     }
 }
@@ -545,7 +606,7 @@
         state.accept_report(worker, order, report, now);
         return;
     case order_outcome::other_worker:
-        state.declare_worker_lost(target.id, "another worker uses the address", now);
+        state.declare_worker_lost(target.id, loss_evidence::replaced, "another worker uses the address", now);
         return;
     case order_outcome::fenced:
         if (order.fence == state.fence_of(worker)) {
@@ -593,8 +654,12 @@
     state.vms.clear();
     for (const auto& vm : vms) {
         state.vms[vm.id] = vm;
-        if (!vm.worker.empty()) {
-            state.vm_of_worker[vm.worker] = vm.id;
+        if (vm.worker.empty()) {
+            continue;
+        }
+        state.vm_of_worker[vm.worker] = vm.id;
+        if (const auto worker = state.workers.find(vm.worker); worker != state.workers.end()) {
+            worker->second.vm = vm.id;
         }
     }
     std::erase_if(state.unserved_since, [&](const auto& item) { return !state.vms.contains(item.first); });
@@ -614,7 +679,7 @@
         const bool is_replaced = !vm->second.worker.empty() && vm->second.worker != worker;
         if (is_out_of_service || is_replaced) {
             this->declare_worker_lost(
-                worker,
+                worker, loss_evidence::replaced,
                 is_out_of_service ? "the VM is in a move or maintenance" : "the VM runs another worker", now);
         }
     }
--- a/tests/manual_site.hpp
+++ b/tests/manual_site.hpp
@@ -148,6 +148,15 @@
         this->schedule.on_hold_report(hold.worker, hold.order, report_of({}, 1, {end}), this->now);
     }
 
+    /// Lets the holds of the worker end without an answer for @p span.
+    void be_silent(const std::string& worker, milliseconds span) {
+        for (const auto until = this->now + span; this->now < until;) {
+            const auto& hold = this->holds.at(worker).back();
+            this->schedule.on_hold_report(hold.worker, hold.order, {}, this->now);
+            this->run(milliseconds(50));
+        }
+    }
+
     /// Answers the first two holds of a new worker: from then on it takes tasks.
     void confirm(const std::string& worker) {
         this->run(milliseconds(20));
@@ -195,4 +204,14 @@
     std::int32_t partition_without_drops = -1; ///< refuses them whatever `drop_succeeds` is
 };
 
+/// @return a VM of the pool "pool" that is up
+inline vm_entry vm_of(const std::string& id, const std::string& worker) {
+    return {.id = id,
+            .pool = "pool",
+            .condition = vm_condition::up,
+            .zone = "zone-a",
+            .capacity = {.cpu_millicores = 32000, .memory_mb = 65536},
+            .worker = worker};
+}
+
 } // namespace hornbeamrail::test
--- a/tests/promise_site.hpp
+++ b/tests/promise_site.hpp
@@ -76,8 +76,9 @@
     int vms = 4;
     int spare_vms = 0;
     milliseconds length{20000};
-    double failure_share = 0;    ///< of long-running tasks that fail by themselves in 2 s
-    bool entries_repeat = false; ///< see `scheduler_site::entries_repeat`
+    double failure_share = 0;              ///< of long-running tasks that fail by themselves in 2 s
+    bool entries_repeat = false;           ///< see `scheduler_site::entries_repeat`
+    bool orders_outlive_processes = false; ///< see `scheduler_site::orders_outlive_processes`
     std::vector<submission> jobs;
     std::vector<site_event> events;
 };
@@ -115,6 +116,7 @@
         : scheduler_site(played.seed), history(played), origin(this->now) {
         this->site.set_long_running_failures(played.failure_share, played.seed);
         this->entries_repeat = played.entries_repeat;
+        this->orders_outlive_processes = played.orders_outlive_processes;
         this->tick_span = milliseconds(4);
     }
 
@@ -801,7 +803,40 @@
         return made;
     }
 
+    /// Draws a history in which workers restart under their ids beside everything that keeps the scheduler
+    /// from noticing: orders and answers that are late or lost, an absent log, takeovers.
+    promise_history make_with_restarts() {
+        constexpr std::array restarts{trouble::restart, trouble::restart_earlier, trouble::restart_elsewhere};
+        constexpr std::array beside{trouble::late_orders,  trouble::late_orders, trouble::cut_answers,
+                                    trouble::cut_both,     trouble::log_silent,  trouble::log_slow,
+                                    trouble::slow_answers, trouble::takeover,    trouble::vm_list_down,
+                                    trouble::entries_lapse};
+        auto made = this->make();
+        this->random.seed(this->seed + 2'000'000); // does not depend on what `make` has drawn
+        made.orders_outlive_processes = this->chance(0.5);
+        made.events.clear();
+        for (milliseconds at{4000}; at < made.length - milliseconds(20000);
+             at += milliseconds(this->between(18000, 24000))) {
+            for (int number = this->between(1, 4); number > 0; --number) {
+                made.events.push_back(this->event_of(beside, at, 3000, made.vms));
+            }
+            for (int number = this->between(1, 3); number > 0; --number) {
+                made.events.push_back(this->event_of(restarts, at, 8000, made.vms));
+            }
+        }
+        return made;
+    }
+
 private:
+    template <std::size_t Count>
+    site_event event_of(const std::array<trouble, Count>& kinds, milliseconds from, int within, int vms) {
+        return {.at = from + milliseconds(this->between(0, within)),
+                .kind = kinds[static_cast<std::size_t>(this->between(0, static_cast<int>(Count) - 1))],
+                .duration = milliseconds(this->between(200, 8000)),
+                .count = this->between(1, vms),
+                .choice = this->random()};
+    }
+
     bool chance(double probability) {
         return std::uniform_real_distribution<double>(0, 1)(this->random) < probability;
     }
--- a/tests/scheduler_answers_test.cpp
+++ b/tests/scheduler_answers_test.cpp
@@ -20,15 +20,6 @@
             .max_unavailable = 1};
 }
 
-vm_entry vm_of(const std::string& id, const std::string& worker) {
-    return {.id = id,
-            .pool = "pool",
-            .condition = vm_condition::up,
-            .zone = "zone-a",
-            .capacity = {.cpu_millicores = 32000, .memory_mb = 65536},
-            .worker = worker};
-}
-
 } // namespace
 
 // Guards against a count of calls for advice in flight that never falls again: after four tickets refused
--- a/tests/scheduler_promise_test.cpp
+++ b/tests/scheduler_promise_test.cpp
@@ -70,9 +70,11 @@
 
 std::string describe(const promise_history& history) {
     std::ostringstream text;
-    text << fmt::format("  history: {} vms, {} spare, {} ms, failures {}, entries {}, seed {}\n", history.vms,
-                        history.spare_vms, history.length.count(), history.failure_share,
-                        history.entries_repeat ? "repeat" : "once", history.seed);
+    text << fmt::format(
+        "  history: {} vms, {} spare, {} ms, failures {}, entries {}, late orders {}, seed {}\n", history.vms,
+        history.spare_vms, history.length.count(), history.failure_share,
+        history.entries_repeat ? "repeat" : "once",
+        history.orders_outlive_processes ? "on their way" : "received", history.seed);
     for (const auto& item : history.jobs) {
         const auto& step = item.job.steps.front();
         text << fmt::format(
@@ -148,3 +150,9 @@
 BOOST_AUTO_TEST_CASE(work_goes_on_beside_planned_work) {
     play_seeds([](history_generator generator) { return generator.make_with_planned_work(); });
 }
+
+// Guards against values of one process of a worker that are applied to another one: a task runs twice, or not
+// at all.
+BOOST_AUTO_TEST_CASE(work_goes_on_beside_restarts_of_workers) {
+    play_seeds([](history_generator generator) { return generator.make_with_restarts(); });
+}
--- a/tests/scheduler_restart_test.cpp
+++ b/tests/scheduler_restart_test.cpp
@@ -61,6 +61,56 @@
     send_start first;
 };
 
+/// Two workers; on the first, one task runs and the start of another is not answered.
+struct site_with_an_open_start : manual_site {
+    site_with_an_open_start() {
+        this->add_worker("w-1");
+        this->confirm("w-1");
+        this->running = this->start(short_step());
+        this->answer(this->running, order_outcome::done);
+        this->open = this->start(short_step());
+        this->sent_at = this->now;
+        this->schedule.on_start_answer(this->open.worker, this->open.order, {}, this->now);
+        this->add_worker("w-2");
+        this->confirm("w-2");
+    }
+
+    send_start start(const step_spec& step) {
+        this->submit(step);
+        this->run(milliseconds(60));
+        BOOST_REQUIRE(!this->starts.empty());
+        return std::exchange(this->starts, {}).back();
+    }
+
+    /// @return whether the task has been started on the second worker
+    [[nodiscard]] bool is_started_elsewhere(const send_start& start) const {
+        return std::any_of(this->starts.begin(), this->starts.end(), [&](const auto& later) {
+            return later.order.task == start.order.task && later.worker.id == "w-2";
+        });
+    }
+
+    /// Answers the holds of the second worker while the first one is silent.
+    void go_on(milliseconds span) {
+        for (const auto until = this->now + span; this->now < until;) {
+            this->be_silent("w-1", milliseconds(50));
+            this->answer_hold("w-2");
+        }
+    }
+
+    /// Goes on until @p span after the start that is not answered.
+    void go_on_until(milliseconds span) {
+        this->go_on(std::chrono::duration_cast<milliseconds>(this->sent_at + span - this->now));
+    }
+
+    send_start running;
+    send_start open;
+    boot_time sent_at{};
+};
+
+/// Longest time after which an order without an answer is executed, and longest lease.
+constexpr milliseconds longest_delay{12000};
+constexpr milliseconds longest_lease{6000};
+
 } // namespace
 
 // Guards against a second run of a task that is done: the worker restarted between two holds while the log
@@ -201,3 +251,121 @@
     site.run(restart_limit + milliseconds(1000));
     BOOST_TEST(site.running_tasks(id) == 1);
 }
+
+// Guards against two runs of a task: its start order reaches a later process of the worker seconds later and
+// gets a lease of full length there.
+BOOST_AUTO_TEST_CASE(late_start_in_a_later_process_is_not_run_elsewhere) {
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+        scheduler_site site(seed);
+        site.entries_repeat = true;
+        site.orders_outlive_processes = true;
+        site.site.set_duration(milliseconds(5000));
+        site.add_vms(3);
+        site.take_over();
+        site.run(milliseconds(13000));       // the leases that a predecessor may have granted have expired
+        site.submit(long_running_job(1, 1)); // the next task goes to the worker in use
+        site.run(milliseconds(2000));
+        BOOST_REQUIRE(site.site.history().size() == 1);
+        const auto worker = site.site.history().front().worker;
+        site.late_workers = {worker};
+        const auto id = site.submit(batch_job(1));
+        site.run(milliseconds(150));
+        site.site.restart(worker == "w-1" ? "m-pool-0" : "m-pool-1", {}, site.now);
+        site.break_hold(worker);
+        site.run(milliseconds(7000));
+        site.late_workers.clear();
+        site.run(milliseconds(40000));
+        BOOST_TEST(site.state_of(id) == "completed", "seed " << seed);
+        for (const auto& violation : site.duplicate_runs()) {
+            BOOST_ERROR("seed " << seed << ": " << violation);
+        }
+    }
+}
+
+// Guards against the same in single steps: when the leases of the known process have expired, its run has
+// ended, but the order without an answer may still be executed.
+BOOST_FIXTURE_TEST_CASE(open_start_outlives_the_leases_of_the_known_process, site_with_an_open_start) {
+    this->go_on_until(longest_lease * 2 + milliseconds(1000));
+    BOOST_TEST(this->is_started_elsewhere(this->running));
+    this->go_on_until(longest_delay + longest_lease);
+    BOOST_TEST(!this->is_started_elsewhere(this->open));
+    this->go_on_until(longest_delay + longest_lease * 2 + milliseconds(1000));
+    BOOST_TEST(this->is_started_elsewhere(this->open));
+}
+
+// Guards against the same while the VM of the worker is down: it may come back under its id.
+BOOST_FIXTURE_TEST_CASE(open_start_outlives_the_loss_of_the_vm, site_with_an_open_start) {
+    this->set_vms({vm_of("m-1", "w-1"), vm_of("m-2", "w-2")}, this->now);
+    this->go_on_until(milliseconds(1000));
+    auto down = vm_of("m-1", "");
+    down.condition = vm_condition::down;
+    this->set_vms({down, vm_of("m-2", "w-2")}, this->now);
+    this->go_on_until(longest_delay - milliseconds(500));
+    BOOST_TEST(this->is_started_elsewhere(this->running));
+    BOOST_TEST(!this->is_started_elsewhere(this->open));
+    this->go_on_until(longest_delay + milliseconds(500));
+    BOOST_TEST(this->is_started_elsewhere(this->open));
+}
+
+// Guards against a task that waits although its worker does not come back: its VM runs another one.
+BOOST_FIXTURE_TEST_CASE(open_start_ends_when_another_worker_runs_on_the_vm, site_with_an_open_start) {
+    this->set_vms({vm_of("m-1", "w-1"), vm_of("m-2", "w-2")}, this->now);
+    this->go_on_until(milliseconds(1000));
+    auto down = vm_of("m-1", "");
+    down.condition = vm_condition::down;
+    this->set_vms({down, vm_of("m-2", "w-2")}, this->now);
+    this->go_on_until(milliseconds(2000));
+    BOOST_TEST(!this->is_started_elsewhere(this->open));
+    this->set_vms({vm_of("m-1", "w-3"), vm_of("m-2", "w-2")}, this->now);
+    this->go_on_until(milliseconds(3000));
+    BOOST_TEST(this->is_started_elsewhere(this->open));
+}
+
+// Guards against leases that are computed from the clock of another process: the answer to an order of before
+// the restart arrives after it.
+BOOST_AUTO_TEST_CASE(answer_of_an_earlier_process_does_not_set_the_clock) {
+    manual_site site;
+    site.add_worker("w-1");
+    site.confirm("w-1");
+    const stop_order stop{.task = {.job = "a"}, .run = 1};
+    site.schedule.on_stop_answer({.id = "w-1"}, stop,
+                                 {.outcome = order_outcome::done, .worker_clock = std::chrono::hours(1)},
+                                 site.now);
+    site.submit(short_step());
+    site.run(milliseconds(60));
+    BOOST_REQUIRE(site.starts.size() == 1);
+    BOOST_TEST((site.starts.front().order.lease_until < milliseconds(10000)));
+}
+
+// Guards against a start order to a worker that has stopped answering while the start was recorded.
+BOOST_AUTO_TEST_CASE(recorded_start_is_not_sent_to_a_silent_worker) {
+    manual_site site;
+    site.add_worker("w-1");
+    site.confirm("w-1");
+    site.log_answers = false;
+    site.submit(short_step());
+    site.run(milliseconds(60));
+    BOOST_REQUIRE(site.starts.empty());
+    site.be_silent("w-1", milliseconds(100));
+    site.log_answers = true;
+    site.answer_appends();
+    site.run(milliseconds(100));
+    BOOST_TEST(site.starts.empty());
+}
+
+// Guards against two runs of a task: a worker lists a run of it that counted as missing, and it is started
+// elsewhere while that run is being stopped.
+BOOST_FIXTURE_TEST_CASE(task_waits_until_a_listed_run_has_ended, site_with_an_open_start) {
+    constexpr bool draining = true;
+    this->add_worker("w-2", 1, draining);
+    this->be_silent("w-1", milliseconds(50));
+    this->answer_hold("w-1"); // the task is not listed, so it waits
+    this->run(milliseconds(30));
+    this->answer_hold("w-1", {{.task = this->open.order.task, .run = 1}});
+    this->add_worker("w-2", 1, !draining);
+    this->run(milliseconds(100));
+    BOOST_TEST(!this->is_started_elsewhere(this->open));
+    this->answer_hold("w-1");
+    this->run(milliseconds(1000));
+    BOOST_TEST(this->is_started_elsewhere(this->open));
+}
--- a/tests/scheduler_site.hpp
+++ b/tests/scheduler_site.hpp
@@ -293,9 +293,10 @@
     std::set<std::string> cut_workers;        ///< workers that no order reaches
     std::set<std::string> unanswered_workers; ///< workers that execute orders and whose answers are lost
     bool reports_are_unreadable = false;      ///< reports of workers arrive without their rows
-    std::set<std::string> late_workers; ///< workers that carry out orders seconds later, without an answer
-    bool entries_repeat = false;        ///< workers write their entries again every `entry_interval`
-    bool is_powered = true;             ///< false: no node runs the scheduler
+    std::set<std::string> late_workers;    ///< workers that carry out orders seconds later, without an answer
+    bool orders_outlive_processes = false; ///< late orders are on their way, not in the process of the worker
+    bool entries_repeat = false;           ///< workers write their entries again every `entry_interval`
+    bool is_powered = true;                ///< false: no node runs the scheduler
     milliseconds tick_span{2};
     milliseconds append_delay{0};      ///< added to the answer of an append
     milliseconds answer_jitter{0};     ///< upper limit of a random delay of the answers of workers
@@ -404,11 +405,12 @@
         return milliseconds(limit == 0 ? 0 : static_cast<std::int64_t>(this->random() % limit));
     }
 
-    /// Runs @p order after @p delay, unless the worker process that has received it has ended by then.
+    /// Runs @p order after @p delay. If the worker process has ended by then that ran when the order was
+    /// sent, the order is lost with it, unless it is still on its way.
     void carry_out_late(const std::string& worker, milliseconds delay, std::function<void()> order) {
         const auto received_by = this->site.instance_start_of(worker);
         this->schedule_event(delay, [this, worker, received_by, order = std::move(order)] {
-            if (this->site.instance_start_of(worker) == received_by) {
+            if (this->orders_outlive_processes || this->site.instance_start_of(worker) == received_by) {
                 order();
             }
         });
