A worker that restarts twice is found at its new address

Cause: the entry of a process whose clock is behind is kept aside until an answer decides. Two processes followed each other; the late answer of the first counted as a restart, and the restart dropped the entry aside, which named the address of the second. Change: a restart that an answer shows drops the entry aside only if the hold was sent after the entry had arrived, as an answer of the known process does. Why it works: an answer to an earlier hold says nothing of processes that started after it.

--- a/src/scheduler/scheduler_impl.hpp
+++ b/src/scheduler/scheduler_impl.hpp
@@ -511,6 +511,9 @@
     void restart_worker(worker_control& worker, const worker_entry& entry, boot_time now);
     /// Sets the worker to listed.
     static void mark_listed(worker_control& worker, boot_time now);
+    /// Drops `earlier_entry` once a process has answered a hold that was sent after it arrived. The answer to
+    /// an earlier hold may be of a process that has ended.
+    static void drop_outdated_entry(worker_control& worker);
     /// Continues with the process of `earlier_entry`, which is present.
     void accept_earlier_entry(worker_control& worker, boot_time now);
     /// Forgets which ends are to be acknowledged to the worker: the numbers belong to one process.
--- a/src/scheduler/scheduler_workers.cpp
+++ b/src/scheduler/scheduler_workers.cpp
@@ -357,6 +357,12 @@
     }
 }
 
+void scheduler::impl::drop_outdated_entry(worker_control& worker) {
+    if (worker.hold_sent > worker.earlier_entry_at) {
+        worker.earlier_entry.reset();
+    }
+}
+
 void scheduler::impl::accept_earlier_entry(worker_control& worker, boot_time now) {
     const auto entry = *std::exchange(worker.earlier_entry, std::nullopt);
     this->restart_worker(worker, entry, now);
@@ -368,7 +374,6 @@
               {{"worker", entry.id}, {"tasks", worker.tasks.size()}, {"fence", this->fence_of(worker)}});
     this->drop_acknowledgements(entry.id);
     worker.entry = entry;
-    worker.earlier_entry.reset();
     worker.process = {};
     for (auto& [id, placed] : worker.tasks) {
         placed.ready = false;
@@ -596,12 +601,11 @@
             }
             auto entry = worker.entry;
             entry.instance_started_ms = report.instance_started_ms;
+            impl::drop_outdated_entry(worker);
             state.restart_worker(worker, entry, now);
             return;
         }
-        if (worker.hold_sent > worker.earlier_entry_at) {
-            worker.earlier_entry.reset(); // an answer to an earlier hold may be of a process that has ended
-        }
+        impl::drop_outdated_entry(worker);
         worker.fenced_since.reset();
         state.accept_report(worker, order, report, now);
         return;
--- a/tests/scheduler_restart_test.cpp
+++ b/tests/scheduler_restart_test.cpp
@@ -235,6 +235,26 @@
     }
 }
 
+// Guards against the same with two restarts: the late answer of the first of two processes that the scheduler
+// does not know yet dropped the entry of the second one.
+BOOST_AUTO_TEST_CASE(late_answer_between_two_restarts_does_not_hide_the_new_address) {
+    for (std::uint64_t seed = 1; seed <= 100; ++seed) {
+        scheduler_site site(seed);
+        const auto id = run_one_task(site);
+        site.answer_jitter = milliseconds(800);
+        site.run(milliseconds(1200));
+        site.site.restart("m-pool-0", {.clock_stepped_back = true}, site.now);
+        site.break_hold("w-1");
+        site.run(milliseconds(100 + 10 * static_cast<int>(seed)));
+        site.site.restart("m-pool-0", {.clock_stepped_back = true, .new_address = true}, site.now);
+        site.break_hold("w-1");
+        site.run(milliseconds(1500));
+        site.answer_jitter = milliseconds(0);
+        site.run(restart_limit + milliseconds(1000));
+        BOOST_TEST(site.running_tasks(id) == 1, "seed " << seed);
+    }
+}
+
 // Guards against a worker that stays unlisted: its only entry came before its hold showed that its clock had
 // stepped back.
 BOOST_AUTO_TEST_CASE(entry_before_the_first_answer_of_a_restarted_worker_lists_it) {
