Work that must not wait may exceed a limit of which little is used

Cause: a start was permitted only within the limit. What lies between was neither served nor refused: tasks of more than half a lowered limit, and tasks or gangs above any limit. Change: policy/account_limit decides for tasks, gangs, reserved starts and restarts alike. Beyond the limit it permits work that must not wait, if less than half is used, all but the last task stay within the tolerance, and no other start of the account is open. Pools count such work as demand. A gang that its account may never run is answered 429 when it is handed in. Why it works: LOST's condition for a job implies permission, and each start exceeds the limit by one task at most, in whatever order starts are executed.

--- a/src/protocol/platform_port.hpp
+++ b/src/protocol/platform_port.hpp
@@ -304,6 +304,8 @@
     std::chrono::milliseconds restore_time{100}; ///< time that a task takes to resume from a checkpoint
     /// Time for which a latency-sensitive task may miss its target.
     std::chrono::milliseconds latency_violation_limit{4000};
+    /// Share of its upper limit by which what an account runs may exceed it.
+    double upper_limit_tolerance = 0;
     std::chrono::milliseconds stop_grace{6000};     ///< time between SIGTERM and SIGKILL
     std::chrono::milliseconds vm_move{1500};        ///< duration of the move of a VM
     std::chrono::milliseconds vm_maintenance{2000}; ///< duration of the maintenance of a VM
--- a/src/scheduler/scheduler_impl.hpp
+++ b/src/scheduler/scheduler_impl.hpp
@@ -2,6 +2,7 @@
 
 // Internal to src/scheduler: the state of `scheduler`. Each scheduler_*.cpp file implements one subject.
 
+#include "policy/account_limit.hpp"
 #include "policy/account_share.hpp"
 #include "policy/job_order.hpp"
 #include "policy/pool_moves.hpp"
@@ -625,7 +626,10 @@
     /// Sets the task to placed and adds it to the worker.
     placement& assign(job_progress& job, const task_id& id, task_progress& task, worker_control& worker,
                       std::int64_t run, boot_time now);
-    [[nodiscard]] bool is_within_upper_limit(const std::string& account, const resources& need) const;
+    /// @return whether a start of the account is being recorded or may be executed later
+    [[nodiscard]] bool has_open_starts(const std::string& account) const;
+    /// @return whether the upper limit of the job's account permits the start
+    [[nodiscard]] bool is_within_upper_limit(const job_progress& job, limited_start start) const;
     /// @return the first reason for which the worker receives no new tasks, in the order of `worker_block`
     [[nodiscard]] worker_block find_block(const worker_control& worker, boot_time now) const;
     [[nodiscard]] accepting_workers find_accepting_workers(const std::string& pool, boot_time now);
--- a/src/scheduler/scheduler_moves.cpp
+++ b/src/scheduler/scheduler_moves.cpp
@@ -16,8 +16,21 @@
 /// A move that does not show in a VM list within this time is no longer expected.
 constexpr milliseconds move_timeout{4000};
 
-/// CPU that accounts may still use, in millicores, by account; those without an upper limit have no entry.
-using account_rooms = std::map<std::string_view, double>;
+/// CPU that an account may still use, in millicores.
+struct account_room {
+    double left = 0;
+    double upper_limit = 0;
+
+    /// @return how much of @p wanted the account may use, by the rules of `account_limit`
+    [[nodiscard]] double clip(double wanted, double task, bool must_not_wait) const {
+        const bool may_exceed = must_not_wait && this->left * 2 > this->upper_limit;
+        const auto most = may_exceed ? std::max(this->left, task) : this->left;
+        return std::clamp(wanted, 0.0, std::max(0.0, most));
+    }
+};
+
+/// Rooms by account; accounts without an upper limit have no entry.
+using account_rooms = std::map<std::string_view, account_room>;
 
 /// Adds the needs of the job's tasks that are ready to start and could run on another VM of its pool.
 /// Best-effort tasks need no VM of their own.
@@ -33,8 +46,9 @@
             }
             auto waiting = static_cast<double>(occurrence.steps[step].waiting) * need;
             if (room != rooms.end()) {
-                waiting = std::clamp(waiting, 0.0, std::max(0.0, room->second));
-                room->second -= waiting;
+                const bool must_not_wait = spec.long_running || job.active_tasks() == 0;
+                waiting = room->second.clip(waiting, need, must_not_wait);
+                room->second.left -= waiting;
             }
             load.waiting_millicores += waiting;
             if (spec.long_running) {
@@ -111,11 +125,12 @@
     }
     account_rooms rooms;
     for (const auto& account : this->config->accounts) {
-        const auto used = this->account_use.find(account.name);
-        if (account.upper_limit.cpu_millicores > 0) {
-            rooms[account.name] =
-                static_cast<double>(account.upper_limit.cpu_millicores -
-                                    (used == this->account_use.end() ? 0 : used->second.cpu_millicores));
+        const auto found = this->account_use.find(account.name);
+        const auto used = found == this->account_use.end() ? 0 : found->second.cpu_millicores;
+        const auto upper_limit = account.upper_limit.cpu_millicores;
+        if (upper_limit > 0) {
+            rooms[account.name] = {.left = static_cast<double>(upper_limit - used),
+                                   .upper_limit = static_cast<double>(upper_limit)};
         }
     }
     for (const auto& [id, job] : this->jobs) {
--- a/src/scheduler/scheduler_placement.cpp
+++ b/src/scheduler/scheduler_placement.cpp
@@ -8,10 +8,6 @@
 
 namespace {
 
-bool fits_upper_limit(std::int64_t used, std::int64_t need, std::int64_t upper_limit) {
-    return upper_limit <= 0 || used + need <= upper_limit;
-}
-
 std::int32_t tasks_of_step(const worker_control& worker, const task_id& step) {
     const task_id first{.job = step.job, .occurrence = step.occurrence, .step = step.step, .index = 0};
     std::int32_t count = 0;
@@ -27,17 +23,30 @@
 
 } // namespace
 
-bool scheduler::impl::is_within_upper_limit(const std::string& account, const resources& need) const {
+bool scheduler::impl::is_within_upper_limit(const job_progress& job, limited_start start) const {
+    const auto& account = job.spec.account;
     const auto* config_entry = account.empty() ? nullptr : this->config->find_account(account);
     if (config_entry == nullptr) {
         return true;
     }
-    const auto found = this->account_use.find(account);
-    const auto used = found == this->account_use.end() ? resources{} : found->second;
-    return fits_upper_limit(used.cpu_millicores, need.cpu_millicores,
-                            config_entry->upper_limit.cpu_millicores) &&
-           fits_upper_limit(used.memory_mb, need.memory_mb, config_entry->upper_limit.memory_mb) &&
-           fits_upper_limit(used.accelerators, need.accelerators, config_entry->upper_limit.accelerators);
+    const account_limit limit{.upper_limit = config_entry->upper_limit,
+                              .tolerance = this->options.limits.upper_limit_tolerance};
+    const auto used = this->account_use.find(account);
+    start.must_not_wait = start.must_not_wait || job.active_tasks() == 0;
+    const auto verdict = limit.check(used == this->account_use.end() ? resources{} : used->second, start);
+    return verdict == limit_verdict::within ||
+           (verdict == limit_verdict::beyond && !this->has_open_starts(account));
+}
+
+bool scheduler::impl::has_open_starts(const std::string& account) const {
+    return std::any_of(this->workers.begin(), this->workers.end(), [&](const auto& item) {
+        const auto& tasks = item.second.tasks;
+        return std::any_of(tasks.begin(), tasks.end(), [&](const auto& task) {
+            const auto job = this->jobs.find(task.first.job);
+            const bool is_open = task.second.is_starting() || task.second.is_unresolved();
+            return is_open && job != this->jobs.end() && job->second->spec.account == account;
+        });
+    });
 }
 
 void scheduler::impl::apply_step_rules(accepting_workers& candidates, const step_spec& step,
@@ -137,7 +146,7 @@
             this->dispatch_due = this->dispatch_due || now < task.retry_at;
             continue;
         }
-        if (!this->is_within_upper_limit(job.spec.account, step.need)) {
+        if (!this->is_within_upper_limit(job, start_of_task(step))) {
             return false;
         }
         if (!log_late && this->has_enough_starts()) {
@@ -217,9 +226,11 @@
         }
         run = std::max(run, task.run);
     }
+    if (!this->is_within_upper_limit(job, start_of_gang(step))) {
+        return false;
+    }
     auto trial = views;
     std::vector<std::size_t> assignment; // index of the worker of each member
-    resources total;
     placement_request request{.need = step.need,
                               .data_rack = step.data_rack,
                               .max_per_worker = step.max_per_worker,
@@ -228,14 +239,10 @@
                                                     : std::string_view()};
     for (std::size_t index = 0; index < tasks.size(); ++index) {
         const auto choice = choose_worker(trial, request);
-        total += step.need;
         if (!choice) {
             note_held_back(job, request, trial, controls, now);
             return false;
         }
-        if (!this->is_within_upper_limit(job.spec.account, total)) {
-            return false;
-        }
         trial[*choice].available -= request.need;
         ++trial[*choice].same_step_tasks;
         assignment.push_back(*choice);
--- a/src/scheduler/scheduler_waiting.cpp
+++ b/src/scheduler/scheduler_waiting.cpp
@@ -132,7 +132,7 @@
                {"workers_not_allowed", not_allowed},
                {"blocked_workers", std::move(blocked)},
                {"failed_on", task->worker},
-               {"account_at_limit", !this->is_within_upper_limit(job.spec.account, step.need)},
+               {"account_at_limit", !this->is_within_upper_limit(job, start_of_task(step))},
                {"log_late", this->log_is_late(now)},
                {"overdue_tasks", total}});
 }
--- a/src/site/site_node.hpp
+++ b/src/site/site_node.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "policy/account_limit.hpp"
 #include "protocol/durations.hpp"
 #include "protocol/json_log.hpp"
 #include "scheduler/scheduler.hpp"
--- a/src/site/site_node_callers.hpp
+++ b/src/site/site_node_callers.hpp
@@ -174,9 +174,15 @@
     job->attempts = queue.attempts;
     const auto* account = queue.open ? nullptr : this->operators.config()->account_of_key(call.key);
     job->account = account == nullptr ? std::string() : account->name;
+    const auto& limits = this->options.settings.limits;
+    if (account != nullptr &&
+        !site_node_detail::may_run_gangs(
+            *job, {.upper_limit = account->upper_limit, .tolerance = limits.upper_limit_tolerance})) {
+        return site_node_detail::beyond_upper_limit(account->name);
+    }
     job->submitted = site_node_detail::wall_clock_now();
     keyed_record record{.key = id, .value = boost::json::serialize(to_json(*job))};
-    if (bytes_in_log(record) > this->options.settings.limits.appends.max_record_bytes) {
+    if (bytes_in_log(record) > limits.appends.max_record_bytes) {
         return site_node_detail::too_large();
     }
     is_deferred = true;
--- a/src/site/site_node_impl.hpp
+++ b/src/site/site_node_impl.hpp
@@ -33,6 +33,20 @@
                                "divide the job into several jobs", "not_run");
 }
 
+/// @return the answer to a job with a gang that its account may never run
+inline http_response beyond_upper_limit(const std::string& account) {
+    return make_error_response(
+        429, "beyond_upper_limit", "a gang of the job needs more than account " + account + " may use",
+        "make the gang smaller, or ask the operators for a higher upper limit", "not_run");
+}
+
+/// @return whether the account may run each gang of the job while it runs nothing else
+inline bool may_run_gangs(const job_spec& job, const account_limit& limit) {
+    return std::all_of(job.steps.begin(), job.steps.end(), [&limit](const step_spec& step) {
+        return !step.gang || limit.can_ever_permit(start_of_gang(step));
+    });
+}
+
 /// @param success_status status if the record was stored
 /// @return the answer to a request whose record was to be stored
 inline http_response answer_to_store(store_outcome outcome, int success_status) {
--- a/tests/job_policy_test.cpp
+++ b/tests/job_policy_test.cpp
@@ -1,3 +1,4 @@
+#include "policy/account_limit.hpp"
 #include "policy/account_share.hpp"
 #include "policy/job_order.hpp"
 #include "policy/pool_moves.hpp"
@@ -274,3 +275,46 @@
     }
     BOOST_TEST(plan_wave_step(status, candidates).drain == first, boost::test_tools::per_element());
 }
+
+namespace {
+
+constexpr account_limit limit_of_ten_cores{.upper_limit = {.cpu_millicores = 10000, .memory_mb = 10000},
+                                           .tolerance = 0.1};
+
+resources cores(std::int64_t millicores) {
+    return {.cpu_millicores = millicores};
+}
+
+} // namespace
+
+// Guards against work that waits for ever: its account uses little, and still it does not fit into what is
+// left of the upper limit.
+BOOST_AUTO_TEST_CASE(work_that_must_not_wait_exceeds_the_limit_of_an_account_that_uses_little) {
+    const auto check = [](const resources& used, const limited_start& start) {
+        return limit_of_ten_cores.check(used, start);
+    };
+    const limited_start idle{.total = cores(6500), .task = cores(6500), .must_not_wait = true};
+    BOOST_TEST((check(cores(3500), idle) == limit_verdict::within));
+    BOOST_TEST((check(cores(3900), idle) == limit_verdict::beyond));
+    BOOST_TEST((check(cores(4999), idle) == limit_verdict::beyond));
+    BOOST_TEST((check(cores(5000), idle) == limit_verdict::denied)); // half of the limit
+    auto patient = idle;
+    patient.must_not_wait = false;
+    BOOST_TEST((check(cores(3900), patient) == limit_verdict::denied));
+    BOOST_TEST((check(cores(3500), patient) == limit_verdict::within));
+    const limited_start huge{.total = cores(90000), .task = cores(90000), .must_not_wait = true};
+    BOOST_TEST((check(cores(4999), huge) == limit_verdict::beyond)); // one task more
+    BOOST_TEST((check({.cpu_millicores = 3900, .memory_mb = 5000}, idle) == limit_verdict::denied));
+}
+
+// Guards against starts that bring an account above its limit by more than the tolerance and one task.
+BOOST_AUTO_TEST_CASE(gang_exceeds_the_limit_by_the_tolerance_and_one_task_at_most) {
+    const auto& limit = limit_of_ten_cores;
+    const auto gang_of = [](int members) {
+        return limited_start{.total = cores(1000 * members), .task = cores(1000), .must_not_wait = true};
+    };
+    BOOST_TEST((limit.check(cores(4000), gang_of(8)) == limit_verdict::beyond));
+    BOOST_TEST((limit.check(cores(4000), gang_of(9)) == limit_verdict::denied));
+    BOOST_TEST(limit.can_ever_permit(gang_of(12)));
+    BOOST_TEST(!limit.can_ever_permit(gang_of(13)));
+}
--- a/tests/scheduler_promise_test.cpp
+++ b/tests/scheduler_promise_test.cpp
@@ -156,3 +156,9 @@
 BOOST_AUTO_TEST_CASE(work_goes_on_beside_restarts_of_workers) {
     play_seeds([](history_generator generator) { return generator.make_with_restarts(); });
 }
+
+// Guards against a job that waits for its account's limit although the account uses little, and against
+// starts beyond the limit.
+BOOST_AUTO_TEST_CASE(work_goes_on_under_lowered_limits) {
+    play_seeds([](history_generator generator) { return generator.make_with_lowered_limits(); });
+}
--- a/tests/scheduler_test.cpp
+++ b/tests/scheduler_test.cpp
@@ -47,6 +47,45 @@
     BOOST_TEST(peak == 15); // the limit is used and not exceeded
 }
 
+// Guards against a job that never starts although its account uses little: the limit was lowered, and the
+// task is larger than what a long-running one leaves of it.
+BOOST_AUTO_TEST_CASE(task_beyond_the_rest_of_a_lowered_limit_starts) {
+    scheduler_site site(2);
+    site.add_vms(4);
+    site.take_over();
+    auto lasting = long_running_job(1, 1);
+    lasting.account = "team";
+    lasting.steps.front().need.cpu_millicores = 3900;
+    site.submit(lasting);
+    site.run(milliseconds(1000));
+    auto lowered = site.current_config();
+    lowered.accounts.front().upper_limit = {.cpu_millicores = 10000};
+    site.publish_config(lowered);
+    const auto id = site.submit(batch_job(3, 6500));
+    site.run(milliseconds(500));
+    BOOST_TEST(site.running_tasks(id) == 1); // the others would exceed the limit by more than one task
+    site.run(milliseconds(4000));
+    BOOST_TEST(site.state_of(id) == "completed");
+}
+
+// Guards against a pool that gets no VM for such a task.
+BOOST_AUTO_TEST_CASE(task_beyond_the_rest_of_the_limit_gets_a_vm) {
+    scheduler_site site(2);
+    site.add_vms(1);
+    site.add_vms(2, "spare");
+    site.take_over();
+    auto lowered = site.current_config();
+    lowered.accounts.front().upper_limit = {.cpu_millicores = 1000};
+    site.publish_config(lowered);
+    auto filling = long_running_job(1, 1);
+    filling.steps.front().need.cpu_millicores = 30000;
+    site.submit(filling);
+    site.run(milliseconds(5000));
+    const auto id = site.submit(batch_job(1, 6500));
+    site.run(milliseconds(8000));
+    BOOST_TEST(site.state_of(id) == "completed");
+}
+
 BOOST_AUTO_TEST_CASE(cancelled_job_is_gone_within_its_bound) {
     scheduler_site site(3);
     site.add_vms(6);
