An entry with another address moves no worker that answers

Another writer had written an entry under a worker's id, with the address of another worker. Cause: the entry replaced the worker's address, and the answer of the other worker there counted as proof that the first one had ended. Change: the address where a process has answered is kept with what is known of it. An entry with another address, without a later start, is kept aside until an answer decides, and "another worker" ends a worker only at the address where it has answered. Why it works: a process does not move, so either it answers where it is known, or the entry is adopted after a hold without an answer and no run ends before the list of VMs or the leases show it.

--- a/src/scheduler/scheduler_impl.hpp
+++ b/src/scheduler/scheduler_impl.hpp
@@ -167,6 +167,7 @@
 /// What the scheduler has learned from one process of a worker. None of it holds for another process of the
 /// same worker, so a restart replaces the whole.
 struct worker_process {
+    endpoint address;                       ///< where it has answered; port 0: it has not answered yet
     std::int64_t applied_end = 0;           ///< number of the last end that was applied in memory
     std::set<std::int64_t> unrecorded_ends; ///< numbers of the applied ends that are not in the log
     std::int64_t acknowledged_end = 0;      ///< number of the last end that it has been told to discard
@@ -209,13 +210,14 @@
     worker_entry entry;
     std::string vm;      ///< that the latest list with the worker names; empty: none
     bool listed = false; ///< its entry is in the workers topic
-    /// Entry of a process with an earlier start than the known one: it was written late, or the clock has
-    /// been set back. The next answer to a hold decides; without an answer the entry is adopted.
-    std::optional<worker_entry> earlier_entry;
-    boot_time earlier_entry_at{}; ///< when `earlier_entry` arrived
-    boot_time listed_since{};     ///< when `listed` last changed
-    bool confirmed = false;       ///< has answered a hold with the current fence
-    worker_process process;       ///< the process that has answered last
+    /// Entry that contradicts the known process: of an earlier start, because it was written late or the
+    /// clock has been set back, or with another address. The next answer to a hold decides; without an answer
+    /// the entry is adopted.
+    std::optional<worker_entry> doubtful_entry;
+    boot_time doubtful_entry_at{}; ///< when `doubtful_entry` arrived
+    boot_time listed_since{};      ///< when `listed` last changed
+    bool confirmed = false;        ///< has answered a hold with the current fence
+    worker_process process;        ///< the process that has answered last
     bool hold_in_flight = false;
     bool hold_acknowledges = false; ///< the hold in flight acknowledges ends
     bool ends_held_up = false;      ///< a hold could not acknowledge ends because of starts in flight
@@ -504,6 +506,8 @@
     void send_hold_order(worker_control& worker, boot_time now);
     void accept_report(worker_control& worker, const hold_order& order, const hold_report& report,
                        boot_time now);
+    void note_unanswered_hold(worker_control& worker, const hold_order& order, const hold_report& report,
+                              boot_time now);
     /// Compares the runs in the report with the placements: stops unknown runs, requeues missing ones.
     void reconcile(worker_control& worker, const hold_order& order, const hold_report& report, boot_time now);
     /// Continues with a new process of the worker. Runs of the earlier process have ended; the new one may
@@ -512,11 +516,11 @@
     void restart_worker(worker_control& worker, const worker_entry& entry, boot_time now);
     /// Sets the worker to listed.
     static void mark_listed(worker_control& worker, boot_time now);
-    /// Drops `earlier_entry` once a process has answered a hold that was sent after it arrived. The answer to
-    /// an earlier hold may be of a process that has ended.
-    static void drop_outdated_entry(worker_control& worker);
-    /// Continues with the process of `earlier_entry`, which is present.
-    void accept_earlier_entry(worker_control& worker, boot_time now);
+    /// Drops `doubtful_entry` once a process has answered a hold that was sent after it arrived. The answer
+    /// to an earlier hold may be of a process that has ended.
+    static void drop_doubtful_entry(worker_control& worker);
+    /// Continues with the process of `doubtful_entry`, which is present.
+    void accept_doubtful_entry(worker_control& worker, boot_time now);
     /// Forgets which ends are to be acknowledged to the worker: the numbers belong to one process.
     void drop_acknowledgements(const std::string& worker);
     /// @return what shows that the runs of the worker have ended, with a description for the log; absent if
--- a/src/scheduler/scheduler_workers.cpp
+++ b/src/scheduler/scheduler_workers.cpp
@@ -357,14 +357,14 @@
     }
 }
 
-void scheduler::impl::drop_outdated_entry(worker_control& worker) {
-    if (worker.hold_sent > worker.earlier_entry_at) {
-        worker.earlier_entry.reset();
+void scheduler::impl::drop_doubtful_entry(worker_control& worker) {
+    if (worker.hold_sent > worker.doubtful_entry_at) {
+        worker.doubtful_entry.reset();
     }
 }
 
-void scheduler::impl::accept_earlier_entry(worker_control& worker, boot_time now) {
-    const auto entry = *std::exchange(worker.earlier_entry, std::nullopt);
+void scheduler::impl::accept_doubtful_entry(worker_control& worker, boot_time now) {
+    const auto entry = *std::exchange(worker.doubtful_entry, std::nullopt);
     this->restart_worker(worker, entry, now);
     mark_listed(worker, now);
 }
@@ -517,12 +517,17 @@
         found == state.workers.end() ? std::int64_t{0} : found->second.entry.instance_started_ms;
     const bool is_other_instance =
         known_start != 0 && entry.instance_started_ms != 0 && entry.instance_started_ms != known_start;
-    if (is_other_instance && entry.instance_started_ms < known_start && !found->second.is_unresponsive()) {
-        // The log may deliver the entry of an instance after the worker itself reported its restart. Without
-        // an answer, the entry may as well be of a later instance whose clock has been set back.
-        write_log(severity::info, "worker_entry_outdated", {{"worker", entry.id}});
-        found->second.earlier_entry = entry;
-        found->second.earlier_entry_at = now;
+    const bool answers = found != state.workers.end() && !found->second.is_unresponsive();
+    const bool is_earlier = is_other_instance && entry.instance_started_ms < known_start;
+    const bool is_elsewhere = !is_other_instance && answers && found->second.process.address.port != 0 &&
+                              found->second.process.address != entry.address;
+    if (answers && (is_earlier || is_elsewhere)) {
+        // The log may deliver the entry of an instance after the worker itself reported its restart, and
+        // another writer may have written it. Without an answer, it may as well be of a later instance.
+        write_log(severity::info, "worker_entry_doubted",
+                  {{"worker", entry.id}, {"earlier", is_earlier}, {"elsewhere", is_elsewhere}});
+        found->second.doubtful_entry = entry;
+        found->second.doubtful_entry_at = now;
         return;
     }
     if (is_other_instance) {
@@ -540,7 +545,7 @@
                   {{"worker", entry.id}, {"pool", entry.pool}, {"zone", entry.zone}});
     }
     impl::mark_listed(worker, now);
-    worker.earlier_entry.reset();
+    worker.doubtful_entry.reset();
     if (entry.draining && !worker.entry.draining) {
         write_log(severity::info, "worker_draining", {{"worker", entry.id}});
     }
@@ -556,7 +561,7 @@
     }
     found->second.listed = false;
     found->second.listed_since = now;
-    found->second.earlier_entry.reset();
+    found->second.doubtful_entry.reset();
     if (found->second.tasks.empty()) {
         state.drop_acknowledgements(id);
         if (found->second.hold_in_flight) {
@@ -594,23 +599,29 @@
     case order_outcome::done:
         if (report.instance_started_ms != 0 && worker.entry.instance_started_ms != 0 &&
             report.instance_started_ms != worker.entry.instance_started_ms) {
-            if (worker.earlier_entry &&
-                worker.earlier_entry->instance_started_ms == report.instance_started_ms) {
-                state.accept_earlier_entry(worker, now);
+            if (worker.doubtful_entry &&
+                worker.doubtful_entry->instance_started_ms == report.instance_started_ms) {
+                state.accept_doubtful_entry(worker, now);
                 return;
             }
             auto entry = worker.entry;
             entry.instance_started_ms = report.instance_started_ms;
-            impl::drop_outdated_entry(worker);
+            impl::drop_doubtful_entry(worker);
             state.restart_worker(worker, entry, now);
             return;
         }
-        impl::drop_outdated_entry(worker);
+        impl::drop_doubtful_entry(worker);
         worker.fenced_since.reset();
+        worker.process.address = target.address;
         state.accept_report(worker, order, report, now);
         return;
     case order_outcome::other_worker:
-        state.declare_worker_lost(target.id, loss_evidence::replaced, "another worker uses the address", now);
+        if (worker.process.address == target.address) {
+            state.declare_worker_lost(target.id, loss_evidence::replaced, "another worker uses the address",
+                                      now);
+            return;
+        }
+        state.note_unanswered_hold(worker, order, report, now); // the worker may run elsewhere
         return;
     case order_outcome::fenced:
         if (order.fence == state.fence_of(worker)) {
@@ -627,24 +638,28 @@
         }
         return;
     default:
-        if (order.acknowledged_end > 0) {
-            state.raise_fence(worker,
-                              now); // a process that executes a later start refuses the acknowledgement
-        }
-        if (worker.unanswered_holds++ == 0) {
-            worker.unanswered_since = now;
-            write_log(
-                severity::info, "worker_doubted",
-                {{"worker", target.id}, {"outcome", to_string(report.outcome)}, {"reason", report.reason}});
-        }
-        if (worker.earlier_entry) {
-            state.accept_earlier_entry(worker, now);
-            return;
-        }
-        // Retries at once after the first failure, which may be a single lost answer.
-        worker.next_hold = now + state.timings.hold_retry * std::min(worker.unanswered_holds - 1, 4);
+        state.note_unanswered_hold(worker, order, report, now);
+        return;
+    }
+}
+
+void scheduler::impl::note_unanswered_hold(worker_control& worker, const hold_order& order,
+                                           const hold_report& report, boot_time now) {
+    if (order.acknowledged_end > 0) {
+        this->raise_fence(worker, now); // a process that executes a later start refuses the acknowledgement
+    }
+    if (worker.unanswered_holds++ == 0) {
+        worker.unanswered_since = now;
+        write_log(
+            severity::info, "worker_doubted",
+            {{"worker", worker.entry.id}, {"outcome", to_string(report.outcome)}, {"reason", report.reason}});
+    }
+    if (worker.doubtful_entry) {
+        this->accept_doubtful_entry(worker, now);
         return;
     }
+    // Retries at once after the first failure, which may be a single lost answer.
+    worker.next_hold = now + this->timings.hold_retry * std::min(worker.unanswered_holds - 1, 4);
 }
 
 void scheduler::on_vm_list(const std::vector<vm_entry>& vms, boot_time requested_at, boot_time now) {
--- a/tests/manual_site.hpp
+++ b/tests/manual_site.hpp
@@ -40,11 +40,12 @@
         this->schedule.finish_load(this->now);
     }
 
-    void add_worker(const std::string& id, std::int64_t instance = 1, bool draining = false) {
+    void add_worker(const std::string& id, std::int64_t instance = 1, bool draining = false,
+                    std::uint16_t port = 1) {
         this->schedule.on_worker({.id = id,
                                   .instance_started_ms = instance,
                                   .pool = "pool",
-                                  .address = {.address = "127.0.0.1", .port = 1},
+                                  .address = {.address = "127.0.0.1", .port = port},
                                   .zone = "zone-a",
                                   .draining = draining,
                                   .capacity = {.cpu_millicores = 32000, .memory_mb = 65536},
--- a/tests/scheduler_answers_test.cpp
+++ b/tests/scheduler_answers_test.cpp
@@ -445,3 +445,56 @@
     site.run(milliseconds(3000));
     BOOST_TEST(site.paces.back().order.percent == 100);
 }
+
+namespace {
+
+/// Two workers; a long-running task runs on the first, for which an entry of another writer arrives.
+struct foreign_entry_fixture : manual_site {
+    foreign_entry_fixture() {
+        this->add_worker("w-1");
+        this->confirm("w-1");
+        this->submit(long_running_step(1));
+        this->run(milliseconds(100));
+        BOOST_REQUIRE(this->starts.size() == 1);
+        this->answer(this->starts.front(), order_outcome::done);
+        this->add_worker("w-2");
+        this->confirm("w-2");
+    }
+
+    void add_foreign_entry() {
+        constexpr std::int64_t instance = 1;
+        this->add_worker("w-1", instance, false, foreign_port);
+    }
+
+    [[nodiscard]] running_task running() const { return {.task = this->starts.front().order.task, .run = 1}; }
+
+    static constexpr std::uint16_t foreign_port = 2;
+};
+
+} // namespace
+
+// Guards against two runs of a task: an entry of another writer named the address of another worker, which
+// answered the hold, and the task was started elsewhere although its worker went on.
+BOOST_FIXTURE_TEST_CASE(entry_with_another_address_replaces_no_worker_that_answers, foreign_entry_fixture) {
+    this->add_foreign_entry();
+    for (int hold = 0; hold < 3; ++hold) {
+        this->answer_hold("w-1", {this->running()});
+        this->run(milliseconds(100));
+        BOOST_TEST(this->holds["w-1"].back().worker.address.port != foreign_port);
+    }
+    BOOST_TEST(this->starts.size() == 1);
+}
+
+// Guards against the same with a worker that is silent for a moment: the answer of another worker at an
+// address where it has never answered shows nothing.
+BOOST_FIXTURE_TEST_CASE(another_worker_at_an_unknown_address_ends_no_run, foreign_entry_fixture) {
+    this->add_foreign_entry();
+    this->be_silent("w-1", milliseconds(100));
+    this->run(milliseconds(600)); // the next hold is in flight
+    BOOST_REQUIRE(this->holds["w-1"].back().worker.address.port == foreign_port);
+    const auto hold = this->holds["w-1"].back();
+    this->schedule.on_hold_report(hold.worker, hold.order, {.outcome = order_outcome::other_worker},
+                                  this->now);
+    this->run(milliseconds(500));
+    BOOST_TEST(this->starts.size() == 1);
+}
