What the scheduler knows of workers stands in files of one job each

Change: scheduler_holds.cpp, scheduler_reports.cpp, scheduler_loss.cpp and scheduler_workers.cpp; the structs of a worker are in worker_control.hpp, the timings in scheduler_timings.hpp. The evidence of a loss and its reason are one struct. No line of behaviour is changed.

--- a/src/scheduler/scheduler_impl.hpp
+++ b/src/scheduler/scheduler_impl.hpp
@@ -10,6 +10,8 @@
 #include "policy/worker_choice.hpp"
 #include "protocol/append_window.hpp"
 #include "scheduler/scheduler.hpp"
+#include "scheduler/scheduler_timings.hpp"
+#include "scheduler/worker_control.hpp"
 #include "state/progress_records.hpp"
 
 #include <algorithm>
@@ -22,239 +24,6 @@
 
 namespace hornbeamrail {
 
-/// Intervals, timeouts and retry delays of the scheduler.
-struct scheduler_timings {
-    std::chrono::milliseconds hold_wait{900};          ///< long-poll timeout of a hold while no task ends
-    std::chrono::milliseconds hold_pause{20};          ///< between the answer to a hold and the next hold
-    std::chrono::milliseconds longest_hold_pause{400}; ///< the same on a node that runs far behind its timers
-    std::chrono::milliseconds hold_retry{250};         ///< backoff unit after a hold without an answer
-    std::chrono::milliseconds start_lease{1500}; ///< the worker rejects a start order that arrives later
-    /// An order without an answer may be executed this much later, by whichever process runs under the id
-    /// then.
-    std::chrono::milliseconds longest_order_delay{12000};
-    std::chrono::milliseconds commit_interval{10}; ///< least time between two progress appends
-    std::chrono::milliseconds dispatch_interval{15};
-    /// Starts that are being recorded or in flight at once. More would wait longer for their turn to be sent
-    /// than workers accept them.
-    std::int32_t max_starts_in_flight = 256;
-    /// Longest time for which the summary of an occurrence is used although learned durations change.
-    std::chrono::milliseconds summary_lifetime{1000};
-    /// Between two checks of the workers that do not answer.
-    std::chrono::milliseconds worker_check_interval{20};
-    /// Longest time between two searches for workers: the end of a backoff or of a reservation triggers none.
-    std::chrono::milliseconds dispatch_recheck{200};
-    std::chrono::milliseconds stop_retry{300};
-    /// An append of progress without an answer for this time shows that the log is late. Until it answers,
-    /// only reserved tasks start.
-    std::chrono::milliseconds late_append{300};
-    /// Between two reads of the VM list while a worker with tasks is unresponsive or a move or wave is in
-    /// progress.
-    std::chrono::milliseconds vm_list_interval{400};
-    std::chrono::milliseconds vm_list_idle_interval{3000}; ///< between two reads of the VM list otherwise
-    /// A scheduler that no answer of the log confirms starts tasks and renews worker leases for at most this
-    /// time. A successor waits until this time and the longest lease have passed before it treats a worker
-    /// that it cannot reach as lost.
-    std::chrono::milliseconds hold_without_log{6000};
-    /// VM orders stop when the last renewal of the scheduler's lease is older than this. The fence of a VM
-    /// rejects a predecessor only after the first order of its successor, so orders must stop well before
-    /// another node may claim the lease.
-    std::chrono::milliseconds vm_order_window{800};
-    /// Before a task whose start order was refused is placed again. If the worker was the cause, it receives
-    /// no new tasks for this time, which doubles with each refusal that follows, up to
-    /// `longest_refusal_backoff`.
-    std::chrono::milliseconds retry_after_refusal{150};
-    std::chrono::milliseconds longest_refusal_backoff{2400};
-    /// A batch task is placed on the worker where it failed only after this time, if no other can run it.
-    std::chrono::milliseconds return_after_failure{1000};
-    /// Unit of the time for which a worker is avoided on which tasks fail repeatedly.
-    std::chrono::milliseconds avoid_after_failure{2500};
-    std::chrono::milliseconds state_cleanup_interval{1000}; ///< between two drops of records of final jobs
-    /// Before a record that the log has rejected is appended again; doubles with each rejection that follows,
-    /// up to `longest_rejection_backoff`.
-    std::chrono::milliseconds retry_after_rejection{1000};
-    std::chrono::milliseconds longest_rejection_backoff{30000};
-    std::chrono::milliseconds advice_retry{300};         ///< between two requests for the advice of one step
-    std::chrono::milliseconds ticket_expiry_margin{300}; ///< a ticket that expires sooner is not used
-    std::chrono::milliseconds move_interval{150};        ///< between two plans of VM moves
-    std::chrono::milliseconds wave_interval{60};         ///< between two plans of maintenance waves
-    /// A job that has nothing running waits for at most this time while only workers that take no new tasks
-    /// have room: then their VMs stop draining for `drain_pause`, or a worker is used where tasks failed.
-    std::chrono::milliseconds longest_hold_back{2000};
-    /// The same for VMs of a pool with at least half of its capacity in use, where work waits in any case.
-    std::chrono::milliseconds longest_hold_back_if_busy{10000};
-    std::chrono::milliseconds drain_pause{4000};
-    /// A VM that is down for this time after it should have returned from maintenance no longer counts as
-    /// being maintained.
-    std::chrono::milliseconds maintenance_overrun{5000};
-    std::chrono::milliseconds need_window{800}; ///< a pool keeps its highest need over this window
-    /// Pools release no VM for this time after a term begins with jobs, or after the first job if there are
-    /// none: until then nothing is known of the demand.
-    std::chrono::milliseconds move_warmup{3000};
-    /// Pools release VMs after this time even if no job has arrived.
-    std::chrono::milliseconds longest_warmup{60000};
-    /// A VM that is up counts for its pool for this time without a worker that can be used.
-    std::chrono::milliseconds unserved_after{3000};
-    std::chrono::milliseconds move_lead_time{2200}; ///< from the order of a move to the first task on the VM
-    /// A long-running task that has waited for a worker for this time is reported.
-    std::chrono::milliseconds overdue_after{2000};
-    std::chrono::milliseconds overdue_report_interval{1000};
-};
-
-/// A worker's clock may run slow by at most this factor, so its leases may last that much longer by the clock
-/// of this node.
-inline constexpr double slow_clock_factor = 1.02;
-/// Added to the end of each lease before it counts as expired.
-inline constexpr std::chrono::milliseconds lease_margin{300};
-
-/// Progress of one order to start a task.
-enum class start_stage : std::uint8_t {
-    recording,      ///< its record is not in the log yet; no order was sent
-    sent,           ///< the order is in flight
-    unacknowledged, ///< the answer was lost; a hold with a higher fence shows whether the run exists
-    confirmed,      ///< the worker has acknowledged or reported the run
-};
-
-/// A run of a task that is placed on a worker.
-struct placement {
-    std::int64_t run = 0;
-    start_stage stage = start_stage::recording;
-    std::int64_t fence = 0;    ///< of the latest start order
-    boot_time stage_entered{}; ///< when `stage` last changed; not set for `unacknowledged`
-    /// The order was sent, and it is not certain that the known process of the worker has executed it:
-    /// another process may have done so, or may do so later.
-    bool may_be_elsewhere = false;
-    std::string ticket; ///< from the placement advice; empty if the queue needs none
-    resources need;     ///< CPU is 0 for a best-effort task
-    bool best_effort = false;
-    bool latency_sensitive = false;
-    bool long_running = false;
-    bool beyond_share = false;              ///< the job exceeds the share of its account
-    bool ready = false;                     ///< the latest report shows a long-running task past its startup
-    std::optional<std::int32_t> pace = 100; ///< percentage of full speed; empty: not known
-    std::int64_t latest_load = 0; ///< tail latency in ms of a latency-sensitive task, else millicores in use
-    boot_time pace_sent{};
-
-    /// @return whether its start is being recorded or in flight
-    [[nodiscard]] bool is_starting() const noexcept {
-        return this->stage == start_stage::recording || this->stage == start_stage::sent;
-    }
-
-    /// @return whether a process that the scheduler does not know may run it
-    [[nodiscard]] bool is_unresolved() const noexcept {
-        return this->may_be_elsewhere || this->stage == start_stage::unacknowledged;
-    }
-};
-
-/// Why a worker receives no new tasks.
-enum class worker_block : std::uint8_t {
-    none,         ///< it receives new tasks
-    not_listed,   ///< its entry is not in the workers topic
-    unresponsive, ///< the latest hold was not answered
-    unconfirmed,  ///< it has not answered a hold with the current fence
-    draining,
-    zone_out,     ///< its availability zone is out of service
-    vm_ordered,   ///< its VM has a pending order
-    refusing,     ///< it refused a start a moment ago
-    ends_pending, ///< its ends cannot be acknowledged while starts are in flight
-    leaving,      ///< its VM is next in a wave; used only for long-running tasks that are overdue
-    avoided,      ///< tasks failed there repeatedly; see `worker_standing`
-};
-inline constexpr std::size_t worker_block_count = 11;
-
-/// @return the name of the enumerator
-std::string_view to_string(worker_block block) noexcept;
-
-/// What the scheduler has learned from one process of a worker. None of it holds for another process of the
-/// same worker, so a restart replaces the whole.
-struct worker_process {
-    endpoint address;                       ///< where it has answered; port 0: it has not answered yet
-    std::int64_t applied_end = 0;           ///< number of the last end that was applied in memory
-    std::set<std::int64_t> unrecorded_ends; ///< numbers of the applied ends that are not in the log
-    std::int64_t acknowledged_end = 0;      ///< number of the last end that it has been told to discard
-    std::optional<std::chrono::milliseconds> clock; ///< its own clock as of `clock_at`
-    boot_time clock_at{};                           ///< when the report with `clock` arrived
-    boot_time clock_requested{};                    ///< when the hold was sent that was answered with `clock`
-    std::int32_t recent_failures = 0;               ///< failed runs since the last one that succeeded
-    boot_time avoid_until{};         ///< tasks failed there repeatedly; until then see `set_standings`
-    std::int32_t refused_starts = 0; ///< since the last start that it accepted
-    boot_time refused_until{};       ///< no new tasks until then
-
-    /// @return number of the last end up to which all are in the log
-    [[nodiscard]] std::int64_t recorded_end() const noexcept {
-        return this->unrecorded_ends.empty() ? this->applied_end : *this->unrecorded_ends.begin() - 1;
-    }
-
-    /// @return whether it lists ends that are in the log
-    [[nodiscard]] bool has_recorded_ends() const noexcept {
-        return this->recorded_end() > this->acknowledged_end;
-    }
-
-    /// Tells it from a later process of the worker, whose clock started at 0 after `clock_requested`.
-    /// @param answered clock in an answer that has just arrived
-    /// @return whether the answer is certainly its own
-    [[nodiscard]] bool has_answered(const std::optional<std::chrono::milliseconds>& answered,
-                                    boot_time now) const {
-        return this->clock && answered && *answered > now - this->clock_requested;
-    }
-};
-
-/// What shows that the runs of a worker which does not answer have ended.
-enum class loss_evidence : std::uint8_t {
-    leases_expired, ///< no order has renewed the leases for long enough
-    vm_not_up,      ///< the VM is down or runs no worker; the worker may come back under its id
-    replaced,       ///< the VM runs another worker or is gone; the worker does not come back
-};
-
-/// The scheduler's view of one worker.
-struct worker_control {
-    worker_entry entry;
-    std::string vm;      ///< that the latest list with the worker names; empty: none
-    bool listed = false; ///< its entry is in the workers topic
-    /// Entry that contradicts the known process: of an earlier start, because it was written late or the
-    /// clock has been set back, or with another address. The next answer to a hold decides; without an answer
-    /// the entry is adopted.
-    std::optional<worker_entry> doubtful_entry;
-    boot_time doubtful_entry_at{}; ///< when `doubtful_entry` arrived
-    boot_time listed_since{};      ///< when `listed` last changed
-    bool confirmed = false;        ///< has answered a hold with the current fence
-    worker_process process;        ///< the process that has answered last
-    bool hold_in_flight = false;
-    bool hold_acknowledges = false; ///< the hold in flight acknowledges ends
-    bool ends_held_up = false;      ///< a hold could not acknowledge ends because of starts in flight
-    boot_time hold_sent{};
-    std::int64_t hold_number = 0; ///< of the hold in flight
-    boot_time next_hold{};
-    boot_time lease_bound{}; ///< every lease that the known process has granted has expired by then
-    /// The same for any process that executes an order which was sent. A clock starts at 0 in each process,
-    /// so a lease that is meant for an earlier one may last as long as leases can.
-    boot_time late_lease_bound{};
-    std::int32_t unanswered_holds = 0; ///< consecutive holds without an answer
-    boot_time unanswered_since{};
-    std::optional<boot_time> fenced_since; ///< when it first refused the current fence
-    /// Since when a job with nothing running waits for room that only draining VMs such as this one have.
-    std::optional<boot_time> holds_back_since;
-    bool holds_back = false; ///< as found by the dispatch in progress
-    std::map<task_id, placement> tasks;
-    resources used; ///< sum of the needs of `tasks`
-    std::int32_t latency_sensitive_tasks = 0;
-    std::int32_t best_effort_tasks = 0;
-    std::int32_t long_running_tasks = 0;
-
-    [[nodiscard]] bool is_unresponsive() const noexcept { return this->unanswered_holds > 0; }
-
-    /// @return number of its tasks whose start is being recorded or in flight
-    [[nodiscard]] std::int64_t count_starting() const {
-        return std::count_if(this->tasks.begin(), this->tasks.end(),
-                             [](const auto& item) { return item.second.is_starting(); });
-    }
-
-    /// @return whether a process that the scheduler does not know may run one of its tasks
-    [[nodiscard]] bool has_unresolved_starts() const {
-        return std::any_of(this->tasks.begin(), this->tasks.end(),
-                           [](const auto& item) { return item.second.is_unresolved(); });
-    }
-};
-
 /// A run whose start order is sent once its record is in the log.
 struct recorded_start {
     std::string worker;
@@ -481,9 +250,13 @@
     /// Ends the drop in flight of a partition. The progress records are dropped if the job records are.
     void end_drop(partition_cleanup& cleanup, bool done);
 
-    // scheduler_workers.cpp: leases, fences, lost workers
+    // scheduler_holds.cpp: leases, fences, holds
     /// @return fence of the orders to the worker; combines the term and `fence_increments`
     [[nodiscard]] std::int64_t fence_of(const worker_control& worker) const;
+    /// Raises the fence of the orders that follow.
+    void increment_fence(const worker_control& worker);
+    /// Raises the worker's fence, so that the next hold resolves its unacknowledged orders.
+    void raise_fence(worker_control& worker, boot_time now);
     /// @return end of a lease of @p length on the worker's clock; nullopt while its clock is unknown
     [[nodiscard]] std::optional<std::chrono::milliseconds>
     lease_end(const worker_control& worker, std::chrono::milliseconds length, boot_time now) const;
@@ -504,45 +277,47 @@
     /// Sends the holds that are due.
     void hold_workers(boot_time now);
     void send_hold_order(worker_control& worker, boot_time now);
-    void accept_report(worker_control& worker, const hold_order& order, const hold_report& report,
-                       boot_time now);
+
+    // scheduler_reports.cpp: answers to holds
     void note_unanswered_hold(worker_control& worker, const hold_order& order, const hold_report& report,
                               boot_time now);
+    void accept_report(worker_control& worker, const hold_order& order, const hold_report& report,
+                       boot_time now);
     /// Compares the runs in the report with the placements: stops unknown runs, requeues missing ones.
     void reconcile(worker_control& worker, const hold_order& order, const hold_report& report, boot_time now);
-    /// Continues with a new process of the worker. Runs of the earlier process have ended; the new one may
-    /// have accepted orders that were meant for it, so the next hold decides which placements exist.
-    /// @param entry of the new process
-    void restart_worker(worker_control& worker, const worker_entry& entry, boot_time now);
-    /// Sets the worker to listed.
-    static void mark_listed(worker_control& worker, boot_time now);
-    /// Drops `doubtful_entry` once a process has answered a hold that was sent after it arrived. The answer
-    /// to an earlier hold may be of a process that has ended.
-    static void drop_doubtful_entry(worker_control& worker);
-    /// Continues with the process of `doubtful_entry`, which is present.
-    void accept_doubtful_entry(worker_control& worker, boot_time now);
-    /// Forgets which ends are to be acknowledged to the worker: the numbers belong to one process.
-    void drop_acknowledgements(const std::string& worker);
-    /// @return what shows that the runs of the worker have ended, with a description for the log; absent if
-    /// nothing
-    [[nodiscard]] std::optional<std::pair<loss_evidence, std::string_view>>
-    find_loss(const std::string& id, const worker_control& worker, boot_time now) const;
+
+    // scheduler_loss.cpp: workers that do not answer
     /// @return whether a run of the task may exist in spite of the evidence, or may begin later
     [[nodiscard]] bool may_run_despite(const worker_control& worker, const placement& placed,
                                        loss_evidence evidence, boot_time now) const;
     /// Requeues the tasks of the worker, except those that may run in spite of the evidence, and removes the
     /// worker if no task is left.
     /// @return whether it was removed
-    bool declare_worker_lost(const std::string& id, loss_evidence evidence, std::string_view reason,
-                             boot_time now);
-    /// Raises the worker's fence, so that the next hold resolves its unacknowledged orders.
-    void raise_fence(worker_control& worker, boot_time now);
-    /// Raises the fence of the orders that follow.
-    void increment_fence(const worker_control& worker);
-    void send_stop_order(worker_control& worker, const task_id& task, std::int64_t run);
+    bool declare_worker_lost(const std::string& id, const worker_loss& loss, boot_time now);
+    /// @return what shows that the runs of the worker have ended; absent if nothing does
+    [[nodiscard]] std::optional<worker_loss> find_loss(const std::string& id, const worker_control& worker,
+                                                       boot_time now) const;
     /// Declares unresponsive workers lost once the VM list or the end of their leases proves it.
     void check_unresponsive_workers(boot_time now);
     void request_vm_list(boot_time now);
+    /// Declares a worker lost whose VM is in a move or in maintenance, or runs another worker.
+    /// @param before VM of each worker in the previous list
+    void declare_replaced_workers_lost(const std::map<std::string, std::string>& before, boot_time now);
+
+    // scheduler_workers.cpp: entries, restarts, placements
+    /// Sets the worker to listed.
+    static void mark_listed(worker_control& worker, boot_time now);
+    /// Drops `doubtful_entry` once a process has answered a hold that was sent after it arrived. The answer
+    /// to an earlier hold may be of a process that has ended.
+    static void drop_doubtful_entry(worker_control& worker);
+    /// Continues with the process of `doubtful_entry`, which is present.
+    void accept_doubtful_entry(worker_control& worker, boot_time now);
+    /// Continues with a new process of the worker. Runs of the earlier process have ended; the new one may
+    /// have accepted orders that were meant for it, so the next hold decides which placements exist.
+    /// @param entry of the new process
+    void restart_worker(worker_control& worker, const worker_entry& entry, boot_time now);
+    /// Forgets which ends are to be acknowledged to the worker: the numbers belong to one process.
+    void drop_acknowledgements(const std::string& worker);
     placement* add_placement(worker_control& worker, const job_progress& job, const task_id& id,
                              std::int64_t run, boot_time now);
     /// Changes the stage of the placement and counts the starts in flight.
@@ -552,6 +327,7 @@
     void count_failure(worker_control& worker, boot_time now);
     /// Counts a refused start; the worker receives no new tasks for a while, longer with each refusal.
     void count_refusal(worker_control& worker, boot_time now);
+    void send_stop_order(worker_control& worker, const task_id& task, std::int64_t run);
 
     // scheduler_dispatch.cpp: order and placement of tasks
     void apply_config(std::shared_ptr<const site_config> updated_config);
@@ -701,9 +477,6 @@
     void record_wave(const wave_progress& wave);
     /// @return whether the record is that of a wave
     bool load_wave(const keyed_record& record);
-    /// Declares a worker lost whose VM is in a move or in maintenance, or runs another worker.
-    /// @param before VM of each worker in the previous list
-    void declare_replaced_workers_lost(const std::map<std::string, std::string>& before, boot_time now);
     /// @param id the step; `index` is not used
     /// @return number of tasks of the step that are not ready or are about to end
     [[nodiscard]] std::int32_t count_unavailable_tasks(job_progress& job, const task_id& id) const;
