A worker that keeps an open start lists its ends again when it comes back

A worker of which a start stays open keeps its record when its other tasks are given up. The acknowledgements that wait for the log are dropped then, but the numbers of these ends stayed marked as not recorded, so no end of the worker was ever acknowledged again. Change: what is known of the process is forgotten with the acknowledgements, as at a restart; the worker lists its ends again.

--- a/src/scheduler/scheduler_loss.cpp
+++ b/src/scheduler/scheduler_loss.cpp
@@ -50,6 +50,7 @@
     this->drop_acknowledgements(id);
     this->raise_fence(worker, now); // an order in flight may reach the worker if it lives and comes back
     if (kept > 0) {
+        worker.process = {}; // it lists its ends again if it comes back
         return false;
     }
     this->workers.erase(found);
--- a/tests/scheduler_restart_test.cpp
+++ b/tests/scheduler_restart_test.cpp
@@ -341,6 +341,32 @@
     BOOST_TEST(this->is_started_elsewhere(this->open));
 }
 
+// Guards against ends that are never acknowledged: they waited for the log when their worker was declared
+// lost, and the worker comes back.
+BOOST_AUTO_TEST_CASE(worker_that_comes_back_gets_its_ends_acknowledged) {
+    site_with_an_end site;
+    const auto running = site.start_task();
+    site.answer(running, order_outcome::done);
+    const auto open = site.start_task();
+    site.log_answers = false;
+    site.answer_hold_with_end("w-1", 1, site.first.order);
+    site.schedule.on_start_answer(open.worker, open.order, {}, site.now);
+    site.run(milliseconds(50));
+    site.be_silent("w-1", longest_lease * 2 + milliseconds(2000)); // all but the open start is given up
+    site.log_answers = true;
+    site.answer_appends();
+    std::int64_t acknowledged = 0;
+    for (int hold = 0; hold < 20 && acknowledged == 0; ++hold) {
+        site.answer_hold_with_end("w-1", 1, site.first.order);
+        site.run(milliseconds(300));
+        for (const auto& start : std::exchange(site.starts, {})) {
+            site.answer(start, order_outcome::no_room); // of the tasks that were given up
+        }
+        acknowledged = site.holds["w-1"].back().order.acknowledged_end;
+    }
+    BOOST_TEST(acknowledged == 1);
+}
+
 // Guards against leases that are computed from the clock of another process: the answer to an order of before
 // the restart arrives after it.
 BOOST_AUTO_TEST_CASE(answer_of_an_earlier_process_does_not_set_the_clock) {
