Starts without an answer do not hold up acknowledgements for good

A worker lists 500 ends at most. While it has more, its report does not show what became of a start without an answer, and because of that start none of the listed ends was acknowledged, so the rest was never listed. Change: while reports are incomplete, starts without an answer no longer hold up acknowledgements; those in flight still do. The stand-in lists 500 ends at most, as workers do. Why it works: such a start has a lower fence than the hold, so the process that executes the hold first refuses it.

--- a/src/fakes/fake_site.cpp
+++ b/src/fakes/fake_site.cpp
@@ -14,6 +14,8 @@
 constexpr milliseconds time_to_failure{150};
 /// Span to which `set_long_running_failures` refers.
 constexpr milliseconds failure_span{2000};
+/// A worker lists this many ended tasks in one report; the rest follows when these are acknowledged.
+constexpr std::size_t max_ends_listed = 500;
 /// Units of `worker_entry::instance_started_ms` between two instances; a stepped clock stays between them.
 constexpr std::int64_t instance_spacing = 1000;
 
@@ -329,7 +331,8 @@
     }
     this->acknowledge_ends(target.id, *worker, order.acknowledged_end, now);
     report.instance_started_ms = worker->entry.instance_started_ms;
-    report.ended = worker->ended;
+    const auto listed = std::min(worker->ended.size(), max_ends_listed);
+    report.ended.assign(worker->ended.begin(), worker->ended.begin() + static_cast<std::ptrdiff_t>(listed));
     for (const auto& [id, task] : worker->tasks) {
         const bool is_starting = this->long_running.contains(id.job) &&
                                  now < this->runs[task.run_index].started_at + this->limits.startup_time;
--- a/src/scheduler/scheduler_holds.cpp
+++ b/src/scheduler/scheduler_holds.cpp
@@ -59,12 +59,6 @@
                     this->timings.longest_hold_pause);
 }
 
-std::int64_t scheduler::impl::end_to_acknowledge(const worker_control& worker) {
-    const bool is_known_process = worker.confirmed && !worker.is_unresponsive();
-    const bool may_acknowledge = is_known_process && !worker.has_unresolved_starts();
-    return worker.process.has_recorded_ends() && may_acknowledge ? worker.process.recorded_end() : 0;
-}
-
 boot_time scheduler::impl::next_hold_at(const worker_control& worker, boot_time now) const {
     // While the worker has ends to list it answers at once, with the same list again. The leases must be
     // renewed nevertheless.
@@ -76,7 +70,7 @@
         return std::max(worker.next_hold, worker.hold_sent + interval);
     }
     const bool waits_for_starts =
-        worker.process.has_recorded_ends() && worker.confirmed && worker.has_unresolved_starts();
+        worker.process.has_recorded_ends() && worker.confirmed && !worker.may_acknowledge();
     return waits_for_starts ? std::max(worker.next_hold, worker.hold_sent + this->timings.hold_retry)
                             : worker.next_hold;
 }
@@ -93,9 +87,10 @@
 }
 
 void scheduler::impl::send_hold_order(worker_control& worker, boot_time now) {
+    const bool acknowledges = worker.process.has_recorded_ends() && worker.may_acknowledge();
     hold_order order{.number = ++this->latest_hold,
                      .fence = this->fence_of(worker),
-                     .acknowledged_end = end_to_acknowledge(worker)};
+                     .acknowledged_end = acknowledges ? worker.process.recorded_end() : 0};
     // A worker that stays silent may be cut off for good. Renewals that may not reach it would keep its
     // tasks from running elsewhere.
     const bool is_silent =
@@ -109,9 +104,8 @@
         order.wait = this->timings.hold_wait;
     }
     worker.hold_in_flight = true;
-    worker.hold_acknowledges = order.acknowledged_end > 0;
-    const bool is_held_up =
-        worker.confirmed && worker.process.has_recorded_ends() && !worker.hold_acknowledges;
+    worker.hold_acknowledges = acknowledges;
+    const bool is_held_up = worker.confirmed && worker.process.has_recorded_ends() && !acknowledges;
     this->dispatch_due = this->dispatch_due || (worker.ends_held_up && !is_held_up);
     worker.ends_held_up = is_held_up;
     worker.hold_sent = now;
--- a/src/scheduler/scheduler_impl.hpp
+++ b/src/scheduler/scheduler_impl.hpp
@@ -269,9 +269,6 @@
     /// @return time between the answer to a hold and the next hold: longer on a node that is behind, so that
     /// one answer lists the ends of more tasks
     [[nodiscard]] std::chrono::milliseconds hold_pause() const;
-    /// @return end to acknowledge with the next hold; 0: none. A process that is not known yet may execute
-    /// the hold, and it numbers its ends from 1 as well, so it must not have run any task by then.
-    [[nodiscard]] static std::int64_t end_to_acknowledge(const worker_control& worker);
     /// @return when the next hold is due
     [[nodiscard]] boot_time next_hold_at(const worker_control& worker, boot_time now) const;
     /// Sends the holds that are due.
--- a/src/scheduler/scheduler_reports.cpp
+++ b/src/scheduler/scheduler_reports.cpp
@@ -115,6 +115,7 @@
         process.clock_requested = worker.hold_sent;
     }
     process.acknowledged_end = std::max(process.acknowledged_end, order.acknowledged_end);
+    process.lists_everything = report.complete && report.ended.size() < max_ends_per_report;
     if (order.fence == this->fence_of(worker)) {
         if (!worker.confirmed) {
             this->dispatch_due = true;
@@ -184,7 +185,7 @@
     // A run that is neither listed as running nor as ended does not exist: the fence of this hold rejects
     // unacknowledged orders that arrive later, and the worker lists a confirmed run until it lists its end.
     std::vector<task_id> missing;
-    const bool complete = report.complete && report.ended.size() < max_ends_per_report;
+    const bool complete = worker.process.lists_everything;
     for (const auto& [id, placed] : worker.tasks) {
         const bool settled =
             (placed.stage == start_stage::unacknowledged && placed.fence < order.fence) ||
--- a/src/scheduler/worker_control.hpp
+++ b/src/scheduler/worker_control.hpp
@@ -65,7 +65,7 @@
     zone_out,     ///< its availability zone is out of service
     vm_ordered,   ///< its VM has a pending order
     refusing,     ///< it refused a start a moment ago
-    ends_pending, ///< its ends cannot be acknowledged while starts are in flight
+    ends_pending, ///< its ends cannot be acknowledged because of open starts
     leaving,      ///< its VM is next in a wave; used only for long-running tasks that are overdue
     avoided,      ///< tasks failed there repeatedly; see `worker_standing`
 };
@@ -81,6 +81,7 @@
     std::int64_t applied_end = 0;           ///< number of the last end that was applied in memory
     std::set<std::int64_t> unrecorded_ends; ///< numbers of the applied ends that are not in the log
     std::int64_t acknowledged_end = 0;      ///< number of the last end that it has been told to discard
+    bool lists_everything = true;           ///< its latest report is complete
     std::optional<std::chrono::milliseconds> clock; ///< its own clock as of `clock_at`
     boot_time clock_at{};                           ///< when the report with `clock` arrived
     boot_time clock_requested{};                    ///< when the hold was sent that was answered with `clock`
@@ -136,7 +137,7 @@
     worker_process process;        ///< the process that has answered last
     bool hold_in_flight = false;
     bool hold_acknowledges = false; ///< the hold in flight acknowledges ends
-    bool ends_held_up = false;      ///< a hold could not acknowledge ends because of starts in flight
+    bool ends_held_up = false;      ///< a hold could not acknowledge ends because of open starts
     boot_time hold_sent{};
     std::int64_t hold_number = 0; ///< of the hold in flight
     boot_time next_hold{};
@@ -169,6 +170,16 @@
         return std::any_of(this->tasks.begin(), this->tasks.end(),
                            [](const auto& item) { return item.second.is_unresolved(); });
     }
+
+    /// Another process than the known one may execute the acknowledgement. It numbers its ends from 1 as
+    /// well, so it must not have run any task by then.
+    /// @return whether the ends that are in the log may be acknowledged
+    [[nodiscard]] bool may_acknowledge() const {
+        const bool is_known_process = this->confirmed && !this->is_unresponsive();
+        // Only a complete report shows what became of starts without an answer.
+        const bool must_go_on = !this->process.lists_everything && this->count_starting() == 0;
+        return is_known_process && (must_go_on || !this->has_unresolved_starts());
+    }
 };
 
 } // namespace hornbeamrail
--- a/tests/scheduler_restart_test.cpp
+++ b/tests/scheduler_restart_test.cpp
@@ -157,6 +157,29 @@
     BOOST_TEST(site.next_hold_after_the_end().acknowledged_end == 0);
 }
 
+// Guards against a worker that is stuck for good: the end of a run whose start was not answered stands behind
+// more ends than one report lists, and none of them was acknowledged because of that start.
+BOOST_AUTO_TEST_CASE(more_ends_than_one_report_lists_are_acknowledged_beside_an_open_start) {
+    scheduler_site site(6);
+    site.add_vms(1);
+    site.take_over();
+    site.run(milliseconds(1000));
+    auto wide = batch_job(700, 5);
+    wide.account.clear();
+    wide.steps.front().need.memory_mb = 1;
+    const auto first = site.submit(wide);
+    site.run(milliseconds(700));
+    BOOST_REQUIRE(site.running_tasks(first) == 700);
+    site.cut_workers = {"w-1"};
+    const auto second = site.submit(batch_job(2));
+    site.run(milliseconds(4000));
+    site.cut_workers.clear();
+    site.run(milliseconds(4000));
+    BOOST_TEST(site.state_of(first) == "completed");
+    BOOST_TEST(site.state_of(second) == "completed");
+    BOOST_TEST(site.duplicate_runs().empty());
+}
+
 // Guards against a worker whose ends are never acknowledged: starts that are answered do not hold that up.
 BOOST_AUTO_TEST_CASE(ends_are_acknowledged_after_the_starts_in_flight) {
     site_with_an_end site;
