A step that lacks advice searches for workers when the next call is allowed

Cause: after a call for advice the next one of the step is allowed 0.3 s later. A worker that comes within this time is noticed, but nothing searches for workers when the time is over; the next search came up to 0.2 s later. Change: the search notes when a call will be allowed and is due then.

--- a/src/scheduler/scheduler_advice.cpp
+++ b/src/scheduler/scheduler_advice.cpp
@@ -37,9 +37,8 @@
 void scheduler::impl::request_more_advice(const task_id& step, const std::vector<worker_control*>& candidates,
                                           boot_time now) {
     auto& entry = this->advice[step_of(step)];
-    if (entry.in_flight || now < entry.requested + this->timings.advice_retry ||
-        this->advice_in_flight >= max_calls_in_flight) {
-        return;
+    if (entry.in_flight || this->advice_in_flight >= max_calls_in_flight) {
+        return; // the answer triggers another search
     }
     advice_call call{.step = step_of(step)};
     for (const auto* worker : candidates) {
@@ -52,6 +51,11 @@
     if (call.workers.empty()) {
         return;
     }
+    const auto allowed_at = entry.requested + this->timings.advice_retry;
+    if (now < allowed_at) {
+        this->advice_allowed_at = std::min(this->advice_allowed_at.value_or(allowed_at), allowed_at);
+        return;
+    }
     entry.in_flight = true;
     entry.requested = now;
     ++this->advice_in_flight;
--- a/src/scheduler/scheduler_dispatch.cpp
+++ b/src/scheduler/scheduler_dispatch.cpp
@@ -201,6 +201,10 @@
     if (this->log_is_late(now)) {
         this->withdraw_unrecorded_starts();
     }
+    if (this->advice_allowed_at && now >= *this->advice_allowed_at) {
+        this->advice_allowed_at.reset();
+        this->dispatch_due = true;
+    }
     const auto interval =
         this->dispatch_due ? this->timings.dispatch_interval : this->timings.dispatch_recheck;
     if (now < this->last_dispatch + interval) {
--- a/src/scheduler/scheduler_impl.hpp
+++ b/src/scheduler/scheduler_impl.hpp
@@ -542,6 +542,8 @@
     std::unordered_map<std::string, std::int32_t> fence_increments;
     std::map<task_id, step_advice> advice; ///< by step; the index of the task is 0
     std::int32_t advice_in_flight = 0;
+    std::optional<boot_time>
+        advice_allowed_at; ///< a search for workers is due then, because a step lacks advice
 
     std::set<std::string> dirty_jobs; ///< jobs whose progress must be written
     std::map<std::string, unrecorded_job> unrecorded_jobs;
--- a/tests/scheduler_answers_test.cpp
+++ b/tests/scheduler_answers_test.cpp
@@ -47,6 +47,31 @@
     }
 }
 
+// Guards against a task that waits although a worker may run it: the worker came while no call for advice was
+// allowed, and when the next one was, nothing searched for workers.
+BOOST_AUTO_TEST_CASE(advice_for_a_new_worker_is_requested_as_soon_as_allowed) {
+    constexpr milliseconds pause_between_calls{300};
+    for (milliseconds joins_after{0}; joins_after < milliseconds(200); joins_after += milliseconds(10)) {
+        manual_site site;
+        site.add_worker("w-1");
+        site.confirm("w-1");
+        site.submit(long_running_step(2), "advised");
+        site.run(milliseconds(20));
+        BOOST_REQUIRE(site.advice.size() == 1);
+        const auto requested = site.now;
+        site.answer(site.advice.front());
+        site.run(milliseconds(40));
+        BOOST_REQUIRE(site.starts.size() == 1); // one task on each worker
+        site.answer(site.starts.front(), order_outcome::done);
+        site.run(joins_after);
+        site.add_worker("w-2");
+        site.confirm("w-2");
+        site.run(std::chrono::duration_cast<milliseconds>(requested + pause_between_calls + milliseconds(40) -
+                                                          site.now));
+        BOOST_TEST(site.advice.size() == 2, "joins after " << joins_after.count() << " ms");
+    }
+}
+
 // Guards against two runs of a task: the late answer to a hold of an earlier record of the worker was taken
 // for that of the hold in flight, whose list would have named the run.
 BOOST_AUTO_TEST_CASE(answer_to_an_earlier_hold_ends_no_run) {
