Acknowledgements wait for the next end again while fences last

Change: a hold that acknowledges waits for the next end, as before. A start beside it takes one more fence, as it did. When half of a worker's fences in the term are used, such holds don't wait any more, so that a term does not run out of fences. Their number is an option, for the test.

--- a/src/scheduler/scheduler.hpp
+++ b/src/scheduler/scheduler.hpp
@@ -96,6 +96,8 @@
 struct scheduler_options {
     std::string node_id;
     site_limits limits;
+    /// Fences of each worker in one term; the fences of a later term are all higher. The same on all nodes.
+    std::int64_t fences_per_term = 100000;
 };
 
 /// Number of workers that receive no new tasks for one reason.
--- a/src/scheduler/scheduler_holds.cpp
+++ b/src/scheduler/scheduler_holds.cpp
@@ -12,8 +12,6 @@
 
 using std::chrono::milliseconds;
 
-/// Each term has this many fences per worker; the fences of a later term are all higher.
-constexpr std::int64_t fences_per_term = 100000;
 /// Least number of renewals during one lease.
 constexpr int renewals_per_lease = 4;
 
@@ -28,7 +26,7 @@
 std::int64_t scheduler::impl::fence_of(const worker_control& worker) const {
     const auto found = this->fence_increments.find(worker.entry.id);
     const std::int64_t increments = found == this->fence_increments.end() ? 0 : found->second;
-    return this->term * fences_per_term + increments;
+    return this->term * this->options.fences_per_term + increments;
 }
 
 std::optional<milliseconds> scheduler::impl::lease_end(const worker_control& worker, milliseconds length,
@@ -99,8 +97,12 @@
         order.lease_until = this->lease_end(worker, this->options.limits.max_lease_duration, now);
         this->note_lease_sent(worker, this->options.limits.max_lease_duration, now);
     }
-    const bool has_ends = worker.process.has_recorded_ends() || !worker.process.unrecorded_ends.empty();
-    if (worker.confirmed && !worker.is_unresponsive() && !has_ends) {
+    const bool has_ends_left =
+        !worker.process.unrecorded_ends.empty() || (worker.process.has_recorded_ends() && !acknowledges);
+    // A start beside a hold that acknowledges takes one more fence, so when fences get scarce such a hold
+    // does not wait.
+    const bool may_wait = !has_ends_left && (!acknowledges || this->has_many_fences(worker));
+    if (worker.confirmed && !worker.is_unresponsive() && may_wait) {
         order.wait = this->timings.hold_wait;
     }
     worker.hold_in_flight = true;
@@ -116,11 +118,17 @@
 
 void scheduler::impl::increment_fence(const worker_control& worker) {
     auto& increments = this->fence_increments[worker.entry.id];
-    if (increments + 1 < fences_per_term) {
+    if (increments + 1 < this->options.fences_per_term) {
         ++increments;
     }
 }
 
+bool scheduler::impl::has_many_fences(const worker_control& worker) const {
+    const auto found = this->fence_increments.find(worker.entry.id);
+    const auto used = found == this->fence_increments.end() ? 0 : found->second;
+    return used < this->options.fences_per_term / 2;
+}
+
 void scheduler::impl::raise_fence(worker_control& worker, boot_time now) {
     this->increment_fence(worker);
     worker.confirmed = false;
--- a/src/scheduler/scheduler_impl.hpp
+++ b/src/scheduler/scheduler_impl.hpp
@@ -255,6 +255,8 @@
     [[nodiscard]] std::int64_t fence_of(const worker_control& worker) const;
     /// Raises the fence of the orders that follow.
     void increment_fence(const worker_control& worker);
+    /// @return whether the worker has half of its fences left in this term
+    [[nodiscard]] bool has_many_fences(const worker_control& worker) const;
     /// Raises the worker's fence, so that the next hold resolves its unacknowledged orders.
     void raise_fence(worker_control& worker, boot_time now);
     /// @return end of a lease of @p length on the worker's clock; nullopt while its clock is unknown
--- a/tests/manual_site.hpp
+++ b/tests/manual_site.hpp
@@ -20,7 +20,8 @@
 /// A scheduler whose appends of progress succeed at once while `log_answers` is true, and whose other calls
 /// the test answers.
 struct manual_site {
-    manual_site() {
+    explicit manual_site(std::int64_t fences = scheduler_options().fences_per_term)
+        : schedule({.node_id = "node-1", .fences_per_term = fences}) {
         auto config = std::make_shared<site_config>();
         config->version = 1;
         config->queues = {{.name = "batch", .host = "h", .path_prefix = "/b/", .pool = "pool", .attempts = 2},
@@ -186,7 +187,7 @@
     }
 
     boot_time now{milliseconds(100000)};
-    scheduler schedule{{.node_id = "node-1"}};
+    scheduler schedule;
     std::int64_t term = 0;
     std::uint64_t jobs = 0;
     std::vector<send_start> starts;
--- a/tests/scheduler_restart_test.cpp
+++ b/tests/scheduler_restart_test.cpp
@@ -31,7 +31,8 @@
 
 /// A worker that has listed an end, which is recorded, so that it can be acknowledged.
 struct site_with_an_end : manual_site {
-    site_with_an_end() {
+    explicit site_with_an_end(std::int64_t fences = scheduler_options().fences_per_term)
+        : manual_site(fences) {
         this->add_worker("w-1");
         this->confirm("w-1");
         this->first = this->start_task();
@@ -184,7 +185,29 @@
 BOOST_AUTO_TEST_CASE(ends_are_acknowledged_after_the_starts_in_flight) {
     site_with_an_end site;
     site.answer(site.start_task(), order_outcome::done);
-    BOOST_TEST(site.next_hold_after_the_end().acknowledged_end == 1);
+    const auto acknowledgement = site.next_hold_after_the_end();
+    BOOST_TEST(acknowledgement.acknowledged_end == 1);
+    BOOST_TEST((acknowledgement.wait > milliseconds(0))); // no call more
+}
+
+// Guards against a term that runs out of fences: each start beside an acknowledgement takes one.
+BOOST_AUTO_TEST_CASE(acknowledgements_do_not_wait_when_fences_get_scarce) {
+    constexpr std::int64_t fences = 4;
+    site_with_an_end site(fences);
+    for (int refused = 0; refused < 2; ++refused) {
+        const auto start = site.start_task();
+        site.schedule.on_start_answer(start.worker, start.order, {}, site.now); // raises the fence
+        site.run(milliseconds(20));
+        site.answer_hold("w-1", {{.task = site.first.order.task, .run = 1}});
+        site.run(milliseconds(200));
+        for (const auto& again : std::exchange(site.starts, {})) {
+            site.answer(again, order_outcome::rejected);
+        }
+    }
+    const auto acknowledgement = site.next_hold_after_the_end();
+    BOOST_TEST(acknowledgement.acknowledged_end == 1);
+    BOOST_TEST((acknowledgement.wait == milliseconds(0)));
+    BOOST_TEST(acknowledgement.fence < 2 * fences); // the first one of the next term
 }
 
 // Guards against the same with a start that was sent after the hold: a process that has executed it must
