--- a/src/scheduler/scheduler_dispatch.cpp
+++ b/src/scheduler/scheduler_dispatch.cpp
@@ -165,10 +165,8 @@
             summary.least_millicores = std::min(summary.least_millicores, spec.reserved().cpu_millicores);
         }
     }
-    const auto learned = this->durations.find(job.spec.queue);
     const auto duration_of = [&](std::size_t step) {
-        const auto stated = job.spec.steps[step].estimate;
-        return learned == this->durations.end() ? stated : learned->second.predict(stated);
+        return this->durations.expected(job.spec.queue, job.spec.steps[step].estimate);
     };
     const auto none_done = [](std::size_t) {
         return false;
--- a/src/scheduler/scheduler_impl.hpp
+++ b/src/scheduler/scheduler_impl.hpp
@@ -4,6 +4,7 @@
 
 #include "policy/account_limit.hpp"
 #include "policy/account_share.hpp"
+#include "policy/duration_estimates.hpp"
 #include "policy/job_order.hpp"
 #include "policy/pool_moves.hpp"
 #include "policy/vm_plan.hpp"
@@ -25,19 +26,6 @@
 
 namespace hornbeamrail {
 
-/// Learned task durations of one queue, with the estimates that were stated for the same tasks.
-struct learned_duration {
-    double mean_ms = 0;
-    double mean_stated_ms = 0;
-    std::int64_t samples = 0;
-
-    /// Adds a completed task.
-    void add_sample(std::chrono::milliseconds actual, std::chrono::milliseconds stated);
-
-    /// @return expected duration of a task with the @p stated estimate
-    [[nodiscard]] std::chrono::milliseconds predict(std::chrono::milliseconds stated) const;
-};
-
 /// Recent demand for one pool.
 struct pool_demand_view {
     arrival_rate arrivals;
@@ -470,7 +458,7 @@
     std::unordered_map<std::string, final_job> finals; ///< final jobs whose state is still kept, by id
     std::unordered_map<std::string, open_cancellation> open_cancellations; ///< by job id
     std::unordered_map<std::string, resources> account_use; ///< needs of placed tasks, by account
-    std::map<std::string, learned_duration> durations;      ///< by queue
+    duration_estimates durations;                           ///< of tasks that have completed in this term
 
     std::map<std::string, worker_control> workers;
     std::int64_t latest_hold = 0; ///< number of the latest hold; goes on in the next term
--- a/src/scheduler/scheduler_jobs.cpp
+++ b/src/scheduler/scheduler_jobs.cpp
@@ -19,25 +19,6 @@
 
 } // namespace
 
-void learned_duration::add_sample(milliseconds actual, milliseconds stated) {
-    const double weight = this->samples < 20 ? 1.0 / static_cast<double>(this->samples + 1) : 0.05;
-    this->mean_ms += weight * (static_cast<double>(actual.count()) - this->mean_ms);
-    this->mean_stated_ms += weight * (static_cast<double>(stated.count()) - this->mean_stated_ms);
-    ++this->samples;
-}
-
-milliseconds learned_duration::predict(milliseconds stated) const {
-    if (this->samples == 0) {
-        return stated;
-    }
-    if (stated.count() <= 0 || this->mean_stated_ms <= 0) {
-        return milliseconds(static_cast<std::int64_t>(this->mean_ms));
-    }
-    // Single estimates are unreliable, so only half of the deviation from their mean is applied.
-    const double scaled = this->mean_ms * static_cast<double>(stated.count()) / this->mean_stated_ms;
-    return milliseconds(static_cast<std::int64_t>((this->mean_ms + scaled) / 2));
-}
-
 job_progress* scheduler::impl::find_job(const std::string& id) {
     const auto found = this->jobs.find(id);
     return found == this->jobs.end() ? nullptr : found->second.get();
@@ -180,7 +161,7 @@
         if (placed != worker.tasks.end() && ended.outcome == task_end::done &&
             placed->second.stage != start_stage::recording) {
             const auto& step = job->spec.steps[static_cast<std::size_t>(ended.task.step)];
-            this->durations[job->spec.queue].add_sample(to_millis(now - task->placed_at), step.estimate);
+            this->durations.add(job->spec.queue, to_millis(now - task->placed_at), step.estimate);
         }
         this->remove_placement(worker, ended.task, job->spec.account);
         this->finish_run(*job, ended.task, *task, ended, now);
--- a/src/scheduler/scheduler_moves.cpp
+++ b/src/scheduler/scheduler_moves.cpp
@@ -72,11 +72,9 @@
                   {{"job", job.spec.id}, {"account", account->name}, {"weight", account->weight}});
         return;
     }
-    const auto learned = this->durations.find(job.spec.queue);
     double work = 0;
     for (const auto& step : job.spec.steps) {
-        const auto duration =
-            learned == this->durations.end() ? step.estimate : learned->second.predict(step.estimate);
+        const auto duration = this->durations.expected(job.spec.queue, step.estimate);
         work += static_cast<double>(step.count) * static_cast<double>(step.need.cpu_millicores) *
                 seconds_of(duration);
     }
