Starts that waited for the log keep the upper limit of their account

The account "team" ran 27 and 60 cores under a limit that had been lowered to 15 cores seven seconds before. Cause: the limit is asked when a task is placed; its order is sent when the log has taken the record. While the log was silent the limit was lowered, and the orders of the batch in flight were sent without another look at it. Change: before the orders of a batch are sent, its starts that the limit no longer permits are withdrawn, the last ones first, a gang as a whole. The same function decides at the placement and here, so an unchanged limit withdraws nothing.

--- a/src/scheduler/scheduler_impl.hpp
+++ b/src/scheduler/scheduler_impl.hpp
@@ -161,11 +161,16 @@
     void withhold_effects(commit_batch& batch, boot_time now);
     /// Adds jobs whose progress is to be appended again, with their effects, to the batch.
     void retry_unrecorded_jobs(commit_batch& batch, boot_time now);
+    /// @return the task of a start that was not ordered; nullptr if the start no longer counts
+    task_progress* find_unsent_start(const recorded_start& start);
     /// Removes the placement of a start that was not ordered.
     /// @return its task, still placed; nullptr if the start no longer counts
     task_progress* remove_unsent_start(const recorded_start& start);
     /// Withdraws a start that was not ordered; the task is placed again after @p retry_at.
     void withdraw_start(const recorded_start& start, boot_time retry_at);
+    /// Withdraws the starts of the batch, the last ones first, that the limits of their accounts no longer
+    /// permit: the limits may have changed while the log held the append back.
+    void withdraw_starts_beyond_limits(const commit_batch& batch, boot_time now);
     /// Sends the start orders of the batch, releases its ends for acknowledgement and its job states for
     /// publication.
     void run_effects(commit_batch& batch, boot_time now);
@@ -340,10 +345,15 @@
     /// Sets the task to placed and adds it to the worker.
     placement& assign(job_progress& job, const task_id& id, task_progress& task, worker_control& worker,
                       std::int64_t run, boot_time now);
-    /// @return whether a start of the account is being recorded or may be executed later
-    [[nodiscard]] bool has_open_starts(const std::string& account) const;
+    /// @return number of the account's starts that are being recorded or may be executed later
+    [[nodiscard]] std::int32_t count_open_starts(const std::string& account) const;
+    /// @param placed number of tasks of the start that are placed, so that they count as used already
     /// @return whether the upper limit of the job's account permits the start
-    [[nodiscard]] bool is_within_upper_limit(const job_progress& job, limited_start start) const;
+    [[nodiscard]] bool is_within_upper_limit(const job_progress& job, limited_start start,
+                                             std::int32_t placed = 0) const;
+    /// @return whether the upper limit permits the start of the task, which is placed and was not ordered; of
+    /// all members if the task is of a gang
+    [[nodiscard]] bool is_still_within_upper_limit(job_progress& job, const task_id& id) const;
     /// @return the first reason for which the worker receives no new tasks, in the order of `worker_block`
     [[nodiscard]] worker_block find_block(const worker_control& worker, boot_time now) const;
     [[nodiscard]] accepting_workers find_accepting_workers(const std::string& pool, boot_time now);
--- a/src/scheduler/scheduler_placement.cpp
+++ b/src/scheduler/scheduler_placement.cpp
@@ -23,7 +23,8 @@
 
 } // namespace
 
-bool scheduler::impl::is_within_upper_limit(const job_progress& job, limited_start start) const {
+bool scheduler::impl::is_within_upper_limit(const job_progress& job, limited_start start,
+                                            std::int32_t placed) const {
     const auto& account = job.spec.account;
     const auto* config_entry = account.empty() ? nullptr : this->config->find_account(account);
     if (config_entry == nullptr) {
@@ -31,22 +32,36 @@
     }
     const account_limit limit{.upper_limit = config_entry->upper_limit,
                               .tolerance = this->options.limits.upper_limit_tolerance};
-    const auto used = this->account_use.find(account);
-    start.must_not_wait = start.must_not_wait || job.active_tasks() == 0;
-    const auto verdict = limit.check(used == this->account_use.end() ? resources{} : used->second, start);
+    const auto known_use = this->account_use.find(account);
+    auto used = known_use == this->account_use.end() ? resources{} : known_use->second;
+    for (std::int32_t task = 0; task < placed; ++task) {
+        used -= start.task;
+    }
+    start.must_not_wait = start.must_not_wait || job.active_tasks() == placed;
+    const auto verdict = limit.check(used, start);
     return verdict == limit_verdict::within ||
-           (verdict == limit_verdict::beyond && !this->has_open_starts(account));
+           (verdict == limit_verdict::beyond && this->count_open_starts(account) == placed);
+}
+
+bool scheduler::impl::is_still_within_upper_limit(job_progress& job, const task_id& id) const {
+    const auto& step = job.spec.steps[static_cast<std::size_t>(id.step)];
+    if (!step.gang) {
+        return this->is_within_upper_limit(job, start_of_task(step), 1);
+    }
+    const auto& members = job.occurrence(id.occurrence).steps[static_cast<std::size_t>(id.step)];
+    return this->is_within_upper_limit(job, start_of_gang(step), members.active());
 }
 
-bool scheduler::impl::has_open_starts(const std::string& account) const {
-    return std::any_of(this->workers.begin(), this->workers.end(), [&](const auto& item) {
-        const auto& tasks = item.second.tasks;
-        return std::any_of(tasks.begin(), tasks.end(), [&](const auto& task) {
-            const auto job = this->jobs.find(task.first.job);
-            const bool is_open = task.second.is_starting() || task.second.is_unresolved();
-            return is_open && job != this->jobs.end() && job->second->spec.account == account;
-        });
-    });
+std::int32_t scheduler::impl::count_open_starts(const std::string& account) const {
+    std::int32_t open = 0;
+    for (const auto& [worker_id, worker] : this->workers) {
+        for (const auto& [id, placed] : worker.tasks) {
+            const auto job = this->jobs.find(id.job);
+            const bool is_open = placed.is_starting() || placed.is_unresolved();
+            open += is_open && job != this->jobs.end() && job->second->spec.account == account ? 1 : 0;
+        }
+    }
+    return open;
 }
 
 void scheduler::impl::apply_step_rules(accepting_workers& candidates, const step_spec& step,
--- a/tests/scheduler_outage_test.cpp
+++ b/tests/scheduler_outage_test.cpp
@@ -52,6 +52,28 @@
     return job;
 }
 
+/// Changes the limit of the account "team".
+void set_upper_limit(scheduler_site& site, std::int64_t millicores) {
+    auto changed = site.current_config();
+    changed.accounts.front().upper_limit = {.cpu_millicores = millicores};
+    site.publish_config(changed);
+}
+
+/// A site whose log has taken the starts of a job of the account "team" and answers 2 s later.
+struct late_start_site : scheduler_site {
+    explicit late_start_site(job_spec job) : scheduler_site(14) {
+        this->add_vms(3);
+        this->take_over();
+        this->run(milliseconds(100));
+        this->append_delay = milliseconds(2000);
+        this->late_job = this->submit(std::move(job));
+        this->run(milliseconds(200));
+        this->append_delay = milliseconds(0);
+    }
+
+    std::string late_job;
+};
+
 } // namespace
 
 // The steps of a job take one second each. Guards against a job that stands still between two steps while the
@@ -314,3 +336,32 @@
     BOOST_TEST(site.reports.back().second);
     BOOST_TEST(site.maintenance_orders == 8);
 }
+
+// Guards against starts that bring an account above its limit, which was lowered while the log held them
+// back.
+BOOST_AUTO_TEST_CASE(recorded_starts_keep_a_lowered_limit) {
+    late_start_site site(batch_job(6, 4000));
+    BOOST_REQUIRE(site.site.history().empty());
+    set_upper_limit(site, 10000);
+    std::int64_t peak = 0;
+    for (int round = 0; round < 70; ++round) {
+        site.run(milliseconds(100));
+        peak = std::max(peak, site.running_tasks(site.late_job));
+    }
+    BOOST_TEST(peak == 2); // what the limit permits has started
+    BOOST_TEST(site.state_of(site.late_job) == "completed");
+    BOOST_TEST(site.duplicate_runs().empty());
+}
+
+// Guards against the same for a gang, and against a part of it that starts and waits for the rest.
+BOOST_AUTO_TEST_CASE(recorded_gang_keeps_a_lowered_limit) {
+    auto gang = batch_job(4, 4000);
+    gang.steps.front().gang = true;
+    late_start_site site(std::move(gang));
+    set_upper_limit(site, 10000);
+    site.run(milliseconds(4000));
+    BOOST_TEST(site.site.history().empty());
+    set_upper_limit(site, 16000);
+    site.run(milliseconds(2500));
+    BOOST_TEST(site.state_of(site.late_job) == "completed");
+}
