Starts that waited for the log are not sent to a worker that has changed

Callers saw: starts refused for want of room; on workers that don't guard their capacity, more than it (LIMIT); a gang of which a part starts. Before a recorded start is sent, only silence, drain and zone of its worker were looked at again, not its pool, its labels and its capacity, which change when it restarts under its id while the log is late. Change: such starts are withdrawn before the batch is sent, the last ones first, until the rest fits; a gang as a whole. An unchanged worker withdraws nothing. The check costs the same for each start as one look-up of its worker and its job.

--- a/src/scheduler/scheduler_impl.hpp
+++ b/src/scheduler/scheduler_impl.hpp
@@ -168,9 +168,6 @@
     task_progress* remove_unsent_start(const recorded_start& start);
     /// Withdraws a start that was not ordered; the task is placed again after @p retry_at.
     void withdraw_start(const recorded_start& start, boot_time retry_at);
-    /// Withdraws the starts of the batch, the last ones first, that the limits of their accounts no longer
-    /// permit: the limits may have changed while the log held the append back.
-    void withdraw_starts_beyond_limits(const commit_batch& batch, boot_time now);
     /// Sends the start orders of the batch, releases its ends for acknowledgement and its job states for
     /// publication.
     void run_effects(commit_batch& batch, boot_time now);
@@ -373,6 +370,13 @@
                                    const occurrence_summary& summary, unix_time clock) const;
 
     // scheduler_orders.cpp: orders for single tasks
+    /// @return why the start, which still counts and was not ordered, must not be ordered any more; empty if
+    /// it may be
+    [[nodiscard]] std::string_view find_reason_to_withdraw(const recorded_start& start);
+    /// Withdraws the starts of the batch, the last ones first, that the limits of their accounts or their
+    /// workers no longer permit: these may have changed while the log held the append back. A gang is
+    /// withdrawn as a whole.
+    void withdraw_outdated_starts(const commit_batch& batch, boot_time now);
     void send_start_order(worker_control& worker, const task_id& id, placement& placed, boot_time now);
     /// Paces the best-effort tasks of workers that also run latency-sensitive tasks: a third of the last pace
     /// while one of these approaches its target, else 10 percentage points more, up to full speed.
--- a/src/scheduler/scheduler_orders.cpp
+++ b/src/scheduler/scheduler_orders.cpp
@@ -3,6 +3,7 @@
 #include "protocol/json_log.hpp"
 
 #include <algorithm>
+#include <array>
 
 // Orders to workers for single tasks, and the answers to them.
 
@@ -10,6 +11,68 @@
 
 using std::chrono::milliseconds;
 
+namespace {
+
+/// @return whether @p used, which includes @p need, is within @p capacity wherever something is needed
+bool fits_where_needed(const resources& need, const resources& used, const resources& capacity) {
+    constexpr std::array dimensions{&resources::cpu_millicores, &resources::memory_mb,
+                                    &resources::accelerators};
+    return std::all_of(dimensions.begin(), dimensions.end(), [&](auto dimension) {
+        return need.*dimension <= 0 || used.*dimension <= capacity.*dimension;
+    });
+}
+
+bool is_same_step(const task_id& left, const task_id& right) {
+    return left.job == right.job && left.occurrence == right.occurrence && left.step == right.step;
+}
+
+} // namespace
+
+std::string_view scheduler::impl::find_reason_to_withdraw(const recorded_start& start) {
+    auto& job = *this->find_job(start.task.job);
+    const auto& step = job.spec.steps[static_cast<std::size_t>(start.task.step)];
+    const auto& worker = this->workers.at(start.worker);
+    if (!this->is_still_within_upper_limit(job, start.task)) {
+        return "the upper limit of the account was lowered";
+    }
+    if (worker.entry.pool != this->pool_of(job)) {
+        return "the worker is in another pool";
+    }
+    if (!step.required_label.empty() && !worker.entry.has_label(step.required_label)) {
+        return "the worker has lost the label";
+    }
+    const bool has_room = fits_where_needed(step.reserved(), worker.used, worker.entry.capacity);
+    return has_room ? "" : "the worker has less capacity";
+}
+
+void scheduler::impl::withdraw_outdated_starts(const commit_batch& batch, boot_time now) {
+    for (auto start = batch.starts.rbegin(); start != batch.starts.rend(); ++start) {
+        const auto reason = this->find_unsent_start(*start) == nullptr
+                                ? std::string_view()
+                                : this->find_reason_to_withdraw(*start);
+        if (reason.empty()) {
+            continue;
+        }
+        write_log(severity::info, "start_withdrawn",
+                  {{"job", start->task.job},
+                   {"step", start->task.step},
+                   {"index", start->task.index},
+                   {"run", start->run},
+                   {"worker", start->worker},
+                   {"reason", reason}});
+        const auto& steps = this->find_job(start->task.job)->spec.steps;
+        if (!steps[static_cast<std::size_t>(start->task.step)].gang) {
+            this->withdraw_start(*start, now);
+            continue;
+        }
+        for (const auto& member : batch.starts) {
+            if (is_same_step(member.task, start->task)) {
+                this->withdraw_start(member, now); // the others would wait for it
+            }
+        }
+    }
+}
+
 void scheduler::impl::send_start_order(worker_control& worker, const task_id& id, placement& placed,
                                        boot_time now) {
     auto* job = this->find_job(id.job);
--- a/src/scheduler/scheduler_records.cpp
+++ b/src/scheduler/scheduler_records.cpp
@@ -51,22 +51,6 @@
     }
 }
 
-void scheduler::impl::withdraw_starts_beyond_limits(const commit_batch& batch, boot_time now) {
-    for (auto start = batch.starts.rbegin(); start != batch.starts.rend(); ++start) {
-        if (this->find_unsent_start(*start) != nullptr &&
-            !this->is_still_within_upper_limit(*this->find_job(start->task.job), start->task)) {
-            write_log(severity::info, "start_withdrawn",
-                      {{"job", start->task.job},
-                       {"step", start->task.step},
-                       {"index", start->task.index},
-                       {"run", start->run},
-                       {"worker", start->worker},
-                       {"reason", "the upper limit of the account was lowered"}});
-            this->withdraw_start(*start, now);
-        }
-    }
-}
-
 void scheduler::impl::withhold_effects(commit_batch& batch, boot_time now) {
     std::erase_if(batch.starts, [&](const recorded_start& start) {
         const bool withheld = this->is_set_aside(start.task.job, now);
@@ -222,7 +206,7 @@
     // One commit is in flight at a time, so the latest one is recorded now.
     this->commits_recorded = this->commits_begun;
     this->withhold_effects(batch, now);
-    this->withdraw_starts_beyond_limits(batch, now);
+    this->withdraw_outdated_starts(batch, now);
     for (const auto& start : batch.starts) {
         const auto worker = this->workers.find(start.worker);
         if (worker == this->workers.end()) {
--- a/tests/scheduler_outage_test.cpp
+++ b/tests/scheduler_outage_test.cpp
@@ -365,3 +365,22 @@
     site.run(milliseconds(2500));
     BOOST_TEST(site.state_of(site.late_job) == "completed");
 }
+
+// Guards against starts beyond the capacity of a worker that restarted with less while the log held them
+// back.
+BOOST_AUTO_TEST_CASE(recorded_starts_keep_the_capacity_of_a_restarted_worker) {
+    scheduler_site site(15);
+    site.add_vms(1);
+    site.take_over();
+    site.run(milliseconds(100));
+    site.append_delay = milliseconds(2000);
+    const auto id = site.submit(batch_job(7, 4000));
+    site.run(milliseconds(200));
+    site.append_delay = milliseconds(0);
+    site.site.restart("m-pool-0", {.capacity = resources{.cpu_millicores = 16000, .memory_mb = 65536}},
+                      site.now);
+    site.break_hold("w-1");
+    site.run(milliseconds(2400));
+    BOOST_TEST(site.starts == 4);
+    BOOST_TEST(site.running_tasks(id) == 4);
+}
--- a/tests/scheduler_restart_test.cpp
+++ b/tests/scheduler_restart_test.cpp
@@ -445,6 +445,46 @@
     BOOST_TEST(site.starts.empty());
 }
 
+// Guards against a start on a worker that is in another pool, or has lost the label that its step requires,
+// since the task was placed; and against a part of a gang that waits for the rest.
+BOOST_AUTO_TEST_CASE(recorded_start_is_not_sent_to_a_worker_that_has_changed) {
+    auto labelled = short_step();
+    labelled.required_label = "r1";
+    auto pair = labelled;
+    pair.count = 2;
+    pair.max_per_worker = 1;
+    pair.gang = true;
+    const worker_entry usual{.id = "w-1",
+                             .instance_started_ms = 1,
+                             .pool = "pool",
+                             .address = {.address = "127.0.0.1", .port = 1},
+                             .zone = "zone-a",
+                             .capacity = {.cpu_millicores = 32000, .memory_mb = 65536},
+                             .labels = {"a", "r1"}};
+    auto elsewhere = usual;
+    elsewhere.pool = "other";
+    auto other_kind = usual;
+    other_kind.labels = {"a", "r2"};
+    for (const auto& step : {labelled, pair}) {
+        for (const auto& changed : {usual, elsewhere, other_kind}) {
+            manual_site site;
+            for (const auto* worker : {"w-1", "w-2"}) {
+                site.add_worker(worker);
+                site.confirm(worker);
+            }
+            site.log_answers = false;
+            site.submit(step);
+            site.run(milliseconds(60));
+            BOOST_REQUIRE(site.starts.empty());
+            site.schedule.on_worker(changed, site.now);
+            site.answer_appends();
+            site.run(milliseconds(5));
+            const bool is_changed = changed.pool != usual.pool || changed.labels != usual.labels;
+            BOOST_TEST(site.starts.size() == static_cast<std::size_t>(is_changed ? 0 : step.count));
+        }
+    }
+}
+
 // Guards against two runs of a task: a worker lists a run of it that counted as missing, and it is started
 // elsewhere while that run is being stopped.
 BOOST_FIXTURE_TEST_CASE(task_waits_until_a_listed_run_has_ended, site_with_an_open_start) {
