Calls for advice name only workers that may run the step

Callers saw: a long-running task on a queue with advice waits for more than half a second beside a free worker; in a pool of many workers without the label that the step requires, for several calls. Cause: a call names the first 30 workers without a ticket, those without the label and those with as many tasks of the step as they may have as well, and each call puts off the next one by 300 ms. Change: such workers are left out of the calls. Room is not looked at, so that a ticket is there when a worker has room. A search that finds nobody to ask is not repeated every 15 ms any more.

--- a/src/scheduler/scheduler_advice.cpp
+++ b/src/scheduler/scheduler_advice.cpp
@@ -18,48 +18,59 @@
     return task;
 }
 
+/// A ticket for another worker is of no use, and asking for it keeps others from being asked about. Room is
+/// not looked at, so that the ticket is there when the worker has room.
+/// @return whether the worker has the label that the step requires, and not as many of its tasks as it may
+bool is_open_to(const step_spec& step, const accepting_workers& candidates, std::size_t index) {
+    const bool has_label =
+        step.required_label.empty() || candidates.controls[index]->entry.has_label(step.required_label);
+    const bool under_limit =
+        step.max_per_worker <= 0 || candidates.views[index].same_step_tasks < step.max_per_worker;
+    return has_label && under_limit;
+}
+
 } // namespace
 
-const step_advice& scheduler::impl::get_advice(const task_id& step,
-                                               const std::vector<worker_control*>& candidates,
+const step_advice& scheduler::impl::get_advice(const task_id& step, const accepting_workers& candidates,
                                                boot_time now) {
     auto& entry = this->advice[step_of(step)];
     std::erase_if(entry.tickets, [&](const auto& item) {
         return now + this->timings.ticket_expiry_margin >= item.second.valid_until;
     });
     if (entry.tickets.empty()) {
-        this->request_more_advice(step, candidates, now);
-        this->dispatch_due = true;
+        this->dispatch_due = this->request_more_advice(step, candidates, now) || this->dispatch_due;
     }
     return entry;
 }
 
-void scheduler::impl::request_more_advice(const task_id& step, const std::vector<worker_control*>& candidates,
+bool scheduler::impl::request_more_advice(const task_id& step, const accepting_workers& candidates,
                                           boot_time now) {
     auto& entry = this->advice[step_of(step)];
     if (entry.in_flight || this->advice_in_flight >= max_calls_in_flight) {
-        return; // the answer triggers another search
+        return true; // the answer triggers another search
     }
     advice_call call{.step = step_of(step)};
-    for (const auto* worker : candidates) {
-        const auto& id = worker->entry.id;
+    const auto& spec = this->find_job(step.job)->spec.steps[static_cast<std::size_t>(step.step)];
+    for (std::size_t index = 0; index < candidates.views.size(); ++index) {
+        const auto& id = candidates.controls[index]->entry.id;
         if (call.workers.size() < max_workers_per_call && !entry.refused.contains(id) &&
-            !entry.tickets.contains(id)) {
+            !entry.tickets.contains(id) && is_open_to(spec, candidates, index)) {
             call.workers.push_back(id);
         }
     }
     if (call.workers.empty()) {
-        return;
+        return false;
     }
     const auto allowed_at = entry.requested + this->timings.advice_retry;
     if (now < allowed_at) {
         this->advice_allowed_at = std::min(this->advice_allowed_at.value_or(allowed_at), allowed_at);
-        return;
+        return true;
     }
     entry.in_flight = true;
     entry.requested = now;
     ++this->advice_in_flight;
     this->add_action(request_advice{.call = std::move(call)});
+    return true;
 }
 
 void scheduler::impl::drop_advice(const std::string& job) {
--- a/src/scheduler/scheduler_impl.hpp
+++ b/src/scheduler/scheduler_impl.hpp
@@ -394,11 +394,12 @@
 
     // scheduler_advice.cpp: queues that need placement advice
     /// Drops the tickets that have expired, and requests advice if none is left.
-    const step_advice& get_advice(const task_id& step, const std::vector<worker_control*>& workers,
-                                  boot_time now);
+    const step_advice& get_advice(const task_id& step, const accepting_workers& candidates, boot_time now);
     /// Requests advice about the workers that the latest answers do not cover, unless it was requested a
-    /// moment ago or too many requests are in flight.
-    void request_more_advice(const task_id& step, const std::vector<worker_control*>& workers, boot_time now);
+    /// moment ago or too many requests are in flight. Names only workers that may run tasks of the step once
+    /// they have room.
+    /// @return whether an answer is to come
+    bool request_more_advice(const task_id& step, const accepting_workers& candidates, boot_time now);
     void drop_advice(const std::string& job);
 
     // scheduler_moves.cpp: moves of VMs between pools
--- a/src/scheduler/scheduler_placement.cpp
+++ b/src/scheduler/scheduler_placement.cpp
@@ -120,7 +120,7 @@
     const auto* queue = this->find_queue(job.spec.queue);
     const bool needs_advice = queue != nullptr && queue->advice;
     if (needs_advice) {
-        const auto& granted_advice = this->get_advice(step_id, controls, now);
+        const auto& granted_advice = this->get_advice(step_id, candidates, now);
         for (auto& view : views) {
             view.allowed = view.allowed && granted_advice.tickets.contains(std::string(view.id));
         }
@@ -138,7 +138,7 @@
         placed_all = this->place_tasks(job, occurrence, number, request, candidates, any_worker_may, now);
     }
     if (!placed_all && needs_advice) {
-        this->request_more_advice(step_id, controls, now);
+        this->request_more_advice(step_id, candidates, now);
     }
     if (!log_late && !step.gang) {
         this->reserve_later_steps(job, occurrence, number);
--- a/tests/scheduler_answers_test.cpp
+++ b/tests/scheduler_answers_test.cpp
@@ -320,6 +320,41 @@
     BOOST_TEST(site.advice.size() == 2);
 }
 
+// Guards against tasks that wait for advice about workers which cannot run them: a call named workers without
+// the required label, or with as many tasks of the step as they may have, and left out the one that can.
+BOOST_AUTO_TEST_CASE(advice_is_requested_for_workers_that_may_run_the_step) {
+    constexpr int others = 40; // more than a call names
+    manual_site site;
+    const auto add = [&site](const std::string& id, const std::string& label) {
+        site.schedule.on_worker({.id = id,
+                                 .instance_started_ms = 1,
+                                 .pool = "pool",
+                                 .address = {.address = "127.0.0.1", .port = 1},
+                                 .zone = "zone-a",
+                                 .capacity = {.cpu_millicores = 32000, .memory_mb = 65536},
+                                 .labels = {"a", label}},
+                                site.now);
+        site.confirm(id);
+    };
+    for (int number = 0; number < others; ++number) {
+        add(fmt::format("w-{}", 100 + number), "r2");
+    }
+    add("w-200", "r1");
+    step_spec step = long_running_step(2);
+    step.required_label = "r1";
+    site.submit(step, "advised");
+    site.run(milliseconds(20));
+    BOOST_REQUIRE(site.advice.size() == 1);
+    BOOST_TEST(site.advice.front().call.workers == std::vector<std::string>{"w-200"},
+               boost::test_tools::per_element());
+    site.answer(std::exchange(site.advice, {}).front());
+    site.run(milliseconds(60));
+    BOOST_REQUIRE(site.starts.size() == 1);
+    site.answer(site.starts.front(), order_outcome::done);
+    site.run(milliseconds(400));
+    BOOST_TEST(site.advice.empty()); // the only worker with the label has a task of the step
+}
+
 // Guards against a VM that drains for ever and a wave that never ends: the order that moves a long-running
 // task away from it was refused, and was not repeated.
 BOOST_AUTO_TEST_CASE(refused_stop_of_a_task_on_a_draining_vm_is_repeated) {
