A job with nothing at work does not wait for 12 s for a VM that is down

Callers saw: a job of which nothing runs for up to 12 s beside free workers, in a calm site: its only start was not answered, and the VM of the worker went down for good. Cause: an order without an answer may be executed up to 12 s late by a process that starts under the id of the worker, and for batch tasks this longest delay was the only bound while the VM is down. The promise on waiting jobs ends after 7 s of calm. Evidence: a trace of: order at 30.696 s, VM down at 31.154 s, placed again at 42.704 s; "held_back" at 41.9 s. Change: while a VM is known to be down or without a worker, the task of such an order waits for 4 s from then on if nothing of its job is at work on a worker that answers; else for the longest delay, as before. A VM that comes back in time decides the order by its report.

--- a/src/scheduler/scheduler_impl.hpp
+++ b/src/scheduler/scheduler_impl.hpp
@@ -224,8 +224,10 @@
 
     // scheduler_loss.cpp: workers that do not answer
     /// @return whether a run of the task may exist in spite of the evidence, or may begin later
-    [[nodiscard]] bool may_run_despite(const worker_control& worker, const placement& placed,
-                                       loss_evidence evidence, boot_time now) const;
+    [[nodiscard]] bool may_run_despite(const worker_control& worker, const task_id& id,
+                                       const placement& placed, loss_evidence evidence, boot_time now) const;
+    /// @return whether a task of the job is placed on a worker that answers
+    [[nodiscard]] bool has_task_at_work(const std::string& id) const;
     /// Requeues the tasks of the worker, except those that may run in spite of the evidence, and removes the
     /// worker if no task is left.
     /// @return whether it was removed
--- a/src/scheduler/scheduler_loss.cpp
+++ b/src/scheduler/scheduler_loss.cpp
@@ -8,18 +8,41 @@
 
 namespace hornbeamrail {
 
-bool scheduler::impl::may_run_despite(const worker_control& worker, const placement& placed,
-                                      loss_evidence evidence, boot_time now) const {
+bool scheduler::impl::has_task_at_work(const std::string& id) const {
+    const auto job = this->jobs.find(id);
+    const auto is_at_work = [this](const task_progress& task) {
+        const auto worker = this->workers.find(task.worker);
+        return (task.phase == run_phase::placed || task.phase == run_phase::running) &&
+               worker != this->workers.end() && !worker->second.is_unresponsive();
+    };
+    const auto step_is_at_work = [&](const step_progress& step) {
+        return step.active() > 0 && std::any_of(step.tasks.begin(), step.tasks.end(), is_at_work);
+    };
+    return job != this->jobs.end() &&
+           std::any_of(
+               job->second->occurrences.begin(), job->second->occurrences.end(), [&](const auto& occurrence) {
+                   return std::any_of(occurrence.steps.begin(), occurrence.steps.end(), step_is_at_work);
+               });
+}
+
+bool scheduler::impl::may_run_despite(const worker_control& worker, const task_id& id,
+                                      const placement& placed, loss_evidence evidence, boot_time now) const {
     if (!placed.may_be_elsewhere || evidence == loss_evidence::replaced) {
         return false;
     }
     if (evidence == loss_evidence::leases_expired) {
         return now <= worker.late_lease_bound;
     }
-    // A long-running task must not be away for that long if the worker never comes back.
     const bool was_executed = placed.stage == start_stage::confirmed;
-    return !was_executed && !placed.long_running &&
-           now <= placed.stage_entered + this->timings.longest_order_delay;
+    // A long-running task must not be away for that long if the worker never comes back.
+    if (was_executed || placed.long_running ||
+        now > placed.stage_entered + this->timings.longest_order_delay) {
+        return false;
+    }
+    // Nor must a job of which nothing is at work.
+    const bool waits_for_long =
+        worker.vm_not_up_since && now > *worker.vm_not_up_since + this->timings.longest_wait_for_vm;
+    return !waits_for_long || this->has_task_at_work(id.job);
 }
 
 bool scheduler::impl::declare_worker_lost(const std::string& id, const worker_loss& loss, boot_time now) {
@@ -30,7 +53,7 @@
     auto& worker = found->second;
     auto ended = worker.tasks;
     std::erase_if(ended, [&](const auto& item) {
-        return this->may_run_despite(worker, item.second, loss.evidence, now);
+        return this->may_run_despite(worker, item.first, item.second, loss.evidence, now);
     });
     const auto kept = worker.tasks.size() - ended.size();
     if (ended.empty() && kept > 0) {
@@ -94,8 +117,13 @@
         }
     }
     for (const auto& id : unresponsive) {
-        const auto& worker = this->workers.at(id);
+        auto& worker = this->workers.at(id);
         const auto loss = this->find_loss(id, worker, now);
+        if (!loss || loss->evidence != loss_evidence::vm_not_up) {
+            worker.vm_not_up_since.reset();
+        } else if (!worker.vm_not_up_since) {
+            worker.vm_not_up_since = now;
+        }
         if (!loss) {
             continue;
         }
--- a/src/scheduler/scheduler_reports.cpp
+++ b/src/scheduler/scheduler_reports.cpp
@@ -101,6 +101,7 @@
                                     const hold_report& report, boot_time now) {
     this->dispatch_due = this->dispatch_due || worker.is_unresponsive();
     worker.unanswered_holds = 0;
+    worker.vm_not_up_since.reset();
     if (!report.complete) {
         write_log(severity::warning, "worker_report_unreadable", {{"worker", worker.entry.id}});
     }
--- a/src/scheduler/scheduler_timings.hpp
+++ b/src/scheduler/scheduler_timings.hpp
@@ -15,6 +15,9 @@
     /// An order without an answer may be executed this much later, by whichever process runs under the id
     /// then.
     std::chrono::milliseconds longest_order_delay{12000};
+    /// The task of such an order waits for at most this time while the VM is down and its job has nothing at
+    /// work: a job must not wait for longer than 7 s beside free workers.
+    std::chrono::milliseconds longest_wait_for_vm{4000};
     std::chrono::milliseconds commit_interval{10}; ///< least time between two progress appends
     std::chrono::milliseconds dispatch_interval{15};
     /// Starts that are being recorded or in flight at once. More would wait longer for their turn to be sent
--- a/src/scheduler/worker_control.hpp
+++ b/src/scheduler/worker_control.hpp
@@ -147,7 +147,8 @@
     boot_time late_lease_bound{};
     std::int32_t unanswered_holds = 0; ///< consecutive holds without an answer
     boot_time unanswered_since{};
-    std::optional<boot_time> fenced_since; ///< when it first refused the current fence
+    std::optional<boot_time> vm_not_up_since; ///< since when its VM is known to be down or without a worker
+    std::optional<boot_time> fenced_since;    ///< when it first refused the current fence
     /// Since when a job with nothing running waits for room that only draining VMs such as this one have.
     std::optional<boot_time> holds_back_since;
     bool holds_back = false; ///< as found by the dispatch in progress
