A job's time of being held back goes on when another VM drains

Callers saw: a job has nothing running for 3 s beside an idle VM, while waves of maintenance follow each other over its pool. Cause: a draining VM gives way after it has held a job back for 2 s, and that time began anew with each VM. Change: a VM holds a job back since the job has been held back, whichever VM did so before; as before, its own time goes on when another job is held back in turn. No more work for each dispatch than before. The tests of the scheduler pass.

--- a/src/scheduler/scheduler_dispatch.cpp
+++ b/src/scheduler/scheduler_dispatch.cpp
@@ -222,16 +222,15 @@
         this->dispatch_pool(pool->second, now);
     }
     this->first_dispatched_pool = first == pools.end() ? std::string() : std::string(first->first);
-    this->update_held_back(now);
+    this->update_held_back();
 }
 
-void scheduler::impl::update_held_back(boot_time now) {
+void scheduler::impl::update_held_back() {
     for (auto& [id, worker] : this->workers) {
-        if (!std::exchange(worker.holds_back, false)) {
-            worker.holds_back_since.reset();
-        } else if (!worker.holds_back_since) {
-            worker.holds_back_since = now;
-        }
+        const auto found = std::exchange(worker.found_to_hold_back_since, std::nullopt);
+        // It goes on when another job is held back in turn.
+        worker.holds_back_since =
+            found ? std::min(*found, worker.holds_back_since.value_or(*found)) : std::optional<boot_time>();
     }
 }
 
--- a/src/scheduler/scheduler_impl.hpp
+++ b/src/scheduler/scheduler_impl.hpp
@@ -324,7 +324,7 @@
     /// @return whether the job has been held back for `longest_hold_back` in a pool that has room
     [[nodiscard]] bool is_held_back_long(const job_progress& job, boot_time now) const;
     /// Updates since when workers hold back jobs, from what the dispatch has found.
-    void update_held_back(boot_time now);
+    void update_held_back();
     /// Chooses the worker for one task, which may return to the worker where it failed if no other can run
     /// it.
     [[nodiscard]] std::optional<std::size_t> find_worker(const task_progress& task,
--- a/src/scheduler/scheduler_placement.cpp
+++ b/src/scheduler/scheduler_placement.cpp
@@ -94,15 +94,21 @@
     auto unconditional = request;
     unconditional.overdue = true;
     unconditional.unlimited_attempts = true;
-    bool has_room = false;
+    const auto can_run_task = [&](const worker_view& view) {
+        return can_run(view, unconditional);
+    };
+    if (std::none_of(views.begin(), views.end(), can_run_task)) {
+        job.held_back_since.reset();
+        return;
+    }
+    job.held_back_since = job.held_back_since.value_or(now);
+    // A VM that starts to drain in place of another holds the job back since the other did.
     for (std::size_t index = 0; index < views.size(); ++index) {
-        if (can_run(views[index], unconditional)) {
-            has_room = true;
-            controls[index]->holds_back =
-                controls[index]->holds_back || views[index].standing == worker_standing::leaving;
+        if (views[index].standing == worker_standing::leaving && can_run_task(views[index])) {
+            auto& since = controls[index]->found_to_hold_back_since;
+            since = std::min(since.value_or(now), *job.held_back_since);
         }
     }
-    job.held_back_since = has_room ? job.held_back_since.value_or(now) : std::optional<boot_time>();
 }
 
 bool scheduler::impl::is_held_back_long(const job_progress& job, boot_time now) const {
--- a/src/scheduler/worker_control.hpp
+++ b/src/scheduler/worker_control.hpp
@@ -151,7 +151,7 @@
     std::optional<boot_time> fenced_since;    ///< when it first refused the current fence
     /// Since when a job with nothing running waits for room that only draining VMs such as this one have.
     std::optional<boot_time> holds_back_since;
-    bool holds_back = false; ///< as found by the dispatch in progress
+    std::optional<boot_time> found_to_hold_back_since; ///< the same, as found by the dispatch in progress
     std::map<task_id, placement> tasks;
     resources used; ///< sum of the needs of `tasks`
     std::int32_t latency_sensitive_tasks = 0;
--- a/tests/scheduler_wave_test.cpp
+++ b/tests/scheduler_wave_test.cpp
@@ -105,6 +105,25 @@
     BOOST_TEST(this->longest_wait(milliseconds(30000)) < start_limit);
 }
 
+// Guards against a drain that goes on because each of several jobs is held back for less than its limit.
+BOOST_FIXTURE_TEST_CASE(drain_gives_way_when_jobs_are_held_back_in_turn, two_vms) {
+    this->site.site.set_duration(milliseconds(60000));
+    auto job = batch_job(2);
+    job.steps.front().need.memory_mb = 40000; // one on each VM
+    this->site.submit(job);
+    this->site.run(milliseconds(1000));
+    this->site.request_wave(wave_over_pool(2, milliseconds(200000), 2));
+    this->site.run(milliseconds(1000));
+    const auto first = this->site.submit(small_job());
+    this->site.run(milliseconds(1000));
+    const auto second = this->site.submit(small_job());
+    this->site.run(milliseconds(500));
+    BOOST_REQUIRE(this->site.running_tasks(first) + this->site.running_tasks(second) == 0);
+    this->site.cancel(first);
+    this->site.run(milliseconds(900));
+    BOOST_TEST(this->site.running_tasks(second) == 1);
+}
+
 // Guards against a wave that waits for ever for a VM that was lost during its maintenance, and keeps its
 // place.
 BOOST_AUTO_TEST_CASE(vm_that_is_lost_in_maintenance_keeps_no_place) {
@@ -173,3 +192,31 @@
     BOOST_TEST(site.running_tasks(kept) == 1);
     BOOST_TEST(site.running_tasks(failing) == 1);
 }
+
+// Guards against a job that has nothing running while one VM after another drains, each for less time than a
+// drain may hold it back.
+BOOST_AUTO_TEST_CASE(drains_in_turn_hold_a_job_back_no_longer_than_one) {
+    scheduler_site site(22);
+    site.add_vms(4);
+    site.take_over();
+    site.run(milliseconds(500));
+    site.request_wave(
+        {.number = 1, .vms = {"m-pool-0", "m-pool-1"}, .duration = milliseconds(60000), .max_down = 1});
+    site.run(milliseconds(200));
+    site.request_wave({.number = 2,
+                       .vms = {"m-pool-0", "m-pool-2", "m-pool-3"},
+                       .duration = milliseconds(60000),
+                       .max_down = 2});
+    site.run(milliseconds(200));
+    BOOST_REQUIRE(site.maintenance_orders == 2); // of the VMs 0 and 2; the others drain
+    site.site.take_down("m-pool-2", boot_time::max(), site.now);
+    site.lapsed_entries = {"w-5"}; // the next worker of VM 0, which is to drain before it takes a task
+    const auto id = site.submit(batch_job(1));
+    site.run(milliseconds(1900));
+    BOOST_REQUIRE(site.maintenance_orders == 4); // VM 0 is back and drains while the others are down
+    site.lapsed_entries.clear();
+    site.run(milliseconds(50));
+    BOOST_REQUIRE(site.running_tasks(id) == 0);
+    site.run(milliseconds(450));
+    BOOST_TEST(site.running_tasks(id) == 1);
+}
