A job's time of being held back goes on while its tickets are renewed

Callers saw: a job on a queue with advice has nothing running for 3 s beside a VM that drains. Cause: the time for which a drain may hold a job back began anew at each moment in which no worker could run the job, as when its tickets expire and new ones are on their way; and it did not end for a job that was no longer looked at, so that a later drain gave way at once and its VM did not drain again for 4 s. Change: the time goes on over gaps of up to 0.5 s and begins anew after a longer one.

--- a/src/scheduler/scheduler_impl.hpp
+++ b/src/scheduler/scheduler_impl.hpp
@@ -318,9 +318,9 @@
                                                                   const placement_request& request) const;
 
     /// Notes that no worker takes a task of the job, and which draining VMs could run it.
-    static void note_held_back(job_progress& job, const placement_request& request,
-                               const std::vector<worker_view>& views,
-                               const std::vector<worker_control*>& workers, boot_time now);
+    void note_held_back(job_progress& job, const placement_request& request,
+                        const std::vector<worker_view>& views, const std::vector<worker_control*>& workers,
+                        boot_time now) const;
     /// @return whether the job has been held back for `longest_hold_back` in a pool that has room
     [[nodiscard]] bool is_held_back_long(const job_progress& job, boot_time now) const;
     /// Updates since when workers hold back jobs, from what the dispatch has found.
--- a/src/scheduler/scheduler_placement.cpp
+++ b/src/scheduler/scheduler_placement.cpp
@@ -87,7 +87,7 @@
 
 void scheduler::impl::note_held_back(job_progress& job, const placement_request& request,
                                      const std::vector<worker_view>& views,
-                                     const std::vector<worker_control*>& controls, boot_time now) {
+                                     const std::vector<worker_control*>& controls, boot_time now) const {
     if (job.active_tasks() > 0) {
         return;
     }
@@ -98,10 +98,11 @@
         return can_run(view, unconditional);
     };
     if (std::none_of(views.begin(), views.end(), can_run_task)) {
-        job.held_back_since.reset();
         return;
     }
-    job.held_back_since = job.held_back_since.value_or(now);
+    const bool goes_on = job.held_back_since && now <= job.held_back_at + this->timings.held_back_gap;
+    job.held_back_since = goes_on ? *job.held_back_since : now;
+    job.held_back_at = now;
     // A VM that starts to drain in place of another holds the job back since the other did.
     for (std::size_t index = 0; index < views.size(); ++index) {
         if (views[index].standing == worker_standing::leaving && can_run_task(views[index])) {
@@ -112,7 +113,8 @@
 }
 
 bool scheduler::impl::is_held_back_long(const job_progress& job, boot_time now) const {
-    return job.held_back_since && now >= *job.held_back_since + this->timings.longest_hold_back &&
+    return job.held_back_since && now <= job.held_back_at + this->timings.held_back_gap &&
+           now >= *job.held_back_since + this->timings.longest_hold_back &&
            !this->is_half_used(this->pool_of(job));
 }
 
--- a/src/scheduler/scheduler_timings.hpp
+++ b/src/scheduler/scheduler_timings.hpp
@@ -68,6 +68,9 @@
     std::chrono::milliseconds longest_hold_back{2000};
     /// The same for VMs of a pool with at least half of its capacity in use, where work waits in any case.
     std::chrono::milliseconds longest_hold_back_if_busy{10000};
+    /// A job that was last found held back longer ago than this is held back anew: it may not have been
+    /// looked at since. A shorter gap, as when its tickets expire, does not end the time.
+    std::chrono::milliseconds held_back_gap{500};
     std::chrono::milliseconds drain_pause{4000};
     /// A VM that is down for this time after it should have returned from maintenance no longer counts as
     /// being maintained.
--- a/src/state/job_progress.hpp
+++ b/src/state/job_progress.hpp
@@ -126,6 +126,7 @@
     std::int32_t partition = 0; ///< partition of the jobs topic that holds the job's record
     /// Since when it has nothing running while only workers that take no new tasks have room; not recorded.
     std::optional<boot_time> held_back_since;
+    boot_time held_back_at{}; ///< when it was last found so; not recorded
     std::deque<occurrence_progress> occurrences;
     std::int32_t finished_occurrences = 0; ///< occurrences below this number are done and no longer kept
     recorded_progress recorded;
--- a/tests/scheduler_wave_test.cpp
+++ b/tests/scheduler_wave_test.cpp
@@ -124,6 +124,32 @@
     BOOST_TEST(this->site.running_tasks(second) == 1);
 }
 
+// Guards against a drain that goes on because the tickets of the job that waits for it expire again and
+// again.
+BOOST_FIXTURE_TEST_CASE(drain_gives_way_to_a_job_whose_tickets_expire, two_vms) {
+    auto changed = this->site.current_config();
+    for (auto& queue : changed.queues) {
+        if (queue.advice) {
+            queue.advice->ticket_lifetime = milliseconds(1500);
+        }
+    }
+    this->site.publish_config(changed);
+    this->site.site.set_duration(milliseconds(60000));
+    auto job = batch_job(2);
+    job.steps.front().need.memory_mb = 40000; // one on each VM
+    this->site.submit(job);
+    this->site.run(milliseconds(1000));
+    this->site.request_wave(wave_over_pool(2, milliseconds(200000), 2));
+    this->site.run(milliseconds(1000));
+    auto advised = small_job();
+    advised.queue = "advised";
+    const auto id = this->site.submit(advised);
+    this->site.run(milliseconds(1900));
+    BOOST_REQUIRE(this->site.running_tasks(id) == 0);
+    this->site.run(milliseconds(500));
+    BOOST_TEST(this->site.running_tasks(id) == 1);
+}
+
 // Guards against a wave that waits for ever for a VM that was lost during its maintenance, and keeps its
 // place.
 BOOST_AUTO_TEST_CASE(vm_that_is_lost_in_maintenance_keeps_no_place) {
