--- a/src/scheduler/scheduler_impl.hpp
+++ b/src/scheduler/scheduler_impl.hpp
@@ -149,6 +149,8 @@
     void withhold_effects(commit_batch& batch, boot_time now);
     /// Adds jobs whose progress is to be appended again, with their effects, to the batch.
     void retry_unrecorded_jobs(commit_batch& batch, boot_time now);
+    /// @return the task of a start that was not ordered; nullptr if the start no longer counts
+    task_progress* find_unsent_start(const recorded_start& start);
     /// Removes the placement of a start that was not ordered.
     /// @return its task, still placed; nullptr if the start no longer counts
     task_progress* remove_unsent_start(const recorded_start& start);
@@ -210,8 +212,10 @@
 
     // scheduler_loss.cpp: workers that do not answer
     /// @return whether a run of the task may exist in spite of the evidence, or may begin later
-    [[nodiscard]] bool may_run_despite(const worker_control& worker, const placement& placed,
-                                       loss_evidence evidence, boot_time now) const;
+    [[nodiscard]] bool may_run_despite(const worker_control& worker, const task_id& id,
+                                       const placement& placed, loss_evidence evidence, boot_time now) const;
+    /// @return whether a task of the job is placed on a worker that answers
+    [[nodiscard]] bool has_task_at_work(const std::string& id) const;
     /// Requeues the tasks of the worker, except those that may run in spite of the evidence, and removes the
     /// worker if no task is left.
     /// @return whether it was removed
@@ -302,13 +306,13 @@
                                                                   const placement_request& request) const;
 
     /// Notes that no worker takes a task of the job, and which draining VMs could run it.
-    static void note_held_back(job_progress& job, const placement_request& request,
-                               const std::vector<worker_view>& views,
-                               const std::vector<worker_control*>& workers, boot_time now);
+    void note_held_back(job_progress& job, const placement_request& request,
+                        const std::vector<worker_view>& views, const std::vector<worker_control*>& workers,
+                        boot_time now) const;
     /// @return whether the job has been held back for `longest_hold_back` in a pool that has room
     [[nodiscard]] bool is_held_back_long(const job_progress& job, boot_time now) const;
     /// Updates since when workers hold back jobs, from what the dispatch has found.
-    void update_held_back(boot_time now);
+    void update_held_back();
     /// Chooses the worker for one task, which may return to the worker where it failed if no other can run
     /// it.
     [[nodiscard]] std::optional<std::size_t> find_worker(const task_progress& task,
@@ -328,10 +332,15 @@
     /// Sets the task to placed and adds it to the worker.
     placement& assign(job_progress& job, const task_id& id, task_progress& task, worker_control& worker,
                       std::int64_t run, boot_time now);
-    /// @return whether a start of the account is being recorded or may be executed later
-    [[nodiscard]] bool has_open_starts(const std::string& account) const;
+    /// @return number of the account's starts that are being recorded or may be executed later
+    [[nodiscard]] std::int32_t count_open_starts(const std::string& account) const;
+    /// @param placed number of tasks of the start that are placed, so that they count as used already
     /// @return whether the upper limit of the job's account permits the start
-    [[nodiscard]] bool is_within_upper_limit(const job_progress& job, limited_start start) const;
+    [[nodiscard]] bool is_within_upper_limit(const job_progress& job, limited_start start,
+                                             std::int32_t placed = 0) const;
+    /// @return whether the upper limit permits the start of the task, which is placed and was not ordered; of
+    /// all members if the task is of a gang
+    [[nodiscard]] bool is_still_within_upper_limit(job_progress& job, const task_id& id) const;
     /// @return the first reason for which the worker receives no new tasks, in the order of `worker_block`
     [[nodiscard]] worker_block find_block(const worker_control& worker, boot_time now) const;
     [[nodiscard]] accepting_workers find_accepting_workers(const std::string& pool, boot_time now);
@@ -351,6 +360,13 @@
                                    const occurrence_summary& summary, unix_time clock) const;
 
     // scheduler_orders.cpp: orders for single tasks
+    /// @return why the start, which still counts and was not ordered, must not be ordered any more; empty if
+    /// it may be
+    [[nodiscard]] std::string_view find_reason_to_withdraw(const recorded_start& start);
+    /// Withdraws the starts of the batch, the last ones first, that the limits of their accounts or their
+    /// workers no longer permit: these may have changed while the log held the append back. A gang is
+    /// withdrawn as a whole.
+    void withdraw_outdated_starts(const commit_batch& batch, boot_time now);
     void send_start_order(worker_control& worker, const task_id& id, placement& placed, boot_time now);
     /// Paces the best-effort tasks of workers that also run latency-sensitive tasks: a third of the last pace
     /// while one of these approaches its target, else 10 percentage points more, up to full speed.
@@ -368,11 +384,12 @@
 
     // scheduler_advice.cpp: queues that need placement advice
     /// Drops the tickets that have expired, and requests advice if none is left.
-    const step_advice& get_advice(const task_id& step, const std::vector<worker_control*>& workers,
-                                  boot_time now);
+    const step_advice& get_advice(const task_id& step, const accepting_workers& candidates, boot_time now);
     /// Requests advice about the workers that the latest answers do not cover, unless it was requested a
-    /// moment ago or too many requests are in flight.
-    void request_more_advice(const task_id& step, const std::vector<worker_control*>& workers, boot_time now);
+    /// moment ago or too many requests are in flight. Names only workers that may run tasks of the step once
+    /// they have room.
+    /// @return whether an answer is to come
+    bool request_more_advice(const task_id& step, const accepting_workers& candidates, boot_time now);
     void drop_advice(const std::string& job);
 
     // scheduler_moves.cpp: moves of VMs between pools
--- a/src/scheduler/scheduler_placement.cpp
+++ b/src/scheduler/scheduler_placement.cpp
@@ -23,7 +23,8 @@
 
 } // namespace
 
-bool scheduler::impl::is_within_upper_limit(const job_progress& job, limited_start start) const {
+bool scheduler::impl::is_within_upper_limit(const job_progress& job, limited_start start,
+                                            std::int32_t placed) const {
     const auto& account = job.spec.account;
     const auto* config_entry = account.empty() ? nullptr : this->config->find_account(account);
     if (config_entry == nullptr) {
@@ -31,22 +32,36 @@
     }
     const account_limit limit{.upper_limit = config_entry->upper_limit,
                               .tolerance = this->options.limits.upper_limit_tolerance};
-    const auto used = this->account_use.find(account);
-    start.must_not_wait = start.must_not_wait || job.active_tasks() == 0;
-    const auto verdict = limit.check(used == this->account_use.end() ? resources{} : used->second, start);
+    const auto known_use = this->account_use.find(account);
+    auto used = known_use == this->account_use.end() ? resources{} : known_use->second;
+    for (std::int32_t task = 0; task < placed; ++task) {
+        used -= start.task;
+    }
+    start.must_not_wait = start.must_not_wait || job.active_tasks() == placed;
+    const auto verdict = limit.check(used, start);
     return verdict == limit_verdict::within ||
-           (verdict == limit_verdict::beyond && !this->has_open_starts(account));
+           (verdict == limit_verdict::beyond && this->count_open_starts(account) == placed);
+}
+
+bool scheduler::impl::is_still_within_upper_limit(job_progress& job, const task_id& id) const {
+    const auto& step = job.spec.steps[static_cast<std::size_t>(id.step)];
+    if (!step.gang) {
+        return this->is_within_upper_limit(job, start_of_task(step), 1);
+    }
+    const auto& members = job.occurrence(id.occurrence).steps[static_cast<std::size_t>(id.step)];
+    return this->is_within_upper_limit(job, start_of_gang(step), members.active());
 }
 
-bool scheduler::impl::has_open_starts(const std::string& account) const {
-    return std::any_of(this->workers.begin(), this->workers.end(), [&](const auto& item) {
-        const auto& tasks = item.second.tasks;
-        return std::any_of(tasks.begin(), tasks.end(), [&](const auto& task) {
-            const auto job = this->jobs.find(task.first.job);
-            const bool is_open = task.second.is_starting() || task.second.is_unresolved();
-            return is_open && job != this->jobs.end() && job->second->spec.account == account;
-        });
-    });
+std::int32_t scheduler::impl::count_open_starts(const std::string& account) const {
+    std::int32_t open = 0;
+    for (const auto& [worker_id, worker] : this->workers) {
+        for (const auto& [id, placed] : worker.tasks) {
+            const auto job = this->jobs.find(id.job);
+            const bool is_open = placed.is_starting() || placed.is_unresolved();
+            open += is_open && job != this->jobs.end() && job->second->spec.account == account ? 1 : 0;
+        }
+    }
+    return open;
 }
 
 void scheduler::impl::apply_step_rules(accepting_workers& candidates, const step_spec& step,
@@ -72,26 +87,34 @@
 
 void scheduler::impl::note_held_back(job_progress& job, const placement_request& request,
                                      const std::vector<worker_view>& views,
-                                     const std::vector<worker_control*>& controls, boot_time now) {
+                                     const std::vector<worker_control*>& controls, boot_time now) const {
     if (job.active_tasks() > 0) {
         return;
     }
     auto unconditional = request;
     unconditional.overdue = true;
     unconditional.unlimited_attempts = true;
-    bool has_room = false;
+    const auto can_run_task = [&](const worker_view& view) {
+        return can_run(view, unconditional);
+    };
+    if (std::none_of(views.begin(), views.end(), can_run_task)) {
+        return;
+    }
+    const bool goes_on = job.held_back_since && now <= job.held_back_at + this->timings.held_back_gap;
+    job.held_back_since = goes_on ? *job.held_back_since : now;
+    job.held_back_at = now;
+    // A VM that starts to drain in place of another holds the job back since the other did.
     for (std::size_t index = 0; index < views.size(); ++index) {
-        if (can_run(views[index], unconditional)) {
-            has_room = true;
-            controls[index]->holds_back =
-                controls[index]->holds_back || views[index].standing == worker_standing::leaving;
+        if (views[index].standing == worker_standing::leaving && can_run_task(views[index])) {
+            auto& since = controls[index]->found_to_hold_back_since;
+            since = std::min(since.value_or(now), *job.held_back_since);
         }
     }
-    job.held_back_since = has_room ? job.held_back_since.value_or(now) : std::optional<boot_time>();
 }
 
 bool scheduler::impl::is_held_back_long(const job_progress& job, boot_time now) const {
-    return job.held_back_since && now >= *job.held_back_since + this->timings.longest_hold_back &&
+    return job.held_back_since && now <= job.held_back_at + this->timings.held_back_gap &&
+           now >= *job.held_back_since + this->timings.longest_hold_back &&
            !this->is_half_used(this->pool_of(job));
 }
 
@@ -105,7 +128,7 @@
     const auto* queue = this->find_queue(job.spec.queue);
     const bool needs_advice = queue != nullptr && queue->advice;
     if (needs_advice) {
-        const auto& granted_advice = this->get_advice(step_id, controls, now);
+        const auto& granted_advice = this->get_advice(step_id, candidates, now);
         for (auto& view : views) {
             view.allowed = view.allowed && granted_advice.tickets.contains(std::string(view.id));
         }
@@ -123,7 +146,7 @@
         placed_all = this->place_tasks(job, occurrence, number, request, candidates, any_worker_may, now);
     }
     if (!placed_all && needs_advice) {
-        this->request_more_advice(step_id, controls, now);
+        this->request_more_advice(step_id, candidates, now);
     }
     if (!log_late && !step.gang) {
         this->reserve_later_steps(job, occurrence, number);
--- a/src/scheduler/scheduler_timings.hpp
+++ b/src/scheduler/scheduler_timings.hpp
@@ -15,6 +15,9 @@
     /// An order without an answer may be executed this much later, by whichever process runs under the id
     /// then.
     std::chrono::milliseconds longest_order_delay{12000};
+    /// The task of such an order waits for at most this time while the VM is down and its job has nothing at
+    /// work: a job must not wait for longer than 7 s beside free workers.
+    std::chrono::milliseconds longest_wait_for_vm{4000};
     std::chrono::milliseconds commit_interval{10}; ///< least time between two progress appends
     std::chrono::milliseconds dispatch_interval{15};
     /// Starts that are being recorded or in flight at once. More would wait longer for their turn to be sent
@@ -65,6 +68,9 @@
     std::chrono::milliseconds longest_hold_back{2000};
     /// The same for VMs of a pool with at least half of its capacity in use, where work waits in any case.
     std::chrono::milliseconds longest_hold_back_if_busy{10000};
+    /// A job that was last found held back longer ago than this is held back anew: it may not have been
+    /// looked at since. A shorter gap, as when its tickets expire, does not end the time.
+    std::chrono::milliseconds held_back_gap{500};
     std::chrono::milliseconds drain_pause{4000};
     /// A VM that is down for this time after it should have returned from maintenance no longer counts as
     /// being maintained.
--- a/src/scheduler/worker_control.hpp
+++ b/src/scheduler/worker_control.hpp
@@ -147,10 +147,11 @@
     boot_time late_lease_bound{};
     std::int32_t unanswered_holds = 0; ///< consecutive holds without an answer
     boot_time unanswered_since{};
-    std::optional<boot_time> fenced_since; ///< when it first refused the current fence
+    std::optional<boot_time> vm_not_up_since; ///< since when its VM is known to be down or without a worker
+    std::optional<boot_time> fenced_since;    ///< when it first refused the current fence
     /// Since when a job with nothing running waits for room that only draining VMs such as this one have.
     std::optional<boot_time> holds_back_since;
-    bool holds_back = false; ///< as found by the dispatch in progress
+    std::optional<boot_time> found_to_hold_back_since; ///< the same, as found by the dispatch in progress
     std::map<task_id, placement> tasks;
     resources used; ///< sum of the needs of `tasks`
     std::int32_t latency_sensitive_tasks = 0;
