Near wait: decision, estimate of near places, scheduler wiring (draft)

Cause: a task either found room near its data at once or ran slower elsewhere; nothing weighed a short wait.

--- a/src/policy/pool_moves.cpp
+++ b/src/policy/pool_moves.cpp
@@ -33,10 +33,22 @@
 constexpr double order_fraction = 0.85;
 
 /// Removes an idle VM of a pool from the list.
+/// @param from the pool
+/// @param to the pool that receives the VM
 /// @return its id, or nothing when the pool has no idle VM
-std::optional<std::string> take_idle_vm(std::vector<movable_vm>& vms, const std::string& pool) {
-    const auto found =
-        std::find_if(vms.begin(), vms.end(), [&pool](const auto& vm) { return vm.idle && vm.pool == pool; });
+std::optional<std::string> take_idle_vm(std::vector<movable_vm>& vms, const pool_need& from,
+                                        const pool_need& to) {
+    const auto cost = [&](const movable_vm& vm) {
+        constexpr int not_wanted_cost = 2;
+        return (to.wanted_racks.contains(vm.rack) ? 0 : not_wanted_cost) +
+               (from.wanted_racks.contains(vm.rack) ? 1 : 0);
+    };
+    auto found = vms.end();
+    for (auto vm = vms.begin(); vm != vms.end(); ++vm) {
+        if (vm->idle && vm->pool == from.pool && (found == vms.end() || cost(*vm) < cost(*found))) {
+            found = vm;
+        }
+    }
     if (found == vms.end()) {
         return std::nullopt;
     }
@@ -117,10 +129,10 @@
     auto remaining_vms = vms;
     std::map<std::string, std::int32_t> surplus;
     std::vector<const pool_need*> short_pools;
-    std::string spare_pool;
+    const pool_need* spare_pool = nullptr;
     for (const auto& pool : pools) {
         if (pool.spare) {
-            spare_pool = pool.pool;
+            spare_pool = &pool;
             continue;
         }
         surplus[pool.pool] = pool.vms - pool.needed;
@@ -133,10 +145,10 @@
     });
     for (const auto* pool : short_pools) {
         for (auto missing = pool->needed - pool->vms; missing > 0 && moves.size() < bounds.moves; --missing) {
-            auto vm = spare_pool.empty() ? std::nullopt : take_idle_vm(remaining_vms, spare_pool);
+            auto vm = spare_pool == nullptr ? std::nullopt : take_idle_vm(remaining_vms, *spare_pool, *pool);
             for (auto donor = pools.begin(); !vm && donor != pools.end(); ++donor) {
                 if (!donor->spare && surplus[donor->pool] > 0) {
-                    vm = take_idle_vm(remaining_vms, donor->pool);
+                    vm = take_idle_vm(remaining_vms, *donor, *pool);
                     surplus[donor->pool] -= vm ? 1 : 0;
                 }
             }
@@ -149,15 +161,15 @@
     std::size_t releases = 0;
     for (const auto& pool : pools) {
         const auto unneeded = std::min(surplus[pool.pool], pool.vms - pool.recent_peak_needed);
-        for (auto count = unneeded; !spare_pool.empty() && !pool.spare && pool.may_release && count > 0 &&
+        for (auto count = unneeded; spare_pool != nullptr && !pool.spare && pool.may_release && count > 0 &&
                                     releases < bounds.releases && moves.size() < bounds.moves;
              --count) {
-            auto vm = take_idle_vm(remaining_vms, pool.pool);
+            auto vm = take_idle_vm(remaining_vms, pool, *spare_pool);
             if (!vm) {
                 break;
             }
             ++releases;
-            moves.push_back({.vm = std::move(*vm), .to_pool = spare_pool});
+            moves.push_back({.vm = std::move(*vm), .to_pool = spare_pool->pool});
         }
     }
     return moves;
--- a/src/policy/pool_moves.hpp
+++ b/src/policy/pool_moves.hpp
@@ -7,6 +7,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -71,6 +72,7 @@
     std::string id;
     std::string pool;
     bool idle = false; ///< no task runs on it
+    std::string rack;
 };
 
 /// VMs that a pool has and needs.
@@ -81,6 +83,7 @@
     std::int32_t needed = 0;             ///< at present or shortly
     std::int32_t recent_peak_needed = 0; ///< largest `needed` of a recent time window
     bool may_release = false;            ///< VMs beyond `recent_peak_needed` may be switched off
+    std::set<std::string> wanted_racks;  ///< in which tasks with data there found no place a moment ago
 };
 
 /// One VM to move and its destination.
@@ -108,7 +111,9 @@
 ///
 /// Pools that lack VMs get idle ones, the largest shortage first: from the spare pool, then from pools that
 /// have more than they need. Idle VMs beyond the recent peak of their pool go to the spare pool, where they
-/// are switched off, within `move_bounds::releases`.
+/// are switched off, within `move_bounds::releases`. A VM keeps its rack, so of the idle VMs of a pool those
+/// in a rack that the receiving pool wants are taken first, and those in a rack that their own pool wants
+/// last.
 /// @param vms VMs that may move; only idle ones are chosen
 std::vector<vm_move_plan> plan_pool_moves(const std::vector<pool_need>& pools,
                                           const std::vector<movable_vm>& vms, const move_bounds& bounds);
--- a/src/policy/worker_choice.cpp
+++ b/src/policy/worker_choice.cpp
@@ -19,6 +19,18 @@
                : worker.available.cpu_millicores * 1000 / worker.capacity.cpu_millicores;
 }
 
+/// @return preference of a worker by its use. Fuller ones are preferred; in a rack that other tasks want,
+/// those in use come just before idle ones, so that no idle VM is used instead, and idle ones come last.
+std::int64_t packing_score(const worker_view& worker, const placement_request& request) {
+    constexpr std::int64_t all_free = 1000;
+    const auto free = free_cpu_permille(worker);
+    const bool is_near = worker.rack == request.data_rack || worker.rack == request.preferred_rack;
+    if (!worker.rack_wanted || is_near) {
+        return -free;
+    }
+    return free < all_free ? 1 - all_free : -all_free - 1;
+}
+
 /// Scores a worker for a task; the highest score wins. The base is the free CPU in thousandths, negated, so
 /// that fuller workers are preferred. Each weight is at least the range of the base, 1000. The cost of a
 /// worker without good standing exceeds the sum of all others.
@@ -29,7 +41,7 @@
     constexpr std::int64_t spread_cost = 20000;
     constexpr std::int64_t long_running_bonus_if_spread = 5000;
     constexpr std::int64_t long_running_bonus = 1000;
-    std::int64_t value = -free_cpu_permille(worker);
+    std::int64_t value = packing_score(worker, request);
     value -= static_cast<std::int64_t>(worker.standing) * standing_cost;
     value += request.spread && worker.long_running_tasks > 0 ? long_running_bonus_if_spread : 0;
     value += !request.spread && worker.long_running_tasks > 0 ? long_running_bonus : 0;
@@ -51,7 +63,46 @@
     return value;
 }
 
-/// @return how many tasks of size @p need fit into @p available at the same time
+/// The worker with the highest score so far.
+struct best_worker {
+    std::optional<std::size_t> index;
+    std::int64_t best_score = std::numeric_limits<std::int64_t>::min();
+
+    void consider(const std::vector<worker_view>& workers, std::size_t candidate,
+                  const placement_request& request) {
+        if (!can_run(workers[candidate], request)) {
+            return;
+        }
+        const auto value = score(workers[candidate], request);
+        if (!this->index || value > this->best_score) {
+            this->index = candidate;
+            this->best_score = value;
+        }
+    }
+};
+
+/// Rack with capacity for the most tasks of one size.
+struct rack_room {
+    std::string_view rack;
+    std::int64_t copies = 0; ///< number of tasks
+};
+
+rack_room roomiest_rack(const std::vector<worker_view>& workers, const resources& need) {
+    std::map<std::string_view, std::int64_t> copies_by_rack;
+    for (const auto& worker : workers) {
+        if (worker.allowed) {
+            copies_by_rack[worker.rack] += copies_that_fit(need, worker.available);
+        }
+    }
+    const auto best =
+        std::max_element(copies_by_rack.begin(), copies_by_rack.end(),
+                         [](const auto& left, const auto& right) { return left.second < right.second; });
+    return best == copies_by_rack.end() ? rack_room{}
+                                        : rack_room{.rack = best->first, .copies = best->second};
+}
+
+} // namespace
+
 std::int64_t copies_that_fit(const resources& need, const resources& available) {
     const auto copies = [](std::int64_t per_task, std::int64_t total) {
         return per_task <= 0 ? std::numeric_limits<std::int32_t>::max()
@@ -62,8 +113,6 @@
                      copies(need.accelerators, available.accelerators)});
 }
 
-} // namespace
-
 bool can_run(const worker_view& worker, const placement_request& request) {
     const bool under_limit = request.max_per_worker <= 0 || worker.same_step_tasks < request.max_per_worker;
     const bool has_standing = (request.unlimited_attempts || worker.standing != worker_standing::avoided) &&
@@ -87,33 +136,31 @@
 
 std::optional<std::size_t> choose_worker(const std::vector<worker_view>& workers,
                                          const placement_request& request) {
-    std::optional<std::size_t> best;
-    std::int64_t best_score = std::numeric_limits<std::int64_t>::min();
+    best_worker best;
     for (std::size_t index = 0; index < workers.size(); ++index) {
-        if (!can_run(workers[index], request)) {
-            continue;
-        }
-        const auto value = score(workers[index], request);
-        if (!best || value > best_score) {
-            best = index;
-            best_score = value;
-        }
+        best.consider(workers, index, request);
     }
-    return best;
+    return best.index;
+}
+
+std::optional<std::size_t> choose_worker_among(const std::vector<worker_view>& workers,
+                                               const std::vector<std::size_t>& candidates,
+                                               const placement_request& request) {
+    best_worker best;
+    for (const auto index : candidates) {
+        best.consider(workers, index, request);
+    }
+    return best.index;
 }
 
 std::string_view choose_rack(const std::vector<worker_view>& workers, const resources& need,
                              std::int32_t count) {
-    std::map<std::string_view, std::int64_t> copies_by_rack;
-    for (const auto& worker : workers) {
-        if (worker.allowed) {
-            copies_by_rack[worker.rack] += copies_that_fit(need, worker.available);
-        }
-    }
-    const auto best =
-        std::max_element(copies_by_rack.begin(), copies_by_rack.end(),
-                         [](const auto& left, const auto& right) { return left.second < right.second; });
-    return best != copies_by_rack.end() && best->second >= count ? best->first : std::string_view();
+    const auto best = roomiest_rack(workers, need);
+    return best.copies >= count ? best.rack : std::string_view();
+}
+
+std::string_view find_roomiest_rack(const std::vector<worker_view>& workers, const resources& need) {
+    return roomiest_rack(workers, need).rack;
 }
 
 } // namespace hornbeamrail
--- a/src/policy/worker_choice.hpp
+++ b/src/policy/worker_choice.hpp
@@ -30,7 +30,8 @@
     std::int32_t long_running_tasks = 0;      ///< tasks that run until their job is cancelled
     std::int32_t same_step_tasks = 0;         ///< tasks of the step to place that are on this worker
     worker_standing standing = worker_standing::good;
-    bool allowed = true; ///< labels, placement advice and health permit the step here
+    bool allowed = true;      ///< labels, placement advice and health permit the step here
+    bool rack_wanted = false; ///< tasks with their data in this rack found no place there a moment ago
 };
 
 /// Requirements and preferences of a task. The strings are not owned.
@@ -48,6 +49,9 @@
     std::string_view preferred_rack; ///< rack chosen for a rack-sensitive step; empty: no preference
 };
 
+/// @return how many tasks of size @p need fit into @p available at the same time
+std::int64_t copies_that_fit(const resources& need, const resources& available);
+
 /// @return whether the worker is permitted and has the resources for the task
 bool can_run(const worker_view& worker, const placement_request& request);
 
@@ -56,12 +60,19 @@
 /// The demand on a pool varies, and idle VMs can move to another pool. Tasks are therefore packed:
 /// long-running tasks of different steps share a few workers, and other tasks fill those first, then one
 /// worker after another, so that the remaining workers stay idle. The rack of the task's data is preferred if
-/// it has capacity. Best-effort tasks and latency-sensitive tasks avoid each other. Workers on which tasks
-/// failed repeatedly come last.
+/// it has capacity. Tasks without data there fill a rack that others want only before they use an idle
+/// worker. Best-effort tasks and latency-sensitive tasks avoid each other. Workers on which tasks failed
+/// repeatedly come last.
 /// @return index into @p workers, or nothing when no permitted worker has enough free resources
 std::optional<std::size_t> choose_worker(const std::vector<worker_view>& workers,
                                          const placement_request& request);
 
+/// Like `choose_worker`, for some of the workers.
+/// @param candidates indices in @p workers
+std::optional<std::size_t> choose_worker_among(const std::vector<worker_view>& workers,
+                                               const std::vector<std::size_t>& candidates,
+                                               const placement_request& request);
+
 /// A worker on which tasks failed repeatedly.
 struct failing_worker {
     std::size_t index = 0;            ///< in the list of workers
@@ -85,4 +96,7 @@
 std::string_view choose_rack(const std::vector<worker_view>& workers, const resources& need,
                              std::int32_t count);
 
+/// @return the rack with capacity for the most tasks of that size; empty if there is no worker
+std::string_view find_roomiest_rack(const std::vector<worker_view>& workers, const resources& need);
+
 } // namespace hornbeamrail
--- a/src/scheduler/scheduler.hpp
+++ b/src/scheduler/scheduler.hpp
@@ -106,12 +106,22 @@
     std::int64_t workers = 0;
 };
 
+/// Placements of tasks that run slower away from their data or group, and their waits, in this term.
+struct near_wait_figures {
+    std::int64_t near_placements = 0;
+    std::int64_t far_placements = 0;
+    std::int64_t waits_begun = 0;
+    std::int64_t waits_given_up = 0;     ///< waits that ended with a far placement
+    std::chrono::milliseconds waited{0}; ///< sum of all waits that have ended
+};
+
 /// Figures for the metrics of the process.
 struct scheduler_statistics {
     std::int64_t overdue_tasks = 0; ///< long-running tasks that have waited too long for a worker
     std::int64_t ranked_occurrences =
         0; ///< number of ranks computed in this term, the work of all dispatches
     std::vector<blocked_workers> blocked;
+    near_wait_figures near;
 };
 
 /// Schedules the tasks of the whole site: their order and placement, the leases of workers, VM moves and
--- a/src/scheduler/scheduler_dispatch.cpp
+++ b/src/scheduler/scheduler_dispatch.cpp
@@ -116,7 +116,8 @@
          .latency_sensitive_tasks = worker.latency_sensitive_tasks,
          .best_effort_tasks = worker.best_effort_tasks,
          .long_running_tasks = worker.long_running_tasks,
-         .standing = block == worker_block::leaving ? worker_standing::leaving : worker_standing::good});
+         .standing = block == worker_block::leaving ? worker_standing::leaving : worker_standing::good,
+         .rack_wanted = this->is_rack_wanted(worker.entry.pool, worker.entry.rack(), now)});
     accepting.controls.push_back(&worker);
     if (block == worker_block::avoided) {
         accepting.failing.push_back(
@@ -203,6 +204,10 @@
         this->advice_allowed_at.reset();
         this->dispatch_due = true;
     }
+    if (this->near_decision_due && now >= *this->near_decision_due) {
+        this->near_decision_due.reset();
+        this->dispatch_due = true;
+    }
     const auto interval =
         this->dispatch_due ? this->timings.dispatch_interval : this->timings.dispatch_recheck;
     if (now < this->last_dispatch + interval) {
@@ -296,7 +301,7 @@
             spec.reserved().cpu_millicores > pool.largest_millicores) {
             continue;
         }
-        if (!this->place_step(*item.job, occurrence, step, pool.candidates, now)) {
+        if (!this->place_step(item, step, pool.candidates, now)) {
             pool.largest_millicores = largest_available_cpu(pool.candidates.views);
         }
     }
--- a/src/scheduler/scheduler_impl.hpp
+++ b/src/scheduler/scheduler_impl.hpp
@@ -6,6 +6,7 @@
 #include "policy/account_share.hpp"
 #include "policy/duration_estimates.hpp"
 #include "policy/job_order.hpp"
+#include "policy/near_wait.hpp"
 #include "policy/pool_moves.hpp"
 #include "policy/vm_plan.hpp"
 #include "policy/worker_choice.hpp"
@@ -64,6 +65,25 @@
     bool report_in_flight = false;
 };
 
+/// A rack in which tasks of one pool want a place.
+struct near_rack {
+    near_places places;
+    double load = 0; ///< see `rack_claims::load`
+};
+
+/// The places that the tasks of one step want.
+struct near_target {
+    std::string_view rack;              ///< of their data or their group; empty: the tasks do not wait
+    std::chrono::milliseconds work{0};  ///< expected duration of a task there
+    std::chrono::milliseconds slack{0}; ///< of the occurrence; see `job_rank`
+};
+
+/// Rack for the tasks of a step that are to run together.
+struct group_choice {
+    std::string_view rack; ///< empty: none
+    bool waits = false;    ///< for room in `rack` for all of them
+};
+
 /// The workers of a pool that receive new tasks, those without good standing included; `views` and `controls`
 /// have the same order.
 struct accepting_workers {
@@ -73,6 +93,8 @@
     /// Need of a task that any worker may run, for which none had room. Room only gets smaller while tasks
     /// are placed, so tasks with the same need or more have none either.
     std::optional<resources> too_large;
+    /// Racks that tasks want, by name, as expected at this dispatch; filled as they are asked for.
+    std::map<std::string, near_rack, std::less<>> near_racks;
 };
 
 /// A long-running task that has waited for a worker longer than `overdue_after`.
@@ -273,14 +295,19 @@
         return this->starts_in_flight >= this->timings.max_starts_in_flight;
     }
     /// @return false if the account or the workers have no capacity for one of the tasks
-    bool place_step(job_progress& job, occurrence_progress& occurrence, std::int32_t step,
-                    accepting_workers& candidates, boot_time now);
+    bool place_step(const pending_occurrence& item, std::int32_t step, accepting_workers& candidates,
+                    boot_time now);
     /// Places the waiting tasks of the step; while the log is late, only where they are reserved.
     /// @param any_worker_may every worker that has room may run the tasks
     /// @return false if the account or the workers have no capacity for one of the tasks
-    bool place_tasks(job_progress& job, occurrence_progress& occurrence, std::int32_t step,
-                     placement_request request, accepting_workers& candidates, bool any_worker_may,
-                     boot_time now);
+    bool place_tasks(const pending_occurrence& item, std::int32_t step, placement_request request,
+                     accepting_workers& candidates, bool any_worker_may, boot_time now);
+    /// @return index in `views` of the worker for a task of the step that is not reserved; nothing if none
+    /// can run it, or if it waits for a near one
+    [[nodiscard]] std::optional<std::size_t> find_place(const task_id& id, task_progress& task,
+                                                        const near_target& target,
+                                                        const placement_request& request,
+                                                        accepting_workers& candidates, boot_time now);
 
     // scheduler_reservations.cpp: starts while the log is late
     /// @return whether the log has not answered the append of progress in flight in time
@@ -316,8 +343,7 @@
                                                          placement_request request, boot_time now) const;
 
     /// Places all tasks of the step or none.
-    bool place_gang(job_progress& job, occurrence_progress& occurrence, std::int32_t step,
-                    std::vector<worker_view>& views, const std::vector<worker_control*>& workers,
+    bool place_gang(const pending_occurrence& item, std::int32_t step, accepting_workers& candidates,
                     boot_time now);
     /// Records the placement; the start order follows once the record is in the log.
     void place(job_progress& job, const task_id& id, task_progress& task, worker_control& worker,
@@ -350,6 +376,53 @@
     [[nodiscard]] job_rank rank_of(const job_progress& job, std::int32_t occurrence,
                                    const occurrence_summary& summary, unix_time clock) const;
 
+    // scheduler_near.cpp: places near the data or the group of a task
+    /// @return whether a task of the step is slower away from its data or group, as far as waits consider it
+    [[nodiscard]] bool is_near_sensitive(const step_spec& step) const;
+    /// @return whether a wait for a near place may begin or go on
+    [[nodiscard]] bool may_wait_near(const job_progress& job, const step_spec& step, boot_time now) const;
+    /// @param group_rack in which tasks of the step run already; empty: none
+    [[nodiscard]] near_target find_near_target(const pending_occurrence& item, std::int32_t step,
+                                               std::string_view group_rack, boot_time now) const;
+    /// Chooses the rack for the tasks of a step that run slower when they are spread, and decides whether
+    /// they wait for room in it.
+    [[nodiscard]] group_choice choose_group_rack(const pending_occurrence& item, std::int32_t step,
+                                                 const placement_request& request,
+                                                 accepting_workers& candidates, boot_time now);
+    /// @return the rack in which all placed tasks of the step are, empty if they are in several; nothing if
+    /// none is placed
+    [[nodiscard]] std::optional<std::string_view> rack_of_placed(const step_progress& step) const;
+    /// @return what is expected of the rack, computed once in each dispatch
+    near_rack& find_near_rack(const job_progress& job, std::string_view rack, accepting_workers& candidates,
+                              boot_time now);
+    /// @return ends of the tasks on the workers of the rack that are expected within the longest wait
+    [[nodiscard]] std::vector<expected_end> find_expected_ends(const std::vector<std::size_t>& members,
+                                                               const std::vector<worker_control*>& controls,
+                                                               boot_time now) const;
+    /// Decides for one task that a far worker could run; counts it at the rack if it waits.
+    /// @return whether it waits
+    bool waits_near(const task_id& id, task_progress& task, const near_target& target,
+                    const placement_request& request, accepting_workers& candidates, boot_time now);
+    /// Decides whether a task, or a group that its first task stands for, waits, and logs a change.
+    /// @param until expected time until a place is free
+    near_wait_decision decide_near(const task_id& id, const task_progress& task, const near_target& target,
+                                   const near_rack& rack, std::optional<std::chrono::milliseconds> until,
+                                   boot_time now);
+    /// Sets that the task waits or no longer does.
+    void note_near_decision(task_progress& task, bool waits, boot_time now);
+    /// Counts the placement of a task, and the end of its wait.
+    void count_near_placement(job_progress& job, const task_id& id, task_progress& task,
+                              const worker_control& worker, boot_time now);
+    /// @return the factor by which the task runs slower on the worker than near its data
+    [[nodiscard]] double slowdown_on(const step_spec& step, const worker_control& worker) const;
+    /// Counts what the steps of a new job claim of the racks of their data.
+    void count_rack_claims(const job_progress& job, boot_time now);
+    [[nodiscard]] bool is_rack_wanted(const std::string& pool, std::string_view rack, boot_time now) const;
+    /// @return the racks that tasks of the pool want
+    [[nodiscard]] std::set<std::string> find_wanted_racks(const std::string& pool, boot_time now) const;
+    /// Forgets the racks that nothing has wanted for a while.
+    void forget_idle_racks(boot_time now);
+
     // scheduler_orders.cpp: orders for single tasks
     void send_start_order(worker_control& worker, const task_id& id, placement& placed, boot_time now);
     /// Paces the best-effort tasks of workers that also run latency-sensitive tasks: a third of the last pace
@@ -495,6 +568,16 @@
     std::int64_t overdue_tasks = 0;             ///< as of the latest report
     boot_time last_overdue_report{};
 
+    /// Racks in which tasks want a place, by name.
+    struct wanted_rack {
+        rack_claims claims;
+        boot_time wanted_until{}; ///< tasks without data there use other racks until then
+    };
+    std::map<std::string, std::map<std::string, wanted_rack, std::less<>>, std::less<>>
+        wanted_racks;                           ///< by pool
+    std::optional<boot_time> near_decision_due; ///< when the next wait for a near place is decided anew
+    near_wait_figures near_figures;
+
     bool dispatch_due = false; ///< something changed that may let a task start
     boot_time last_dispatch{};
     std::int64_t ranked_occurrences = 0;
--- a/src/scheduler/scheduler_jobs.cpp
+++ b/src/scheduler/scheduler_jobs.cpp
@@ -161,7 +161,8 @@
         if (placed != worker.tasks.end() && ended.outcome == task_end::done &&
             placed->second.stage != start_stage::recording) {
             const auto& step = job->spec.steps[static_cast<std::size_t>(ended.task.step)];
-            this->durations.add(job->spec.queue, to_millis(now - task->placed_at), step.estimate);
+            const auto actual = to_millis(now - task->placed_at) / this->slowdown_on(step, worker);
+            this->durations.add(job->spec.queue, to_millis(actual), step.estimate);
         }
         this->remove_placement(worker, ended.task, job->spec.account);
         this->finish_run(*job, ended.task, *task, ended, now);
--- a/src/scheduler/scheduler_moves.cpp
+++ b/src/scheduler/scheduler_moves.cpp
@@ -65,6 +65,7 @@
         return;
     }
     this->releases_allowed_from = std::min(this->releases_allowed_from, now + this->timings.move_warmup);
+    this->count_rack_claims(job, now);
     const auto* account = this->config->find_account(job.spec.account);
     job.beyond_share = account != nullptr && !this->shares.admit(account->name, account->weight, now);
     if (job.beyond_share) {
@@ -173,6 +174,7 @@
         this->update_need(entry, load, now);
     }
     entry.may_release = now > this->releases_allowed_from;
+    entry.wanted_racks = this->find_wanted_racks(pool.name, now);
     for (const auto& [name, vm] : this->vms) {
         const auto move = this->vm_moves.find(name);
         if ((move == this->vm_moves.end() ? vm.pool : move->second.first) != pool.name) {
@@ -188,7 +190,10 @@
         const bool idle = pool.spare || (has_worker && worker->second.tasks.empty() &&
                                          worker->second.confirmed && !worker->second.is_unresponsive());
         if (usable && idle && vm.condition == vm_condition::up && !this->has_pending_vm_order(name)) {
-            movable.push_back({.id = name, .pool = pool.name, .idle = true});
+            movable.push_back({.id = name,
+                               .pool = pool.name,
+                               .idle = true,
+                               .rack = vm.labels.empty() ? std::string() : vm.labels.back()});
         }
     }
     return entry;
@@ -208,6 +213,7 @@
         this->dispatch_due = this->dispatch_due || ended; // its worker may have joined before
         at = ended ? this->vm_moves.erase(at) : std::next(at);
     }
+    this->forget_idle_racks(now);
     auto loads = this->compute_pool_loads(now);
     std::vector<pool_need> pools;
     std::vector<movable_vm> movable;
--- a/src/scheduler/scheduler_placement.cpp
+++ b/src/scheduler/scheduler_placement.cpp
@@ -95,8 +95,10 @@
            !this->is_half_used(this->pool_of(job));
 }
 
-bool scheduler::impl::place_step(job_progress& job, occurrence_progress& occurrence, std::int32_t number,
+bool scheduler::impl::place_step(const pending_occurrence& item, std::int32_t number,
                                  accepting_workers& candidates, boot_time now) {
+    auto& job = *item.job;
+    auto& occurrence = job.occurrence(item.occurrence);
     const auto& step = job.spec.steps[static_cast<std::size_t>(number)];
     const task_id step_id{.job = job.spec.id, .occurrence = occurrence.number, .step = number};
     auto& views = candidates.views;
@@ -113,14 +115,18 @@
     const bool log_late = this->log_is_late(now);
     bool placed_all = false;
     if (step.gang) {
-        placed_all = !log_late && this->place_gang(job, occurrence, number, views, controls, now);
+        placed_all = !log_late && this->place_gang(item, number, candidates, now);
     } else {
         auto request = make_request(step);
         if (step.rack_sensitive) {
-            request.preferred_rack = choose_rack(views, request.need, step.count);
+            const auto group = this->choose_group_rack(item, number, request, candidates, now);
+            if (group.waits) {
+                return true;
+            }
+            request.preferred_rack = group.rack;
         }
         const bool any_worker_may = !needs_advice && step.required_label.empty() && step.max_per_worker == 0;
-        placed_all = this->place_tasks(job, occurrence, number, request, candidates, any_worker_may, now);
+        placed_all = this->place_tasks(item, number, request, candidates, any_worker_may, now);
     }
     if (!placed_all && needs_advice) {
         this->request_more_advice(step_id, controls, now);
@@ -131,13 +137,18 @@
     return placed_all;
 }
 
-bool scheduler::impl::place_tasks(job_progress& job, occurrence_progress& occurrence, std::int32_t number,
+bool scheduler::impl::place_tasks(const pending_occurrence& item, std::int32_t number,
                                   placement_request request, accepting_workers& candidates,
                                   bool any_worker_may, boot_time now) {
-    auto& [views, controls, failing, too_large] = candidates;
+    auto& job = *item.job;
+    auto& occurrence = job.occurrence(item.occurrence);
+    auto& views = candidates.views;
+    const auto& controls = candidates.controls;
+    auto& too_large = candidates.too_large;
     const auto& step = job.spec.steps[static_cast<std::size_t>(number)];
     const bool log_late = this->log_is_late(now);
     const auto attempts = this->attempts_of(job);
+    const auto target = this->find_near_target(item, number, request.preferred_rack, now);
     bool placed_all = true;
     auto& tasks = occurrence.steps[static_cast<std::size_t>(number)].tasks;
     for (std::size_t index = 0; index < tasks.size(); ++index) {
@@ -164,7 +175,10 @@
         const bool cannot_fit = is_plain && too_large && fits(*too_large, request.need);
         const auto choice = cannot_fit ? std::nullopt
                             : log_late ? this->find_reserved_worker(task, views, request)
-                                       : this->find_worker(task, views, request, now);
+                                       : this->find_place(id, task, target, request, candidates, now);
+        if (!choice && task.waits_near_from) {
+            continue;
+        }
         if (!choice && is_plain) {
             too_large = cannot_fit ? too_large : request.need;
         }
@@ -196,6 +210,28 @@
     return placed_all;
 }
 
+std::optional<std::size_t> scheduler::impl::find_place(const task_id& id, task_progress& task,
+                                                       const near_target& target,
+                                                       const placement_request& request,
+                                                       accepting_workers& candidates, boot_time now) {
+    // A task that failed or has saved work may have little left to do, and has lost time already.
+    if (target.rack.empty() || !task.worker.empty() || !task.checkpoint.empty()) {
+        return this->find_worker(task, candidates.views, request, now);
+    }
+    const bool has_waited = task.waits_near_from.has_value();
+    if (has_waited) {
+        const auto& rack = this->find_near_rack(*this->find_job(id.job), target.rack, candidates, now);
+        const auto near = choose_worker_among(candidates.views, rack.places.workers(), request);
+        if (near || this->waits_near(id, task, target, request, candidates, now)) {
+            return near;
+        }
+    }
+    const auto choice = this->find_worker(task, candidates.views, request, now);
+    const bool is_far = choice && candidates.views[*choice].rack != target.rack;
+    const bool may_begin = is_far && !has_waited;
+    return may_begin && this->waits_near(id, task, target, request, candidates, now) ? std::nullopt : choice;
+}
+
 std::optional<std::size_t> scheduler::impl::find_worker(const task_progress& task,
                                                         const std::vector<worker_view>& views,
                                                         placement_request request, boot_time now) const {
@@ -210,9 +246,12 @@
     return choice;
 }
 
-bool scheduler::impl::place_gang(job_progress& job, occurrence_progress& occurrence, std::int32_t number,
-                                 std::vector<worker_view>& views,
-                                 const std::vector<worker_control*>& controls, boot_time now) {
+bool scheduler::impl::place_gang(const pending_occurrence& item, std::int32_t number,
+                                 accepting_workers& candidates, boot_time now) {
+    auto& job = *item.job;
+    auto& occurrence = job.occurrence(item.occurrence);
+    auto& views = candidates.views;
+    const auto& controls = candidates.controls;
     const auto& step = job.spec.steps[static_cast<std::size_t>(number)];
     auto& tasks = occurrence.steps[static_cast<std::size_t>(number)].tasks;
     std::int64_t run = 0;
@@ -229,14 +268,15 @@
     if (!this->is_within_upper_limit(job, start_of_gang(step))) {
         return false;
     }
-    auto trial = views;
     std::vector<std::size_t> assignment; // index of the worker of each member
-    placement_request request{.need = step.need,
-                              .data_rack = step.data_rack,
-                              .max_per_worker = step.max_per_worker,
-                              .preferred_rack = step.rack_sensitive
-                                                    ? choose_rack(views, step.need, step.count)
-                                                    : std::string_view()};
+    placement_request request{
+        .need = step.need, .data_rack = step.data_rack, .max_per_worker = step.max_per_worker};
+    const auto group = this->choose_group_rack(item, number, request, candidates, now);
+    if (group.waits) {
+        return true;
+    }
+    request.preferred_rack = group.rack;
+    auto trial = views;
     for (std::size_t index = 0; index < tasks.size(); ++index) {
         const auto choice = choose_worker(trial, request);
         if (!choice) {
@@ -267,6 +307,7 @@
 placement& scheduler::impl::assign(job_progress& job, const task_id& id, task_progress& task,
                                    worker_control& worker, std::int64_t run, boot_time now) {
     job.held_back_since.reset();
+    this->count_near_placement(job, id, task, worker, now);
     task.run = run;
     task.worker = worker.entry.id;
     task.placed_at = now;
--- a/src/scheduler/scheduler_timings.hpp
+++ b/src/scheduler/scheduler_timings.hpp
@@ -81,6 +81,14 @@
     /// A long-running task that has waited for a worker for this time is reported.
     std::chrono::milliseconds overdue_after{2000};
     std::chrono::milliseconds overdue_report_interval{1000};
+    /// From the moment at which a task could start away from its data or group, it waits for a nearer place
+    /// for at most this time. Far below the time for which a job may have nothing running beside free
+    /// workers.
+    std::chrono::milliseconds longest_near_wait{1000};
+    /// No such wait begins for this time after a term begins: its tasks may have waited under a predecessor.
+    std::chrono::milliseconds near_wait_warmup{2000};
+    /// How long tasks without data in a rack leave its places to those that found none there.
+    std::chrono::milliseconds rack_wanted_for{1000};
 };
 
 /// A worker's clock may run slow by at most this factor, so its leases may last that much longer by the clock
--- a/src/scheduler/scheduler_waiting.cpp
+++ b/src/scheduler/scheduler_waiting.cpp
@@ -159,7 +159,8 @@
         ++counts[static_cast<std::size_t>(state.find_block(worker, now))];
     }
     scheduler_statistics figures{.overdue_tasks = state.overdue_tasks,
-                                 .ranked_occurrences = state.ranked_occurrences};
+                                 .ranked_occurrences = state.ranked_occurrences,
+                                 .near = state.near_figures};
     for (std::size_t block = 1; block < counts.size(); ++block) {
         figures.blocked.push_back(
             {.reason = to_string(static_cast<worker_block>(block)), .workers = counts[block]});
--- a/src/site/site_node_impl.hpp
+++ b/src/site/site_node_impl.hpp
@@ -206,6 +206,11 @@
     const auto figures = this->schedule.statistics(now);
     this->counters.counter_of("tasks_overdue").set(figures.overdue_tasks);
     this->counters.counter_of("occurrences_ranked").set(figures.ranked_occurrences);
+    this->counters.counter_of("near_placements").set(figures.near.near_placements);
+    this->counters.counter_of("far_placements").set(figures.near.far_placements);
+    this->counters.counter_of("near_waits_begun").set(figures.near.waits_begun);
+    this->counters.counter_of("near_waits_given_up").set(figures.near.waits_given_up);
+    this->counters.counter_of("near_waited_ms").set(figures.near.waited.count());
     for (const auto& blocked : figures.blocked) {
         this->counters.counter_of("workers_blocked", {{"reason", std::string(blocked.reason)}})
             .set(blocked.workers);
--- a/src/state/job_progress.hpp
+++ b/src/state/job_progress.hpp
@@ -31,6 +31,10 @@
     boot_time placed_at{};  ///< local time of the latest placement; not recorded
     boot_time retry_at{};   ///< earliest time of the next start; not recorded
     boot_time stop_sent{};  ///< latest order to stop the run; not recorded
+    /// When it first waited although a worker away from its data or group could run it; not recorded.
+    std::optional<boot_time> near_wait_since;
+    /// Since when it waits for such a place; empty: it does not wait now; not recorded.
+    std::optional<boot_time> waits_near_from;
     /// Worker on which the next run is reserved; empty if none. It is recorded as a placement there, so that
     /// this run may start without another record. Void once a record places the task elsewhere.
     std::string reserved_worker;
