--- a/src/policy/near_wait.cpp
+++ b/src/policy/near_wait.cpp
@@ -15,6 +15,9 @@
 constexpr double full_share_load = 0.5;
 /// From this load on no wait pays: the place is never idle without it.
 constexpr double no_wait_load = 1.25;
+/// Share of the gain that a wait may take if the job meets its objective elsewhere now and might not
+/// afterwards.
+constexpr double share_at_risk = 0.5;
 /// From a decision until the task is at work. The latest start that meets an objective comes earlier by it.
 constexpr milliseconds start_margin{100};
 /// Time constant of the average of claims. Jobs that come together count as one claim, not as a load.
@@ -73,17 +76,16 @@
     const auto slack_elsewhere = slack - gain;
     const bool meets_elsewhere = slack_elsewhere.count() >= 0;
     const bool meets_only_near = !meets_elsewhere && until <= slack;
-    if (meets_elsewhere && until > slack_elsewhere) {
-        return take_far(near_wait_reason::objective);
-    }
-    const auto allowed = meets_only_near ? gain : scaled(gain, share_of_gain(request.rack_load));
+    // After this wait a far worker would be too late, although it is not now.
+    const bool risks_objective = meets_elsewhere && until > slack_elsewhere;
+    const auto share = meets_only_near ? 1.0 : share_of_gain(request.rack_load);
+    const auto allowed = scaled(gain, risks_objective ? std::min(share, share_at_risk) : share);
     if (request.waited + until > allowed) {
-        return take_far(near_wait_reason::costs_more);
+        return take_far(risks_objective ? near_wait_reason::objective : near_wait_reason::costs_more);
     }
     const auto rest = std::min(allowed, request.longest_wait) - request.waited;
     decision.waits = true;
-    decision.decide_again_in =
-        std::max(milliseconds(1), meets_elsewhere ? std::min(rest, slack_elsewhere) : rest);
+    decision.decide_again_in = std::max(milliseconds(1), rest);
     decision.reason = meets_only_near ? near_wait_reason::keeps_objective : near_wait_reason::pays;
     return decision;
 }
--- a/src/policy/near_wait.hpp
+++ b/src/policy/near_wait.hpp
@@ -24,7 +24,7 @@
     bound_passed,     ///< the task may not wait any longer
     no_place_in_time, ///< no near place is expected within the bound
     costs_more,       ///< the wait is expected to take longer than it may for its gain
-    objective,        ///< the job meets its objective elsewhere, and might not after the wait
+    objective,        ///< the job meets its objective elsewhere now and might not after the wait
 };
 
 /// @return the name of the enumerator
@@ -60,8 +60,9 @@
 /// Levying Tolls, Econometrica 1969). Unlike delay scheduling (M. Zaharia et al., EuroSys 2010) there is no
 /// fixed delay.
 ///
-/// A job that meets its objective on a far worker waits only as long as it could still do so afterwards; one
-/// that meets it only on a near worker waits even if the gain is small.
+/// A job that meets its objective on a far worker now, but not after the wait, waits for a shorter share: the
+/// near place leaves it more slack than the far one, as a task that takes longer than expected does so by the
+/// factor there. One that meets its objective only near waits even if the rack is loaded.
 /// @return the decision, to be made anew when the inputs change
 near_wait_decision decide_near_wait(const near_wait_request& request);
 
