--- a/tests/scheduler_site.hpp
+++ b/tests/scheduler_site.hpp
@@ -88,8 +88,8 @@
 
     /// Starts the scheduler, or replaces it by a successor that only knows the log.
     void take_over() {
-        this->schedule =
-            std::make_unique<scheduler>(scheduler_options{.node_id = fmt::format("node-{}", this->term + 1)});
+        this->schedule = std::make_unique<scheduler>(
+            scheduler_options{.node_id = fmt::format("node-{}", this->term + 1), .limits = this->limits});
         ++this->term;
         this->schedule->set_config(this->config);
         this->schedule->set_waves(this->waves);
@@ -306,6 +306,7 @@
     std::set<std::string> zones_out;   ///< out of service
     bool log_is_up = true;             ///< false: reads fail, and appends are repeated until it is true again
     std::int64_t holds_sent = 0;       ///< holds that renewed a lease
+    site_limits limits;                ///< of the schedulers that take over
     std::size_t largest_append = 0;    ///< bytes of the values in the largest append of progress or states
     std::int64_t rejected_appends = 0; ///< of progress or states
     std::int64_t early_drops = 0;      ///< job records dropped before the final state was stored
