--- a/src/scheduler/scheduler_placement.cpp
+++ b/src/scheduler/scheduler_placement.cpp
@@ -176,7 +176,7 @@
         const auto choice = cannot_fit ? std::nullopt
                             : log_late ? this->find_reserved_worker(task, views, request)
                                        : this->find_place(id, task, target, request, candidates, now);
-        if (!choice && task.waits_near_from) {
+        if (!choice && !cannot_fit && task.waits_near_from) {
             continue;
         }
         if (!choice && is_plain) {
@@ -216,6 +216,7 @@
                                                        accepting_workers& candidates, boot_time now) {
     // A task that failed or has saved work may have little left to do, and has lost time already.
     if (target.rack.empty() || !task.worker.empty() || !task.checkpoint.empty()) {
+        this->note_near_decision(task, false, now);
         return this->find_worker(task, candidates.views, request, now);
     }
     const bool has_waited = task.waits_near_from.has_value();
--- a/tests/job_policy_test.cpp
+++ b/tests/job_policy_test.cpp
@@ -100,6 +100,21 @@
     BOOST_TEST(!choose_worker(workers, {.need = {.cpu_millicores = 33000}}).has_value());
     BOOST_TEST(choose_rack(workers, {.cpu_millicores = 10000, .memory_mb = 1}, 6) == "r2");
     BOOST_TEST(choose_rack(workers, {.cpu_millicores = 10000, .memory_mb = 1}, 7).empty());
+    BOOST_TEST(find_roomiest_rack(workers, {.cpu_millicores = 10000, .memory_mb = 1}) == "r2");
+}
+
+// Tasks without data in a rack that others want use it after other workers in use and before an idle one, so
+// that it costs no VM.
+BOOST_AUTO_TEST_CASE(other_tasks_use_a_wanted_rack_before_an_idle_worker) {
+    std::vector<worker_view> workers{view("idle", 32000, "r2"), view("fuller", 4000, "r1"),
+                                     view("other", 20000, "r2")};
+    workers[1].rack_wanted = true;
+    const placement_request plain{.need = {.cpu_millicores = 2000}};
+    BOOST_TEST(choose_worker(workers, plain).value() == 2);
+    workers[2].available.cpu_millicores = 1000;
+    BOOST_TEST(choose_worker(workers, plain).value() == 1);
+    BOOST_TEST(choose_worker(workers, {.need = {.cpu_millicores = 1000}, .data_rack = "r1"}).value() == 1);
+    BOOST_TEST(choose_worker_among(workers, {0, 2}, plain).value() == 0);
 }
 
 BOOST_AUTO_TEST_CASE(arrival_rate_matches_the_work) {
@@ -176,6 +191,27 @@
     BOOST_TEST(plan_pool_moves(pools, vms, {.moves = 10, .releases = 1}).size() == 1);
 }
 
+// A VM keeps its rack when it moves: a pool whose tasks want a rack gets the VMs there, and keeps them
+// longest.
+BOOST_AUTO_TEST_CASE(vms_of_wanted_racks_move_in_first_and_out_last) {
+    const std::vector<movable_vm> vms{{.id = "a1", .pool = "a", .idle = true, .rack = "r1"},
+                                      {.id = "a2", .pool = "a", .idle = true, .rack = "r2"},
+                                      {.id = "s1", .pool = "spare", .idle = true, .rack = "r1"},
+                                      {.id = "s2", .pool = "spare", .idle = true, .rack = "r2"}};
+    const auto first_move = [&vms](const pool_need& wanting) {
+        const std::vector<pool_need> pools{wanting, {.pool = "spare", .spare = true}};
+        return plan_pool_moves(pools, vms, {.moves = 1, .releases = 1}).front().vm;
+    };
+    pool_need receives{.pool = "a", .vms = 2, .needed = 3};
+    pool_need releases{.pool = "a", .vms = 2, .needed = 1, .recent_peak_needed = 1, .may_release = true};
+    BOOST_TEST(first_move(receives) == "s1");
+    BOOST_TEST(first_move(releases) == "a1");
+    receives.wanted_racks = {"r2"};
+    releases.wanted_racks = {"r1"};
+    BOOST_TEST(first_move(receives) == "s2");
+    BOOST_TEST(first_move(releases) == "a2");
+}
+
 // Between two surges 90 of 350 VMs are idle: they are switched off within 3 s, and the next surge gets 100
 // VMs within 1 s. A site of 49 VMs keeps most of its idle VMs during that time.
 BOOST_AUTO_TEST_CASE(move_bounds_grow_with_the_site) {
