Near wait: jobs that have missed their objective do not wait

Cause: they go behind others, so the near place that is expected free goes to a job that arrives meanwhile. Change: only occurrences of the class on_time wait. Result: build/near_wait_test and scheduler_near_test pass.

--- a/src/policy/near_wait.cpp
+++ b/src/policy/near_wait.cpp
@@ -40,6 +40,8 @@
         return "pays";
     case near_wait_reason::keeps_objective:
         return "keeps_objective";
+    case near_wait_reason::late:
+        return "late";
     case near_wait_reason::bound_passed:
         return "bound_passed";
     case near_wait_reason::no_place_in_time:
@@ -65,6 +67,9 @@
     if (gain.count() <= 0) {
         return take_far(near_wait_reason::no_gain);
     }
+    if (request.slack.count() < 0) {
+        return take_far(near_wait_reason::late);
+    }
     if (request.waited >= request.longest_wait) {
         return take_far(near_wait_reason::bound_passed);
     }
--- a/src/policy/near_wait.hpp
+++ b/src/policy/near_wait.hpp
@@ -21,6 +21,7 @@
     pays,             ///< waits: the near place is expected soon enough
     keeps_objective,  ///< waits: only the near place lets the job meet its objective
     no_gain,          ///< tasks run as fast elsewhere
+    late,             ///< the job has missed its objective; others go first and would take the place
     bound_passed,     ///< the task may not wait any longer
     no_place_in_time, ///< no near place is expected within the bound
     costs_more,       ///< the wait is expected to take longer than it may for its gain
--- a/src/scheduler/scheduler_impl.hpp
+++ b/src/scheduler/scheduler_impl.hpp
@@ -380,7 +380,8 @@
     /// @return whether a task of the step is slower away from its data or group, as far as waits consider it
     [[nodiscard]] bool is_near_sensitive(const step_spec& step) const;
     /// @return whether a wait for a near place may begin or go on
-    [[nodiscard]] bool may_wait_near(const job_progress& job, const step_spec& step, boot_time now) const;
+    [[nodiscard]] bool may_wait_near(const pending_occurrence& item, const step_spec& step,
+                                     boot_time now) const;
     /// @param group_rack in which tasks of the step run already; empty: none
     [[nodiscard]] near_target find_near_target(const pending_occurrence& item, std::int32_t step,
                                                std::string_view group_rack, boot_time now) const;
--- a/src/scheduler/scheduler_near.cpp
+++ b/src/scheduler/scheduler_near.cpp
@@ -28,9 +28,12 @@
            !step.best_effort;
 }
 
-bool scheduler::impl::may_wait_near(const job_progress& job, const step_spec& step, boot_time now) const {
-    return this->is_near_sensitive(step) && now >= this->term_begin + this->timings.near_wait_warmup &&
-           !this->log_is_late(now) && !job.held_back_since;
+bool scheduler::impl::may_wait_near(const pending_occurrence& item, const step_spec& step,
+                                    boot_time now) const {
+    // Jobs of later classes are overtaken by those that arrive meanwhile.
+    return this->is_near_sensitive(step) && item.rank.job_class == scheduling_class::on_time &&
+           now >= this->term_begin + this->timings.near_wait_warmup && !this->log_is_late(now) &&
+           !item.job->held_back_since;
 }
 
 double scheduler::impl::slowdown_on(const step_spec& step, const worker_control& worker) const {
@@ -42,7 +45,7 @@
                                               std::string_view group_rack, boot_time now) const {
     const auto& job = *item.job;
     const auto& step = job.spec.steps[static_cast<std::size_t>(number)];
-    if (!this->may_wait_near(job, step, now)) {
+    if (!this->may_wait_near(item, step, now)) {
         return {};
     }
     return {.rack = step.data_rack.empty() ? group_rack : std::string_view(step.data_rack),
@@ -85,7 +88,7 @@
     const bool is_first_run =
         first != progress.tasks.end() && first->worker.empty() && first->checkpoint.empty();
     if ((!room.empty() && !has_data) || !is_one_group || !is_first_run ||
-        !this->may_wait_near(job, step, now)) {
+        !this->may_wait_near(item, step, now)) {
         return {.rack = room};
     }
     const auto rack = has_data ? std::string_view(step.data_rack) : find_roomiest_rack(views, request.need);
--- a/tests/near_wait_test.cpp
+++ b/tests/near_wait_test.cpp
@@ -120,6 +120,8 @@
     BOOST_TEST((reason_of(request) == near_wait_reason::keeps_objective));
     request.slack = milliseconds(250); // late in both ways
     BOOST_TEST((reason_of(request) == near_wait_reason::costs_more));
+    request.slack = milliseconds(-1);
+    BOOST_TEST((reason_of(request) == near_wait_reason::late));
 }
 
 BOOST_AUTO_TEST_CASE(place_is_expected_at_the_end_that_makes_room) {
