--- a/tests/scheduler_near_test.cpp
+++ b/tests/scheduler_near_test.cpp
@@ -265,3 +265,36 @@
         }
     }
 }
+
+// Waits beside crashes, takeovers, lost answers and outages of the log end in one run of each task.
+BOOST_AUTO_TEST_CASE(waits_beside_faults_cause_no_second_run_and_no_lost_job) {
+    for (std::uint64_t seed = 300; seed < 312; ++seed) {
+        scheduler_site site(
+            seed, {.lost_answer = 0.03, .late_order = 0.02, .crash = 0.2, .failover = 0.15, .outage = 0.1});
+        site.limits.remote_slowdown = 3.0;
+        site.add_vms(9);
+        site.take_over();
+        std::vector<std::string> ids;
+        for (int round = 0; round < 60; ++round) {
+            auto job = job_near(fmt::format("r{}", site.random() % 3), 12000);
+            job.steps.front().count = 1 + static_cast<int>(site.random() % 4);
+            job.steps.front().rack_sensitive = round % 3 == 0;
+            job.steps.front().gang = round % 6 == 0;
+            if (round % 2 == 0) {
+                job.steps.front().data_rack.clear();
+            }
+            ids.push_back(site.submit(job));
+            site.run(milliseconds(200));
+        }
+        site.faults = {};
+        site.run(milliseconds(30000));
+        for (const auto& violation : site.duplicate_runs()) {
+            BOOST_ERROR(fmt::format("seed {}: {}", seed, violation));
+        }
+        for (const auto& id : ids) {
+            BOOST_TEST_CONTEXT("seed " << seed << " job " << id) {
+                BOOST_TEST(site.state_of(id) == "completed");
+            }
+        }
+    }
+}
