--- a/src/scheduler/scheduler_impl.hpp
+++ b/src/scheduler/scheduler_impl.hpp
@@ -71,6 +71,15 @@
     double load = 0; ///< see `rack_claims::load`
 };
 
+/// What tasks of one pool want of a rack.
+struct wanted_rack {
+    rack_claims claims;
+    boot_time wanted_until{}; ///< tasks without data there use other racks until then
+};
+
+/// By name of the rack.
+using wanted_racks_of_pool = std::map<std::string, wanted_rack, std::less<>>;
+
 /// The places that the tasks of one step want.
 struct near_target {
     std::string_view rack;              ///< of their data or their group; empty: the tasks do not wait
@@ -569,13 +578,7 @@
     std::int64_t overdue_tasks = 0;             ///< as of the latest report
     boot_time last_overdue_report{};
 
-    /// Racks in which tasks want a place, by name.
-    struct wanted_rack {
-        rack_claims claims;
-        boot_time wanted_until{}; ///< tasks without data there use other racks until then
-    };
-    std::map<std::string, std::map<std::string, wanted_rack, std::less<>>, std::less<>>
-        wanted_racks;                           ///< by pool
+    std::map<std::string, wanted_racks_of_pool, std::less<>> wanted_racks; ///< by pool
     std::optional<boot_time> near_decision_due; ///< when the next wait for a near place is decided anew
     near_wait_figures near_figures;
 
